--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code and of the processes."""
--- /dev/null
+++ b/tarragonchute/links.py
@@ -0,0 +1,251 @@
+"""Messages between VMs: interface, TCP links and in-memory twin."""
+
+import contextlib
+import logging
+from typing import Protocol
+
+import trio
+
+from . import wire
+from .errors import ProtocolError
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_DELAY_S = 0.2
+MAX_QUEUED_FRAMES = 4096
+
+
+class Link(Protocol):
+    """Sends messages to other VMs, without any promise that they arrive."""
+
+    def send(self, vm_id, kind, body, number=0):
+        """Queue a message.
+
+        Returns
+        -------
+        bool
+            False if it was dropped: the VM is unknown, not connected, or its queue
+            is full. True promises nothing about arrival.
+        """
+
+    def set_peers(self, addresses):
+        """Replace the known VMs by a dict of vm_id to ``host:port``."""
+
+
+class TcpLinks:
+    """One outgoing TCP connection to each peer, and a server for theirs.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    handle : callable
+        Called with each received `wire.Envelope`. It must not block.
+    """
+
+    def __init__(self, vm_id, handle):
+        self._vm_id = vm_id
+        self._handle = handle
+        self._peers = {}
+        self._nursery = None
+
+    async def run(self, listeners):
+        """Serve and send until cancelled.
+
+        Parameters
+        ----------
+        listeners : list of trio.SocketListener
+            Bound by the caller, so that a port in use is reported at start.
+        """
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for peer in self._peers.values():
+                nursery.start_soon(peer.run)
+            await trio.serve_listeners(self._receive, listeners)
+
+    def set_peers(self, addresses):
+        """Replace the known VMs by a dict of vm_id to ``host:port``."""
+        for vm_id in list(self._peers):
+            if addresses.get(vm_id) != self._peers[vm_id].address:
+                self._peers.pop(vm_id).stop()
+        for vm_id, address in addresses.items():
+            if vm_id != self._vm_id and vm_id not in self._peers:
+                self._add_peer(vm_id, address)
+
+    def send(self, vm_id, kind, body, number=0):
+        """Queue a message; a message to this VM itself is handled at once."""
+        if vm_id == self._vm_id:
+            self._handle(wire.Envelope(kind, vm_id, number, body))
+            return True
+        peer = self._peers.get(vm_id)
+        if peer is None:
+            return False
+        frame = wire.encode_envelope(kind, self._vm_id, number, body)
+        return peer.send(frame)
+
+    def _add_peer(self, vm_id, address):
+        peer = _Peer(vm_id, address)
+        self._peers[vm_id] = peer
+        if self._nursery is not None:
+            self._nursery.start_soon(peer.run)
+
+    async def _receive(self, stream):
+        reader = wire.FrameReader()
+        try:
+            async for data in stream:
+                for payload in reader.feed(data):
+                    self._handle(wire.decode_envelope(payload))
+        except ProtocolError as error:
+            logger.warning("closed a peer connection: %s", error)
+        except trio.BrokenResourceError:
+            pass
+
+
+class _Peer:
+    """The outgoing connection to one VM."""
+
+    __slots__ = ("vm_id", "address", "_frames", "_wake", "_scope", "is_connected")
+
+    def __init__(self, vm_id, address):
+        self.vm_id = vm_id
+        self.address = address
+        self._frames = []
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self.is_connected = False
+
+    def send(self, frame):
+        if not self.is_connected or len(self._frames) >= MAX_QUEUED_FRAMES:
+            return False
+        self._frames.append(frame)
+        self._wake.set()
+        return True
+
+    def stop(self):
+        self._scope.cancel()
+
+    async def run(self):
+        with self._scope:
+            while True:
+                await self._connect_and_send()
+                await trio.sleep(RECONNECT_DELAY_S)
+
+    async def _connect_and_send(self):
+        host, _, port = self.address.rpartition(":")
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(host, int(port))
+        except (OSError, trio.TooSlowError):
+            return
+        self.is_connected = True
+        try:
+            async with stream, trio.open_nursery() as nursery:
+                nursery.start_soon(self._cancel_when_closed, stream, nursery)
+                await self._send_frames(stream)
+        except* trio.BrokenResourceError:
+            pass
+        finally:
+            self.is_connected = False
+            # A frame of a broken connection is never sent again: its sender
+            # cannot know whether it arrived.
+            self._frames.clear()
+
+    async def _cancel_when_closed(self, stream, nursery):
+        """End the connection when the peer closes it; it never sends data."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        nursery.cancel_scope.cancel()
+
+    async def _send_frames(self, stream):
+        while True:
+            while not self._frames:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            data = b"".join(self._frames)
+            self._frames.clear()
+            await stream.send_all(data)
+
+
+class MemoryNetwork:
+    """In-memory twin: connects `MemoryLink` objects, with faults.
+
+    Parameters
+    ----------
+    random : random.Random
+        Decides the order of reordered messages; seed it for a repeatable run.
+
+    Attributes
+    ----------
+    cuts : set of (str, str)
+        Directed pairs of sender and addressee whose messages are dropped.
+    duplicates : bool
+        Deliver each message twice.
+    reorders : bool
+        Deliver queued messages in random order.
+    """
+
+    def __init__(self, random):
+        self._random = random
+        self._links = {}
+        self._queue = []
+        self.cuts = set()
+        self.duplicates = False
+        self.reorders = False
+
+    def connect(self, vm_id, handle):
+        """Return the link of a VM; `handle` gets each received envelope."""
+        link = MemoryLink(self, vm_id, handle)
+        self._links[vm_id] = link
+        return link
+
+    def disconnect(self, vm_id):
+        """Drop a VM, as when it is killed."""
+        self._links.pop(vm_id, None)
+
+    def cut(self, one, other):
+        """Drop messages between two VMs in both directions."""
+        self.cuts |= {(one, other), (other, one)}
+
+    def heal(self):
+        """End all cuts."""
+        self.cuts.clear()
+
+    def queue(self, sender, addressee, kind, body, number):
+        """Take a message for later delivery."""
+        if (sender, addressee) in self.cuts or addressee not in self._links:
+            return False
+        frame = wire.encode_envelope(kind, sender, number, body)
+        copies = 2 if self.duplicates else 1
+        self._queue += [(sender, addressee, frame)] * copies
+        return True
+
+    def deliver(self):
+        """Deliver all queued messages, and those that they cause."""
+        while self._queue:
+            index = 0
+            if self.reorders:
+                index = self._random.randrange(len(self._queue))
+            sender, addressee, frame = self._queue.pop(index)
+            link = self._links.get(addressee)
+            if link is not None and (sender, addressee) not in self.cuts:
+                (payload,) = wire.FrameReader().feed(frame)
+                link.handle(wire.decode_envelope(payload))
+
+
+class MemoryLink:
+    """One VM's end of a `MemoryNetwork`."""
+
+    __slots__ = ("_network", "_vm_id", "handle")
+
+    def __init__(self, network, vm_id, handle):
+        self._network = network
+        self._vm_id = vm_id
+        self.handle = handle
+
+    def send(self, vm_id, kind, body, number=0):
+        """Queue a message in the network."""
+        return self._network.queue(self._vm_id, vm_id, kind, body, number)
+
+    def set_peers(self, addresses):
+        """Do nothing: the network knows all links."""
--- /dev/null
+++ b/tarragonchute/messages.py
@@ -0,0 +1,309 @@
+"""Typed bodies of the messages between VMs.
+
+Each class has a `KIND`, turns into a JSON body with `to_body` and is rebuilt with
+`from_body`, which raises `ProtocolError` on a malformed body.
+"""
+
+import functools
+
+from .errors import ProtocolError
+
+SEARCH = "search"
+BOOKING = "booking"
+
+ANSWERED = "ok"
+"""Status of a shard answer that carries a result; others carry an error code."""
+
+
+def _guard(build):
+    """Turn the usual faults of a malformed body into a `ProtocolError`."""
+
+    @functools.wraps(build)
+    def guarded(cls, body):
+        try:
+            return build(cls, body)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            text = f"malformed {cls.KIND}: {error!r}"
+            raise ProtocolError(text) from error
+
+    return guarded
+
+
+class Heartbeat:
+    """Renews leases and tells what the sender knows.
+
+    Parameters
+    ----------
+    incarnation : str
+        Random id of the sending process.
+    epoch : int
+        Epoch of the view that the sender has adopted.
+    released_epoch : int
+        Highest epoch for which the sender has finished all requests to targets
+        that it no longer holds.
+    sent_at : float
+        Seconds on the sender's monotonic clock.
+    echo : float or None
+        Newest `sent_at` that the sender received from the addressee.
+    settings_digest : str
+        Digest of the sender's settings version vector.
+    store_revision : int
+        Highest store revision that the sender has seen.
+    """
+
+    KIND = "heartbeat"
+    __slots__ = (
+        "incarnation",
+        "epoch",
+        "released_epoch",
+        "sent_at",
+        "echo",
+        "settings_digest",
+        "store_revision",
+    )
+
+    def __init__(
+        self,
+        incarnation,
+        epoch,
+        released_epoch,
+        sent_at,
+        echo,
+        settings_digest,
+        store_revision=0,
+    ):
+        self.incarnation = incarnation
+        self.epoch = epoch
+        self.released_epoch = released_epoch
+        self.sent_at = sent_at
+        self.echo = echo
+        self.settings_digest = settings_digest
+        self.store_revision = store_revision
+
+    def to_body(self):
+        """Return the JSON body."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    @classmethod
+    @_guard
+    def from_body(cls, body):
+        """Rebuild the message from its JSON body."""
+        return cls(*body)
+
+
+class ShardItem:
+    """One attempt at one shard on one target.
+
+    Parameters
+    ----------
+    attempt : int
+        Number of the attempt, unique within the entry VM's request.
+    shard : str
+    target : str
+    """
+
+    __slots__ = ("attempt", "shard", "target")
+
+    def __init__(self, attempt, shard, target):
+        self.attempt = attempt
+        self.shard = shard
+        self.target = target
+
+
+class ShardGroup:
+    """All attempts of one request that go to one holder.
+
+    Parameters
+    ----------
+    request_id : str
+        128 random bits in hexadecimal.
+    team : str
+    dataset : str
+    version : str
+        Pinned snapshot.
+    query : object
+        JSON of the caller's query, or of the order of a booking.
+    remaining_ms : float
+        Milliseconds that the holder may still use, counted from receipt.
+    items : list of ShardItem
+    operation : str
+        `SEARCH` or `BOOKING`.
+    idempotency_key : str or None
+        Only for a booking.
+    """
+
+    KIND = "shard_group"
+    __slots__ = (
+        "request_id",
+        "team",
+        "dataset",
+        "version",
+        "query",
+        "remaining_ms",
+        "items",
+        "operation",
+        "idempotency_key",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        team,
+        dataset,
+        version,
+        query,
+        remaining_ms,
+        items,
+        operation=SEARCH,
+        idempotency_key=None,
+    ):
+        self.request_id = request_id
+        self.team = team
+        self.dataset = dataset
+        self.version = version
+        self.query = query
+        self.remaining_ms = remaining_ms
+        self.items = items
+        self.operation = operation
+        self.idempotency_key = idempotency_key
+
+    def to_body(self):
+        """Return the JSON body."""
+        body = {name: getattr(self, name) for name in self.__slots__}
+        body["items"] = [[i.attempt, i.shard, i.target] for i in self.items]
+        return body
+
+    @classmethod
+    @_guard
+    def from_body(cls, body):
+        """Rebuild the message from its JSON body."""
+        fields = dict(body)
+        fields["items"] = [ShardItem(*item) for item in body["items"]]
+        if fields["operation"] not in (SEARCH, BOOKING):
+            raise ValueError(fields["operation"])
+        return cls(**fields)
+
+
+class LoadEstimate:
+    """A holder's estimate for one target, carried on each of its answers.
+
+    Parameters
+    ----------
+    limit : int
+        Current concurrency limit of the target.
+    waiting : int
+        Requests queued and in flight.
+    service_ms : float
+        Recent median service time in milliseconds.
+    """
+
+    __slots__ = ("limit", "waiting", "service_ms")
+
+    def __init__(self, limit, waiting, service_ms):
+        self.limit = limit
+        self.waiting = waiting
+        self.service_ms = service_ms
+
+
+class ShardAnswer:
+    """What became of one attempt.
+
+    Parameters
+    ----------
+    attempt : int
+    code : str
+        `ANSWERED`, or the code of an error.
+    outcome : str
+        ``done``, ``not_run`` or ``unknown``.
+    result : object
+        JSON of the target's result, or None.
+    load : LoadEstimate or None
+    versions : list of str
+        Versions that the target has; only with code ``version_missing``.
+    """
+
+    __slots__ = ("attempt", "code", "outcome", "result", "load", "versions")
+
+    def __init__(self, attempt, code, outcome, result=None, load=None, versions=()):
+        self.attempt = attempt
+        self.code = code
+        self.outcome = outcome
+        self.result = result
+        self.load = load
+        self.versions = list(versions)
+
+    def to_body(self):
+        """Return the JSON form."""
+        load = self.load
+        estimate = load and [load.limit, load.waiting, load.service_ms]
+        return [
+            self.attempt,
+            self.code,
+            self.outcome,
+            self.result,
+            estimate,
+            self.versions,
+        ]
+
+    @classmethod
+    def from_body(cls, body):
+        """Rebuild the answer from its JSON form."""
+        attempt, code, outcome, result, estimate, versions = body
+        load = LoadEstimate(*estimate) if estimate else None
+        return cls(attempt, code, outcome, result, load, versions)
+
+
+class ShardAnswers:
+    """Answers to attempts of one group, as they become known.
+
+    Parameters
+    ----------
+    request_id : str
+    answers : list of ShardAnswer
+    """
+
+    KIND = "shard_answers"
+    __slots__ = ("request_id", "answers")
+
+    def __init__(self, request_id, answers):
+        self.request_id = request_id
+        self.answers = answers
+
+    def to_body(self):
+        """Return the JSON body."""
+        return [self.request_id, [a.to_body() for a in self.answers]]
+
+    @classmethod
+    @_guard
+    def from_body(cls, body):
+        """Rebuild the message from its JSON body."""
+        request_id, answers = body
+        return cls(request_id, [ShardAnswer.from_body(a) for a in answers])
+
+
+class ShardCancel:
+    """The entry VM no longer needs these attempts.
+
+    Parameters
+    ----------
+    request_id : str
+    attempts : list of int
+    """
+
+    KIND = "shard_cancel"
+    __slots__ = ("request_id", "attempts")
+
+    def __init__(self, request_id, attempts):
+        self.request_id = request_id
+        self.attempts = attempts
+
+    def to_body(self):
+        """Return the JSON body."""
+        return [self.request_id, self.attempts]
+
+    @classmethod
+    @_guard
+    def from_body(cls, body):
+        """Rebuild the message from its JSON body."""
+        request_id, attempts = body
+        return cls(request_id, [int(attempt) for attempt in attempts])
--- /dev/null
+++ b/tarragonchute/tables.py
@@ -0,0 +1,133 @@
+"""Tables of entities. Systems run over the rows at each tick."""
+
+
+class Table:
+    """Rows by key, in the order in which they were added.
+
+    Parameters
+    ----------
+    name : str
+        Used in error messages.
+    """
+
+    __slots__ = ("name", "_rows")
+
+    def __init__(self, name):
+        self.name = name
+        self._rows = {}
+
+    def add(self, key, row):
+        """Add a row.
+
+        Raises
+        ------
+        KeyError
+            If the key is present already.
+        """
+        if key in self._rows:
+            raise KeyError(f"{self.name} has {key!r} already")
+        self._rows[key] = row
+        return row
+
+    def get(self, key):
+        """Return the row, or None."""
+        return self._rows.get(key)
+
+    def remove(self, key):
+        """Remove and return the row, or None if there is none."""
+        return self._rows.pop(key, None)
+
+    def keys(self):
+        """Return the keys as a list, safe against changes while iterating."""
+        return list(self._rows)
+
+    def __iter__(self):
+        return iter(list(self._rows.values()))
+
+    def __contains__(self, key):
+        return key in self._rows
+
+    def __len__(self):
+        return len(self._rows)
+
+
+class TargetRow:
+    """What the holder of a target knows about it.
+
+    Parameters
+    ----------
+    target_id : str
+    address : str
+        ``host:port``.
+    domain : str
+        Failure domain of the target.
+    slots : int
+        Requests that it runs at the same time when warm.
+    max_connections : int
+        Connections that it accepts from the whole fleet.
+    """
+
+    __slots__ = (
+        "target_id",
+        "address",
+        "domain",
+        "slots",
+        "max_connections",
+        "state",
+        "limit",
+        "in_flight",
+        "connections",
+        "good_answers",
+        "boot_id",
+        "median_latency",
+        "last_answer_at",
+        "last_probe_at",
+        "gained_epoch",
+    )
+
+    def __init__(self, target_id, address, domain, slots, max_connections):
+        self.target_id = target_id
+        self.address = address
+        self.domain = domain
+        self.slots = slots
+        self.max_connections = max_connections
+        self.state = "cold"
+        self.limit = 1
+        self.in_flight = 0
+        self.connections = 0
+        self.good_answers = 0
+        self.boot_id = None
+        self.median_latency = None
+        self.last_answer_at = None
+        self.last_probe_at = None
+        self.gained_epoch = 0
+
+
+class MemberRow:
+    """What this VM knows about another member of the view.
+
+    Parameters
+    ----------
+    vm_id : str
+    """
+
+    __slots__ = (
+        "vm_id",
+        "incarnation",
+        "epoch",
+        "released_epoch",
+        "heard_at",
+        "echo",
+        "granted_until",
+        "digest",
+    )
+
+    def __init__(self, vm_id):
+        self.vm_id = vm_id
+        self.incarnation = None
+        self.epoch = 0
+        self.released_epoch = 0
+        self.heard_at = None
+        self.echo = None
+        self.granted_until = None
+        self.digest = None
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, a file for each module."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers of this repository."""
