--- /dev/null
+++ b/tarragonchute/bookings.py
@@ -0,0 +1,1051 @@
+"""Bookings, which run at most once for each idempotency key.
+
+The claim of a key is a record in the store, made before anything is dispatched.
+"""
+
+import collections
+import contextlib
+import hashlib
+import logging
+import secrets
+import time
+import urllib.parse
+
+import orjson
+import trio
+
+from . import errors
+from .messages import ANSWERED, BOOKING, ShardGroup, ShardItem
+from .searches import HOP_MS, LOAD_REFUSALS, NOT_SENT, RETRY_SHARE_LEFT, split_deadline
+
+logger = logging.getLogger(__name__)
+
+PREFIX = "operations/"
+RESTORED_PREFIX = "operations_restored/"
+
+MAX_SHARD_TIME_S = 1.0
+"""Longest time that a target may work on a dispatched request."""
+
+SKEW_S = 0.25
+"""Bound of the offset between the wall clocks of two machines."""
+
+LEASE_TTL_S = 25 * 3600.0
+"""Life of a record. A lease is shared for an hour, so each record lives 24 h."""
+
+LEASE_SHARED_S = 3600.0
+
+REMEMBERED_CLAIMS = 10_000
+REMEMBERED_BYTES = 32_000_000
+"""Most memory for remembered claims; a quarter of the VM's budget for control."""
+
+REMEMBERED_S = 24 * 3600.0
+
+MAX_PENDING = 10_000
+"""Outcome records that wait for the store. Beyond it bookings are refused."""
+
+STORE_WRITES_PER_S = 300.0
+BOOKING_SHARE = 0.9
+"""Part of the store's writes for bookings; the rest is for views and settings."""
+
+WRITES_PER_BOOKING = 2
+
+CLAIM_SHARE = 0.5
+"""Part of the deadline after which a claim without an answer is given up."""
+
+READ_BACK_SHARE = 0.75
+"""Part of the deadline after which an unanswered claim is no longer looked for."""
+
+FLUSH_DELAY_S = 0.2
+"""Pause between two attempts to write what is pending."""
+
+WATCH_RETRY_S = 0.05
+
+RESTORE_POLL_S = 0.5
+"""Pause between two looks at which members have restored their claims."""
+
+MAX_KEY_LENGTH = 200
+
+STARTED = "started"
+STORE_REGRESSED = "store_regressed"
+
+
+class BookingOrder:
+    """What a caller asks to run once.
+
+    Parameters
+    ----------
+    request_id, team, key, dataset, shard : str
+        `key` is the caller's idempotency key.
+    order : object
+        JSON of the order.
+    """
+
+    __slots__ = ("request_id", "team", "key", "dataset", "shard", "order")
+
+    def __init__(self, request_id, team, key, dataset, shard, order):
+        self.request_id = request_id
+        self.team = team
+        self.key = key
+        self.dataset = dataset
+        self.shard = shard
+        self.order = order
+
+    def record_key(self):
+        """Return the key of the record in the store."""
+        return f"{PREFIX}{self.team}/{urllib.parse.quote(self.key, safe='')}"
+
+    def digest(self):
+        """Return a digest of everything that a repeated request must repeat."""
+        body = [self.dataset, self.shard, self.order]
+        text = orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+        return hashlib.sha256(text).hexdigest()
+
+
+class DispatchResult:
+    """What became of a dispatched order.
+
+    Parameters
+    ----------
+    outcome : Outcome
+    code : str
+        `ANSWERED` or the code of an error.
+    result : object
+        JSON of the target's result, or None.
+    """
+
+    __slots__ = ("outcome", "code", "result")
+
+    def __init__(self, outcome, code, result=None):
+        self.outcome = outcome
+        self.code = code
+        self.result = result
+
+    def to_error(self):
+        """Return the exception that tells this outcome, which is not `done`."""
+        cls = errors.NotRunError
+        if self.outcome != errors.Outcome.NOT_RUN:
+            cls = errors.OutcomeUnknownError
+        known = errors.find_error_class(self.code)
+        if known is not None and known.outcome == self.outcome:
+            cls = known
+        error = cls(f"the booking ended with {self.code}")
+        error.code = self.code
+        return error
+
+
+class Record:
+    """The state of one key in the store.
+
+    Parameters
+    ----------
+    state : str
+        ``started``, ``done`` or ``not_run``.
+    claim_id : str
+        Random id of the claim; only its owner may dispatch.
+    vm_id : str
+    body_digest : str
+    dispatch_before : float
+        Unix time in seconds after which the owner dispatches nothing.
+    result : object
+        JSON of the target's result when done.
+    """
+
+    __slots__ = (
+        "state",
+        "claim_id",
+        "vm_id",
+        "body_digest",
+        "dispatch_before",
+        "result",
+    )
+
+    def __init__(
+        self, state, claim_id, vm_id, body_digest, dispatch_before, result=None
+    ):
+        self.state = state
+        self.claim_id = claim_id
+        self.vm_id = vm_id
+        self.body_digest = body_digest
+        self.dispatch_before = dispatch_before
+        self.result = result
+
+    def to_text(self):
+        """Return the value for the store."""
+        return orjson.dumps({n: getattr(self, n) for n in self.__slots__}).decode()
+
+    @classmethod
+    def from_text(cls, text):
+        """Rebuild a record.
+
+        Raises
+        ------
+        ProtocolError
+            If the value is not one that `to_text` makes.
+        """
+        try:
+            return cls(**orjson.loads(text))
+        except (TypeError, ValueError) as error:
+            raise errors.ProtocolError(f"malformed booking record: {error}") from error
+
+    def with_outcome(self, state, result=None):
+        """Return a copy with a final state."""
+        return Record(
+            state,
+            self.claim_id,
+            self.vm_id,
+            self.body_digest,
+            self.dispatch_before,
+            result,
+        )
+
+    def unknown_at(self):
+        """Return the Unix time from which a started record reads as unknown."""
+        return self.dispatch_before + MAX_SHARD_TIME_S + SKEW_S
+
+
+class WriteBudget:
+    """This VM's share of the store's writes.
+
+    Parameters
+    ----------
+    count_members : callable
+        Returns the number of VMs that share the budget.
+    """
+
+    __slots__ = ("_count_members", "_tokens", "_at")
+
+    def __init__(self, count_members):
+        self._count_members = count_members
+        self._tokens = None
+        self._at = 0.0
+
+    def try_spend(self, writes, now):
+        """Take the tokens for a number of writes if there are enough.
+
+        Parameters
+        ----------
+        writes : int
+        now : float
+            Monotonic seconds.
+        """
+        rate = STORE_WRITES_PER_S * BOOKING_SHARE / max(1, self._count_members())
+        # At least one booking must fit, however many VMs share the budget.
+        capacity = max(rate, float(WRITES_PER_BOOKING))
+        if self._tokens is None:
+            self._tokens = capacity
+        earned = max(0.0, now - self._at) * rate
+        self._tokens = min(capacity, self._tokens + earned)
+        self._at = now
+        if self._tokens < writes:
+            return False
+        self._tokens -= writes
+        return True
+
+
+class _Claim:
+    """A key that this VM has claimed, kept in case the store loses it.
+
+    `record` has the final state as soon as it is known here; `is_settled` also
+    covers the claim whose outcome stays unknown.
+    """
+
+    __slots__ = ("record", "at", "size", "is_settled")
+
+    def __init__(self, record, at):
+        self.record = record
+        self.at = at
+        self.size = 0
+        self.is_settled = trio.Event()
+
+
+class _ClaimMemory:
+    """The newest claims, bounded in number, size and age."""
+
+    __slots__ = ("_claims", "_bytes")
+
+    def __init__(self):
+        self._claims = collections.OrderedDict()
+        self._bytes = 0
+
+    def get(self, key):
+        return self._claims.get(key)
+
+    def keys(self):
+        return list(self._claims)
+
+    def put(self, key, claim, now):
+        self._drop(key)
+        claim.size = len(key) + len(claim.record.to_text())
+        self._claims[key] = claim
+        self._bytes += claim.size
+        self._trim(now)
+
+    def _trim(self, now):
+        while self._claims:
+            key, oldest = next(iter(self._claims.items()))
+            is_full = len(self._claims) > REMEMBERED_CLAIMS
+            is_full = is_full or self._bytes > REMEMBERED_BYTES
+            if not is_full and now - oldest.at < REMEMBERED_S:
+                return
+            self._drop(key)
+
+    def _drop(self, key):
+        claim = self._claims.pop(key, None)
+        if claim is not None:
+            self._bytes -= claim.size
+
+
+class _Booking:
+    """One call of `Booker.book`."""
+
+    __slots__ = (
+        "order",
+        "record_key",
+        "digest",
+        "claim_id",
+        "claim_due",
+        "read_back_due",
+        "answer_due",
+        "is_finished",
+        "result",
+        "error",
+    )
+
+    def __init__(self, order, now, deadline_s):
+        self.order = order
+        self.record_key = order.record_key()
+        self.digest = order.digest()
+        self.claim_id = None
+        self.claim_due = now + deadline_s * CLAIM_SHARE
+        self.read_back_due = now + deadline_s * READ_BACK_SHARE
+        self.answer_due = now + split_deadline(deadline_s)
+        self.is_finished = trio.Event()
+        self.result = None
+        self.error = None
+
+
+class Booker:
+    """Claims keys, dispatches their orders and records the outcomes.
+
+    A booking runs in a task of `run`, so a caller that leaves does not end it.
+
+    Parameters
+    ----------
+    vm_id : str
+    store : Store
+    dispatch : callable
+        ``await dispatch(order, answer_due)`` sends a `BookingOrder` to a target and
+        returns a `DispatchResult` by `answer_due` (trio time in seconds). It sends
+        again only while every earlier send provably did not run.
+    list_members : callable
+        Returns the vm_ids of the view.
+    wall_clock : callable
+        Returns Unix time in seconds.
+    """
+
+    def __init__(self, vm_id, store, dispatch, list_members, wall_clock=time.time):
+        self._vm_id = vm_id
+        self._store = store
+        self._dispatch = dispatch
+        self._list_members = list_members
+        self._wall_clock = wall_clock
+        self._budget = WriteBudget(lambda: len(list_members()))
+        self._claims = _ClaimMemory()
+        self._pending = collections.OrderedDict()
+        self._wake = trio.Event()
+        self._nursery = None
+        self._open = 0
+        self._lease = None
+        self._lease_at = 0.0
+        self._seen = 0
+        self._lost = None
+        self._settled = 0
+        self._to_restore = None
+
+    @property
+    def heartbeat_revision(self):
+        """Highest store revision seen, for the heartbeats.
+
+        It is negative while the store counts as regressed; its amount is then the
+        revision up to which writes may be lost.
+        """
+        return self._seen if self._lost is None else -self._lost
+
+    @property
+    def is_regressed(self):
+        """Whether bookings are refused because the store lost writes."""
+        return self._lost is not None
+
+    @property
+    def open_bookings(self):
+        """Number of bookings under way."""
+        return self._open
+
+    @property
+    def pending_writes(self):
+        """Number of outcome records that wait for the store."""
+        return len(self._pending)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Work on bookings and late writes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                await self._write_late()
+            finally:
+                self._nursery = None
+
+    async def book(self, team, key, dataset, shard, order, deadline_s, request_id):
+        """Run an order at most once for this team and key.
+
+        Parameters
+        ----------
+        team, key, dataset, shard : str
+            `key` is the caller's idempotency key.
+        order : object
+            JSON of the order.
+        deadline_s : float
+            Seconds from now within which the caller must have the outcome.
+        request_id : str
+            128 random bits in hexadecimal.
+
+        Returns
+        -------
+        object
+            JSON of the target's result; the booking is done.
+
+        Raises
+        ------
+        KeyRequiredError, KeyConflictError, BadRequestError
+        NotRunError
+            This request did not run; see `code`.
+        OutcomeUnknownError
+            It is unknown whether the order ran. It never runs again.
+        """
+        if not key:
+            raise errors.KeyRequiredError("a booking needs an idempotency key")
+        if len(key) > MAX_KEY_LENGTH:
+            text = f"the idempotency key is longer than {MAX_KEY_LENGTH} characters"
+            raise errors.BadRequestError(text)
+        if self._nursery is None:
+            raise errors.DrainingError("this VM takes no bookings")
+        booking = _Booking(
+            BookingOrder(request_id, team, key, dataset, shard, order),
+            trio.current_time(),
+            deadline_s,
+        )
+        self._open += 1
+        self._nursery.start_soon(self._execute, booking)
+        await booking.is_finished.wait()
+        if booking.error is not None:
+            raise booking.error
+        return booking.result
+
+    def observe_peer_revision(self, revision):
+        """Take the `heartbeat_revision` of another VM."""
+        if revision < 0:
+            if -revision > max(self._settled, self._lost or 0):
+                self._begin_restore(-revision, 0)
+        elif not self.is_regressed and revision > self._settled:
+            # Up to the last regression a revision tells nothing, since it may have
+            # been seen before it or after it.
+            self._seen = max(self._seen, revision)
+
+    def observe_store_revision(self, revision, revision_when_asked):
+        """Take a store-wide revision from the answer to a read or a watch.
+
+        Parameters
+        ----------
+        revision : int
+        revision_when_asked : int
+            `heartbeat_revision` when the call was sent; a lower answer means that
+            the store lost writes.
+        """
+        if revision_when_asked >= 0 and not self.is_regressed:
+            self._observe(revision, revision_when_asked - 1)
+
+    # One booking
+
+    async def _execute(self, booking):
+        try:
+            booking.result = await self._settle(booking)
+        except errors.TarragonchuteError as error:
+            booking.error = error
+        except Exception:
+            logger.exception("booking %s failed", booking.order.request_id)
+            booking.error = errors.OutcomeUnknownError("internal fault")
+        finally:
+            self._open -= 1
+            booking.is_finished.set()
+
+    async def _settle(self, booking):
+        """Return the result of a key, claiming it if nobody has."""
+        own = self._claims.get(booking.record_key)
+        if own is not None:
+            record = await self._wait_for_own(booking, own)
+            if record.state == errors.Outcome.DONE:
+                return record.result
+        expect = 0
+        while True:
+            record, revision = await self._claim(booking, expect)
+            if self._is_own_claim(record, booking):
+                return await self._run_claimed(booking, record, revision)
+            record = self._apply_memory(booking, record)
+            self._check_body(booking, record)
+            if record.state == STARTED:
+                record, revision = await self._wait_for_outcome(
+                    booking, record, revision
+                )
+            if record.state == errors.Outcome.DONE:
+                return record.result
+            expect = revision
+
+    async def _wait_for_own(self, booking, claim):
+        """Return the outcome of this VM's own claim.
+
+        It is known here even while the store is down.
+        """
+        self._check_body(booking, claim.record)
+        with trio.move_on_at(booking.answer_due):
+            await claim.is_settled.wait()
+        if claim.record.state == STARTED:
+            raise errors.OutcomeUnknownError("the key was claimed and may have run")
+        return claim.record
+
+    def _apply_memory(self, booking, record):
+        """Return the newer state of a record whose late write is pending."""
+        own = self._claims.get(booking.record_key)
+        if own is not None and own.record.claim_id == record.claim_id:
+            return own.record
+        return record
+
+    def _check_body(self, booking, record):
+        if record.body_digest != booking.digest:
+            raise errors.KeyConflictError("the key was used with another body")
+
+    def _is_own_claim(self, record, booking):
+        """Whether the record in force is the claim that this booking made."""
+        return record.claim_id == booking.claim_id
+
+    # Claim
+
+    def _check_may_claim(self, booking):
+        now = trio.current_time()
+        if now >= booking.claim_due:
+            raise errors.DeadlinePassedError("too little time is left to dispatch")
+        if self.is_regressed:
+            raise _build_regressed_error()
+        if len(self._pending) >= MAX_PENDING:
+            raise errors.StoreUnavailableError("too many outcomes wait for the store")
+        if not self._budget.try_spend(WRITES_PER_BOOKING, now):
+            raise errors.StoreBusyError("this VM's share of store writes is used up")
+
+    async def _claim(self, booking, expect):
+        """Create the record and return the one in force, with its revision."""
+        self._check_may_claim(booking)
+        booking.claim_id = secrets.token_hex(16)
+        left = booking.answer_due - trio.current_time()
+        record = Record(
+            STARTED,
+            booking.claim_id,
+            self._vm_id,
+            booking.digest,
+            self._wall_clock() + left,
+        )
+        lease = await self._share_lease(booking.claim_due)
+        seen = self._seen
+        revision = None
+        try:
+            with trio.move_on_at(booking.claim_due):
+                revision = await self._store.put(
+                    booking.record_key, record.to_text(), expect, lease
+                )
+        except errors.StoreConflictError as conflict:
+            return _read_conflict(conflict)
+        except errors.StoreOutcomeUnknownError:
+            pass
+        except errors.NotRunError as error:
+            # The store may have forgotten the lease, so the next claim gets a new one.
+            self._lease = None
+            raise errors.StoreUnavailableError(str(error)) from error
+        if revision is None:
+            return await self._read_back(booking, record)
+        if not self._observe(revision, seen):
+            self._forgo(booking, record)
+            raise _build_regressed_error()
+        return record, revision
+
+    async def _read_back(self, booking, record):
+        """Return the record in force after the answer to a claim was lost."""
+        entry = None
+        with trio.move_on_at(booking.read_back_due):
+            try:
+                entry = await self._store.get(booking.record_key)
+            except errors.StoreUnavailableError:
+                logger.info("claim of %s cannot be read back", booking.record_key)
+        if entry is None:
+            self._forgo(booking, record)
+            raise errors.StoreUnavailableError("the claim could not be confirmed")
+        found = Record.from_text(entry.value)
+        if not self._is_own_claim(found, booking):
+            # The write may still be on its way; it must not stay as a claim.
+            self._forgo(booking, record)
+        return found, entry.revision
+
+    def _forgo(self, booking, record):
+        """Record later that a claim which may exist will never be dispatched."""
+        self._add_pending(booking.record_key, record.with_outcome(_NOT_RUN), None)
+
+    async def _share_lease(self, due):
+        """Return the lease of this hour.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If no lease was granted by `due`, in trio time.
+        """
+        now = trio.current_time()
+        if self._lease is not None and now - self._lease_at < LEASE_SHARED_S:
+            return self._lease
+        lease = None
+        with trio.move_on_at(due):
+            try:
+                lease = await self._store.grant_lease(LEASE_TTL_S)
+            except errors.StoreOutcomeUnknownError:
+                logger.info("the answer to a lease grant was lost")
+        if lease is None:
+            raise errors.StoreUnavailableError("the store granted no lease")
+        self._lease = lease
+        self._lease_at = now
+        return lease
+
+    # Dispatch and outcome
+
+    async def _run_claimed(self, booking, record, revision):
+        now = trio.current_time()
+        claim = _Claim(record, now)
+        self._claims.put(booking.record_key, claim, now)
+        try:
+            answer = await self._dispatch_claimed(booking, record)
+            if answer.outcome != errors.Outcome.UNKNOWN:
+                claim.record = record.with_outcome(str(answer.outcome), answer.result)
+                self._claims.put(booking.record_key, claim, now)
+        finally:
+            claim.is_settled.set()
+        if answer.outcome != errors.Outcome.UNKNOWN:
+            await self._record_outcome(booking, claim.record, revision)
+        if answer.outcome != errors.Outcome.DONE:
+            raise answer.to_error()
+        return answer.result
+
+    async def _dispatch_claimed(self, booking, record):
+        if self._wall_clock() >= record.dispatch_before:
+            return DispatchResult(errors.Outcome.NOT_RUN, "deadline_passed")
+        answer = DispatchResult(errors.Outcome.UNKNOWN, "outcome_unknown")
+        with trio.move_on_at(booking.answer_due):
+            try:
+                answer = await self._dispatch(booking.order, booking.answer_due)
+            except Exception:
+                logger.exception("dispatch of %s failed", booking.order.request_id)
+        return answer
+
+    async def _record_outcome(self, booking, record, revision):
+        """Write an outcome in the time that is left, else leave it for later."""
+        is_written = False
+        with trio.move_on_at(booking.answer_due):
+            is_written = await self._try_write(booking.record_key, record, revision)
+        if not is_written:
+            self._add_pending(booking.record_key, record, revision)
+
+    # Late writes
+
+    def _add_pending(self, record_key, record, revision):
+        self._pending[record_key, record.claim_id] = (record, revision)
+        self._wake.set()
+
+    async def _write_late(self):
+        while True:
+            if not self._pending and not self.is_regressed:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            await self._write_pending()
+            if self.is_regressed:
+                await self._restore()
+            if self._pending or self.is_regressed:
+                await trio.sleep(FLUSH_DELAY_S)
+
+    async def _write_pending(self):
+        """Write what is pending until the store fails."""
+        for key in list(self._pending):
+            record, revision = self._pending[key]
+            if not await self._try_write(key[0], record, revision):
+                return
+            self._pending.pop(key, None)
+
+    async def _try_write(self, record_key, record, revision):
+        """Write a final record; return False to try again later."""
+        try:
+            if revision is None:
+                expect = await self._find_expected(record_key, record)
+            else:
+                expect = revision
+            while expect is not None:
+                expect = await self._put_final(record_key, record, expect)
+        except errors.StoreOutcomeUnknownError:
+            return False
+        except errors.NotRunError:
+            self._lease = None
+            return False
+        except errors.ProtocolError:
+            logger.exception("gave up the outcome of %s", record_key)
+        return True
+
+    async def _put_final(self, record_key, record, expect):
+        """Put a record; return None when settled, or the revision to expect."""
+        lease = await self._share_lease(trio.current_time() + MAX_SHARD_TIME_S)
+        seen = self._seen
+        try:
+            revision = await self._store.put(
+                record_key, record.to_text(), expect, lease
+            )
+        except errors.StoreConflictError as conflict:
+            return _choose_expected(conflict.entry, record)
+        self._observe(revision, seen)
+        return None
+
+    async def _find_expected(self, record_key, record):
+        return _choose_expected(await self._store.get(record_key), record)
+
+    # Store regression
+
+    def _observe(self, revision, seen_when_asked):
+        """Take a revision that must be above an earlier one.
+
+        Returns
+        -------
+        bool
+            False if it is not, so the store has lost writes.
+        """
+        if revision > seen_when_asked:
+            self._seen = max(self._seen, revision)
+            return True
+        # Otherwise another call has found the same regression already.
+        if seen_when_asked <= self._seen:
+            # Above any earlier regression, so that the marks which the members
+            # left after that one do not count for this one.
+            lost = max(self._seen, self._settled + 1, (self._lost or 0) + 1)
+            self._begin_restore(lost, revision)
+        return False
+
+    def _begin_restore(self, lost, revision):
+        """Refuse bookings until every member has created its claims again.
+
+        Parameters
+        ----------
+        lost : int
+            Revision up to which writes may be lost.
+        revision : int
+            What the store has reached again, as far as is known.
+        """
+        logger.warning("store fell back from %d to %d", lost, revision)
+        self._lost = lost
+        self._seen = revision
+        self._lease = None
+        self._to_restore = self._claims.keys()
+        self._wake.set()
+
+    async def _restore(self):
+        try:
+            while self._to_restore:
+                if not self._budget.try_spend(1, trio.current_time()):
+                    return
+                await self._restore_claim(self._to_restore[-1])
+                self._to_restore.pop()
+            await self._end_restore()
+        except errors.StoreOutcomeUnknownError:
+            return
+        except errors.NotRunError:
+            self._lease = None
+
+    async def _restore_claim(self, record_key):
+        claim = self._claims.get(record_key)
+        if claim is None or claim.record.state == errors.Outcome.NOT_RUN:
+            return
+        entry = await self._store.get(record_key)
+        expect = _choose_expected(entry, claim.record)
+        if expect is not None:
+            await self._put_final(record_key, claim.record, expect)
+
+    async def _end_restore(self):
+        """Tell that this VM is ready, and go on when every member is."""
+        lost = self._lost
+        marks = await self._read_marks()
+        if marks.get(self._vm_id, _NO_MARK)[0] < lost:
+            await self._write_mark(lost, marks.get(self._vm_id, _NO_MARK)[1])
+            return
+        if lost != self._lost:
+            return
+        members = set(self._list_members())
+        if all(marks.get(vm_id, _NO_MARK)[0] >= lost for vm_id in members):
+            logger.warning("claims of %d members are restored", len(members))
+            self._settled = lost
+            self._lost = None
+        else:
+            await trio.sleep(RESTORE_POLL_S)
+
+    async def _write_mark(self, lost, expect):
+        with contextlib.suppress(errors.StoreConflictError):
+            await self._store.put(RESTORED_PREFIX + self._vm_id, str(lost), expect)
+
+    async def _read_marks(self):
+        """Return vm_id to (lost revision, revision of the mark)."""
+        entries, _ = await self._store.list(RESTORED_PREFIX)
+        marks = {}
+        for entry in entries:
+            lost = int(entry.value) if entry.value.isdecimal() else 0
+            marks[entry.key[len(RESTORED_PREFIX) :]] = (lost, entry.revision)
+        return marks
+
+    # Another VM's claim
+
+    async def _wait_for_outcome(self, booking, record, revision):
+        """Return the final record of a claim that another VM is working on.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If the caller's deadline comes first, or the claim's time is over.
+        """
+        while record.state == STARTED:
+            left = min(
+                booking.answer_due - trio.current_time(),
+                record.unknown_at() - self._wall_clock(),
+            )
+            if left <= 0:
+                text = "the key was claimed and its outcome is not recorded"
+                raise errors.OutcomeUnknownError(text)
+            entry = None
+            with trio.move_on_after(left):
+                entry = await self._watch(booking.record_key, revision, left)
+            if entry is not None:
+                record, revision = Record.from_text(entry.value), entry.revision
+                self._check_body(booking, record)
+        return record, revision
+
+    async def _watch(self, record_key, revision, wait_s):
+        """Return the changed entry, or None after a while."""
+        entries = []
+        asked = self.heartbeat_revision
+        try:
+            entries, reached = await self._store.watch(record_key, revision, wait_s)
+            self.observe_store_revision(reached, asked)
+        except errors.StoreUnavailableError:
+            logger.info("cannot watch %s", record_key)
+        for entry in entries:
+            if entry.key == record_key:
+                return entry
+        # Keeps a store that answers at once from being called in a tight loop.
+        await trio.sleep(WATCH_RETRY_S)
+        return None
+
+
+def _read_conflict(conflict):
+    """Return the record in force and its revision."""
+    entry = conflict.entry
+    if entry is None:
+        raise errors.StoreUnavailableError("the key changed while it was claimed")
+    return Record.from_text(entry.value), entry.revision
+
+
+def _choose_expected(entry, record):
+    """Return the revision that a record may replace, or None to leave the entry.
+
+    A claim replaces nothing but its own earlier state, an absent key, and a claim
+    of which its owner says that it did not run.
+    """
+    if entry is None:
+        return 0
+    found = Record.from_text(entry.value)
+    if found.claim_id == record.claim_id:
+        is_older = found.state == STARTED and record.state != STARTED
+        return entry.revision if is_older else None
+    if found.state == _NOT_RUN and record.state != _NOT_RUN:
+        return entry.revision
+    return None
+
+
+def _build_regressed_error():
+    error = errors.NotRunError("the store lost writes; claims are being restored")
+    error.code = STORE_REGRESSED
+    return error
+
+
+_NOT_RUN = str(errors.Outcome.NOT_RUN)
+
+_NO_MARK = (0, 0)
+"""Lost revision and store revision of a mark that does not exist."""
+
+
+class BookingSender:
+    """Sends orders to holders; the `dispatch` of a `Booker`.
+
+    Parameters
+    ----------
+    link : Link
+    chooser : SnapshotChooser
+    router : Router
+    budgets : Budgets
+    numbers : iterator of int
+        Request numbers of this VM, shared with every other user of the link.
+    """
+
+    __slots__ = ("_link", "_chooser", "_router", "_budgets", "_numbers", "_open")
+
+    def __init__(self, link, chooser, router, budgets, numbers):
+        self._link = link
+        self._chooser = chooser
+        self._router = router
+        self._budgets = budgets
+        self._numbers = numbers
+        self._open = {}
+
+    async def __call__(self, order, answer_due):
+        """Send an order until it may have run, and return what became of it.
+
+        Parameters
+        ----------
+        order : BookingOrder
+        answer_due : float
+            Trio time in seconds.
+
+        Returns
+        -------
+        DispatchResult
+        """
+        now = trio.current_time()
+        try:
+            layout = self._chooser.pin(order.dataset, now)
+        except errors.UnknownDatasetError as error:
+            return _build_refusal(error.code)
+        untried = list(layout.shards.get(order.shard, ()))
+        if not untried:
+            return _build_refusal("shard_unknown")
+        retry_until = answer_due - (answer_due - now) * RETRY_SHARE_LEFT
+        result = _build_refusal("not_holder")
+        while self._may_send(order, result, retry_until):
+            choice = self._router.choose(untried, trio.current_time())
+            if choice is None:
+                return result
+            untried.remove(choice[0])
+            result = await self._try(order, layout.version, choice, answer_due)
+            if result.outcome != errors.Outcome.NOT_RUN:
+                return result
+        return result
+
+    def _may_send(self, order, last, retry_until):
+        now = trio.current_time()
+        if now > retry_until:
+            return False
+        if last.code not in LOAD_REFUSALS:
+            return True
+        return self._budgets.find(order.dataset, now).retries.try_spend(now)
+
+    async def _try(self, order, version, choice, answer_due):
+        target, vm_id = choice
+        number = next(self._numbers)
+        dispatch = self._open[number] = _OpenDispatch(order.request_id, vm_id)
+        self._router.note_sent(target)
+        try:
+            left_ms = (answer_due - trio.current_time()) * 1000.0 - HOP_MS
+            group = _build_group(order, version, target, left_ms)
+            if not self._link.send(vm_id, group.KIND, group.to_body(), number):
+                dispatch.end(_build_refusal(NOT_SENT))
+            with trio.move_on_at(answer_due):
+                await dispatch.is_ended.wait()
+        finally:
+            del self._open[number]
+            self._router.note_closed(target)
+        code = dispatch.result.code
+        self._router.note_answer(target, code, dispatch.load, trio.current_time())
+        return dispatch.result
+
+    def handle_answers(self, vm_id, number, answers):
+        """Take answers from a holder; return False if they are not awaited here.
+
+        Parameters
+        ----------
+        vm_id : str
+            Sender of the message.
+        number : int
+            Request number of the envelope.
+        answers : ShardAnswers
+        """
+        dispatch = self._open.get(number)
+        if dispatch is None or dispatch.request_id != answers.request_id:
+            return False
+        for answer in answers.answers:
+            if vm_id == dispatch.vm_id and answer.attempt == _ATTEMPT:
+                dispatch.take(answer)
+        return True
+
+    def handle_holder_lost(self, vm_id):
+        """End what waits for a VM that was lost; its outcome is unknown."""
+        for dispatch in self._open.values():
+            if dispatch.vm_id == vm_id:
+                dispatch.end(_build_unknown())
+
+
+class _OpenDispatch:
+    """One send of an order; each has a request number of its own."""
+
+    __slots__ = ("request_id", "vm_id", "is_ended", "result", "load")
+
+    def __init__(self, request_id, vm_id):
+        self.request_id = request_id
+        self.vm_id = vm_id
+        self.is_ended = trio.Event()
+        self.result = _build_unknown()
+        self.load = None
+
+    def end(self, result):
+        """Take the first result; later ones are ignored."""
+        if not self.is_ended.is_set():
+            self.result = result
+            self.is_ended.set()
+
+    def take(self, answer):
+        """Take an answer of the holder."""
+        outcome = errors.Outcome.UNKNOWN
+        if answer.code == ANSWERED:
+            outcome = errors.Outcome.DONE
+        elif answer.outcome == errors.Outcome.NOT_RUN:
+            outcome = errors.Outcome.NOT_RUN
+        self.load = answer.load
+        self.end(DispatchResult(outcome, answer.code, answer.result))
+
+
+_ATTEMPT = 1
+"""Attempt number of an order; each send has a request number of its own."""
+
+
+def _build_refusal(code):
+    return DispatchResult(errors.Outcome.NOT_RUN, code)
+
+
+def _build_unknown():
+    return DispatchResult(errors.Outcome.UNKNOWN, "outcome_unknown")
+
+
+def _build_group(order, version, target, left_ms):
+    return ShardGroup(
+        order.request_id,
+        order.team,
+        order.dataset,
+        version,
+        order.order,
+        left_ms,
+        [ShardItem(_ATTEMPT, order.shard, target)],
+        BOOKING,
+        order.key,
+    )
--- /dev/null
+++ b/tarragonchute/routing.py
@@ -0,0 +1,221 @@
+"""Choice of replica, and the latency figures that hedging needs."""
+
+FRESH_S = 2.0
+"""Age at which the reported queue of other entry VMs is no longer counted."""
+
+FORGET_S = 5.0
+"""Age at which a report is dropped, so that a replica that was slow is tried again."""
+
+UNKNOWN_SERVICE_MS = 1.0
+"""Service time assumed without a report; low, so that unknown replicas get tried."""
+
+SPREAD = 0.1
+"""Relative width within which two estimates count as equal and chance decides."""
+
+SKIP_S = {
+    "connect_failed": 0.5,
+    "connection_lost": 0.5,
+    "timed_out": 0.5,
+    "wrong_answer": 0.5,
+    "draining": 2.0,
+    "not_holder": 0.1,
+    "no_lease": 0.3,
+    "not_sent": 0.2,
+    "domain_out": 0.5,
+}
+"""Seconds for which a target is passed over after an answer with this code.
+
+``draining`` equals the holder's probe interval; ``not_holder`` is about one
+hand-over of a target.
+"""
+
+SAMPLES = 512
+REFRESH_EVERY = 64
+
+
+class LatencyTracker:
+    """Quantiles of the newest samples, recomputed now and then.
+
+    Sorting 512 samples for every 64 new ones costs less than 1 microsecond for each
+    sample.
+    """
+
+    __slots__ = ("_samples", "_count", "_sorted")
+
+    def __init__(self):
+        self._samples = []
+        self._count = 0
+        self._sorted = []
+
+    def record(self, seconds):
+        """Add a sample in seconds."""
+        samples = self._samples
+        if len(samples) < SAMPLES:
+            samples.append(seconds)
+        else:
+            samples[self._count % SAMPLES] = seconds
+        self._count += 1
+        if self._count % REFRESH_EVERY == 0:
+            self._sorted = sorted(samples)
+
+    def quantile(self, fraction):
+        """Return a quantile in seconds, or None before 64 samples."""
+        if not self._sorted:
+            return None
+        index = int(fraction * len(self._sorted))
+        return self._sorted[min(index, len(self._sorted) - 1)]
+
+
+class _TargetLoad:
+    """What this entry VM knows about one target."""
+
+    __slots__ = ("limit", "others", "service_ms", "at", "outstanding", "skip_until")
+
+    def __init__(self):
+        self.limit = 1
+        self.others = 0.0
+        self.service_ms = UNKNOWN_SERVICE_MS
+        self.at = -FORGET_S
+        self.outstanding = 0
+        self.skip_until = 0.0
+
+
+class Router:
+    """Chooses replicas by estimated delay.
+
+    Parameters
+    ----------
+    find_holder : callable
+        Takes a target id and returns the vm_id of its holder, or None.
+    random : random.Random
+        Decides between replicas with equal estimates; seed it for a repeatable run.
+    """
+
+    __slots__ = ("_find_holder", "_random", "_loads", "_out", "_latencies", "_queries")
+
+    def __init__(self, find_holder, random):
+        self._find_holder = find_holder
+        self._random = random.random
+        self._loads = {}
+        self._out = frozenset()
+        self._latencies = {}
+        self._queries = {}
+
+    def set_tree(self, tree):
+        """Take failure domains and targets from a settings `Tree`."""
+        targets = tree.list_targets()
+        self._out = frozenset(
+            name
+            for name, target in targets.items()
+            if not tree.is_domain_in(target.domain)
+        )
+        for name in [name for name in self._loads if name not in targets]:
+            if self._loads[name].outstanding == 0:
+                del self._loads[name]
+
+    def choose(self, targets, now):
+        """Return ``(target, vm_id)`` of the best replica, or None.
+
+        Targets in a failure domain that is out and targets without a holder are
+        never chosen; a target that failed lately only if there is no other.
+
+        Parameters
+        ----------
+        targets : iterable of str
+        now : float
+            Monotonic seconds.
+        """
+        best = None
+        best_delay = 0.0
+        for target in targets:
+            if target in self._out:
+                continue
+            delay = self._estimate(target, now)
+            if best is None or delay < best_delay:
+                best, best_delay = target, delay
+        if best is None:
+            return None
+        vm_id = self._find_holder(best)
+        if vm_id is not None:
+            return best, vm_id
+        return self.choose([t for t in targets if t != best], now)
+
+    def note_sent(self, target):
+        """Count an attempt as outstanding; call after `choose`."""
+        self._loads[target].outstanding += 1
+
+    def note_closed(self, target):
+        """Count an attempt as no longer outstanding."""
+        load = self._loads.get(target)
+        if load is not None and load.outstanding > 0:
+            load.outstanding -= 1
+
+    def note_answer(self, target, code, report, now):
+        """Take what an answer tells about a target; call after `note_closed`.
+
+        Parameters
+        ----------
+        target : str
+        code : str
+            Code of the answer.
+        report : LoadEstimate or None
+        now : float
+            Monotonic seconds.
+        """
+        load = self._loads.get(target)
+        if load is None:
+            return
+        if report is not None:
+            load.limit = report.limit
+            load.others = max(0, report.waiting - load.outstanding)
+            load.service_ms = report.service_ms
+            load.at = now
+        skip = SKIP_S.get(code)
+        if skip is not None:
+            load.skip_until = now + skip
+
+    def record_latency(self, dataset, seconds):
+        """Add the time of one shard attempt."""
+        tracker = self._latencies.get(dataset)
+        if tracker is None:
+            tracker = self._latencies[dataset] = LatencyTracker()
+        tracker.record(seconds)
+
+    def record_query(self, dataset, seconds):
+        """Add the time of one whole query."""
+        tracker = self._queries.get(dataset)
+        if tracker is None:
+            tracker = self._queries[dataset] = LatencyTracker()
+        tracker.record(seconds)
+
+    def shard_latency(self, dataset, fraction):
+        """Return a quantile of shard attempts in seconds, or None if unknown."""
+        tracker = self._latencies.get(dataset)
+        return tracker and tracker.quantile(fraction)
+
+    def query_latency(self, dataset, fraction):
+        """Return a quantile of whole queries in seconds, or None if unknown."""
+        tracker = self._queries.get(dataset)
+        return tracker and tracker.quantile(fraction)
+
+    def _estimate(self, target, now):
+        load = self._loads.get(target)
+        if load is None:
+            load = self._loads[target] = _TargetLoad()
+        age = now - load.at
+        service = load.service_ms
+        queue = load.outstanding + 1
+        if age < FRESH_S:
+            queue += load.others * (1.0 - age / FRESH_S)
+        elif age >= FORGET_S:
+            service = UNKNOWN_SERVICE_MS
+        # A limit of 0 is a target that takes nothing at present.
+        delay = queue * service / (load.limit or 0.1)
+        delay *= 1.0 + SPREAD * self._random()
+        if now < load.skip_until:
+            delay += _SKIPPED_MS
+        return delay
+
+
+_SKIPPED_MS = 1e9
+"""Added to the estimate of a target that failed lately, to put it last."""
--- /dev/null
+++ b/tarragonchute/snapshots.py
@@ -0,0 +1,122 @@
+"""Choice of the snapshot version that one query reads."""
+
+from . import errors
+
+REFUSAL_MEMORY_S = 5.0
+"""How long a version is avoided after a shard refused it on all its replicas."""
+
+
+class Layout:
+    """The shards of one published version.
+
+    Parameters
+    ----------
+    version : str
+    shards : dict of str to list of str
+        Shard to the ids of the targets that serve it.
+    """
+
+    __slots__ = ("version", "shards")
+
+    def __init__(self, version, shards):
+        self.version = version
+        self.shards = shards
+
+
+class SnapshotChooser:
+    """Knows the published layouts and which versions were missing lately."""
+
+    __slots__ = ("_layouts", "_refused_at")
+
+    def __init__(self):
+        self._layouts = {}
+        self._refused_at = {}
+
+    def set_layouts(self, dataset, layouts):
+        """Replace the published layouts of a dataset.
+
+        A query that is under way keeps the layout that it has pinned.
+
+        Parameters
+        ----------
+        dataset : str
+        layouts : dict of str to dict
+            Version to its shards, in ascending order of publication.
+        """
+        self._layouts[dataset] = {v: Layout(v, s) for v, s in layouts.items()}
+        stale = [k for k in self._refused_at if k[0] == dataset and k[1] not in layouts]
+        for key in stale:
+            del self._refused_at[key]
+
+    def set_tree(self, tree):
+        """Replace the layouts of all datasets by those of a settings `Tree`."""
+        for name in [name for name in self._layouts if name not in tree.datasets]:
+            self.set_layouts(name, {})
+            del self._layouts[name]
+        for name, dataset in tree.datasets.items():
+            self.set_layouts(name, dataset.layouts)
+
+    def pin(self, dataset, now):
+        """Return the layout that a new query reads.
+
+        It is the newest version that no shard refused in the last 5 s. If each was
+        refused, it is the one whose refusal is the oldest.
+
+        Parameters
+        ----------
+        dataset : str
+        now : float
+            Monotonic seconds.
+
+        Raises
+        ------
+        UnknownDatasetError
+            If the dataset is unknown or has no published version.
+        """
+        layouts = self._layouts.get(dataset)
+        if not layouts:
+            raise errors.UnknownDatasetError(f"dataset {dataset!r} has no version")
+        for version in reversed(layouts):
+            if not self._is_refused(dataset, version, now):
+                return layouts[version]
+        oldest = min(layouts, key=lambda v: self._refused_at[dataset, v])
+        return layouts[oldest]
+
+    def report_missing(self, dataset, version, shard, versions, now):
+        """Note that no replica of a shard has a version.
+
+        Parameters
+        ----------
+        dataset, version, shard : str
+        versions : iterable of str
+            Versions that the shard's targets have.
+        now : float
+            Monotonic seconds.
+        """
+        if version in self._layouts.get(dataset, ()):
+            self._refused_at[dataset, version] = now
+
+    def choose_alternative(self, dataset, version, versions, now):
+        """Return the layout on which a query restarts, or None.
+
+        Parameters
+        ----------
+        dataset : str
+        version : str
+            The version that is missing.
+        versions : set of str
+            Versions that the targets of the refusing shard have.
+        now : float
+            Monotonic seconds.
+        """
+        layouts = self._layouts.get(dataset, {})
+        for other in reversed(layouts):
+            if other == version or other not in versions:
+                continue
+            if not self._is_refused(dataset, other, now):
+                return layouts[other]
+        return None
+
+    def _is_refused(self, dataset, version, now):
+        refused_at = self._refused_at.get((dataset, version))
+        return refused_at is not None and now - refused_at < REFUSAL_MEMORY_S
