--- a/tarragonchute/bookings.py
+++ b/tarragonchute/bookings.py
@@ -965,9 +965,8 @@
                 await dispatch.is_ended.wait()
         finally:
             del self._open[number]
-            self._router.note_closed(target)
-        code = dispatch.result.code
-        self._router.note_answer(target, code, dispatch.load, trio.current_time())
+            code = dispatch.result.code
+            self._router.note_answer(target, code, dispatch.load, trio.current_time())
         return dispatch.result
 
     def handle_answers(self, vm_id, number, answers):
--- a/tarragonchute/routing.py
+++ b/tarragonchute/routing.py
@@ -1,5 +1,7 @@
 """Choice of replica, and the latency figures that hedging needs."""
 
+import math
+
 FRESH_S = 2.0
 """Age at which the reported queue of other entry VMs is no longer counted."""
 
@@ -79,6 +81,19 @@
         self.outstanding = 0
         self.skip_until = 0.0
 
+    def estimate(self, now):
+        """Return the expected delay in milliseconds of one more attempt."""
+        age = now - self.at
+        queue = self.outstanding + 1
+        service = self.service_ms
+        if age < FRESH_S:
+            queue += self.others * (1.0 - age / FRESH_S)
+        elif age >= FORGET_S:
+            service = UNKNOWN_SERVICE_MS
+        # A limit of 0 is a target that takes nothing at present.
+        delay = queue * service / (self.limit or 0.1)
+        return delay if now >= self.skip_until else delay + _SKIPPED_MS
+
 
 class Router:
     """Chooses replicas by estimated delay.
@@ -126,12 +141,13 @@
             Monotonic seconds.
         """
         best = None
-        best_delay = 0.0
+        best_delay = math.inf
         for target in targets:
             if target in self._out:
                 continue
-            delay = self._estimate(target, now)
-            if best is None or delay < best_delay:
+            load = self._loads.get(target) or self._add(target)
+            delay = load.estimate(now) * (1.0 + SPREAD * self._random())
+            if delay < best_delay:
                 best, best_delay = target, delay
         if best is None:
             return None
@@ -144,14 +160,14 @@
         """Count an attempt as outstanding; call after `choose`."""
         self._loads[target].outstanding += 1
 
-    def note_closed(self, target):
-        """Count an attempt as no longer outstanding."""
+    def note_cancelled(self, target):
+        """Count an attempt as no longer outstanding, without an answer."""
         load = self._loads.get(target)
         if load is not None and load.outstanding > 0:
             load.outstanding -= 1
 
     def note_answer(self, target, code, report, now):
-        """Take what an answer tells about a target; call after `note_closed`.
+        """Count an attempt as answered, and take what that tells about its target.
 
         Parameters
         ----------
@@ -165,14 +181,15 @@
         load = self._loads.get(target)
         if load is None:
             return
+        if load.outstanding > 0:
+            load.outstanding -= 1
         if report is not None:
             load.limit = report.limit
             load.others = max(0, report.waiting - load.outstanding)
             load.service_ms = report.service_ms
             load.at = now
-        skip = SKIP_S.get(code)
-        if skip is not None:
-            load.skip_until = now + skip
+        if code in SKIP_S:
+            load.skip_until = now + SKIP_S[code]
 
     def record_latency(self, dataset, seconds):
         """Add the time of one shard attempt."""
@@ -198,23 +215,9 @@
         tracker = self._queries.get(dataset)
         return tracker and tracker.quantile(fraction)
 
-    def _estimate(self, target, now):
-        load = self._loads.get(target)
-        if load is None:
-            load = self._loads[target] = _TargetLoad()
-        age = now - load.at
-        service = load.service_ms
-        queue = load.outstanding + 1
-        if age < FRESH_S:
-            queue += load.others * (1.0 - age / FRESH_S)
-        elif age >= FORGET_S:
-            service = UNKNOWN_SERVICE_MS
-        # A limit of 0 is a target that takes nothing at present.
-        delay = queue * service / (load.limit or 0.1)
-        delay *= 1.0 + SPREAD * self._random()
-        if now < load.skip_until:
-            delay += _SKIPPED_MS
-        return delay
+    def _add(self, target):
+        load = self._loads[target] = _TargetLoad()
+        return load
 
 
 _SKIPPED_MS = 1e9
--- a/tarragonchute/searches.py
+++ b/tarragonchute/searches.py
@@ -374,18 +374,18 @@
         NotRunError
             If moreover no attempt can have run on any target.
         """
-        missing = sorted(s.name for s in self._shards if not s.is_answered)
-        total = len(self._shards)
-        coverage = Coverage(total - len(missing), total, missing)
+        coverage = self.coverage()
         if coverage.fraction < self._least_coverage:
             raise self._build_error(coverage)
         results = [s.result for s in self._shards if s.is_answered]
         version = self._layout.version
         return SearchResult(self.request_id, version, coverage, results)
 
-    def open_attempts(self):
-        """Return the numbers of the attempts that wait for an answer."""
-        return list(self._attempts)
+    def coverage(self):
+        """Return the `Coverage` of the pinned version so far."""
+        missing = sorted(s.name for s in self._shards if not s.is_answered)
+        total = len(self._shards)
+        return Coverage(total - len(missing), total, missing)
 
     # Attempts
 
@@ -446,10 +446,9 @@
             self._handle_failure(attempt, answer, now)
 
     def _close(self, attempt, answer, now):
-        self._router.note_closed(attempt.target)
         self._router.note_answer(attempt.target, answer.code, answer.load, now)
+        attempt.shard.open.remove(attempt)
         if attempt.layout is self._layout:
-            attempt.shard.open.remove(attempt)
             self._open -= 1
 
     def _accept(self, attempt, result, now):
@@ -474,9 +473,9 @@
         """Close an attempt that nobody waits for, and have it cancelled."""
         del self._attempts[attempt.number]
         self._may_have_run = True
-        self._router.note_closed(attempt.target)
+        self._router.note_cancelled(attempt.target)
+        attempt.shard.open.remove(attempt)
         if attempt.layout is self._layout:
-            attempt.shard.open.remove(attempt)
             self._open -= 1
         self._cancels.setdefault(attempt.vm_id, []).append(attempt.number)
 
