--- a/tarragonchute/admission.py
+++ b/tarragonchute/admission.py
@@ -34,12 +34,20 @@
         Bound of the limit, from subtree ``fleet``.
     """
 
-    __slots__ = ("_max", "_limit", "_teams", "_in_flight", "_decreased_at")
+    __slots__ = (
+        "_max",
+        "_limit",
+        "_teams",
+        "_weights",
+        "_in_flight",
+        "_decreased_at",
+    )
 
     def __init__(self, max_in_flight):
         self._max = max_in_flight
         self._limit = float(max_in_flight)
         self._teams = {}
+        self._weights = 0
         self._in_flight = 0
         self._decreased_at = -DECREASE_PAUSE_S
 
@@ -65,6 +73,7 @@
         for name in [name for name in self._teams if name not in tree.teams]:
             if self._teams[name].in_flight == 0:
                 del self._teams[name]
+        self._weights = sum(team.weight for team in self._teams.values())
 
     def enter(self, team, now):
         """Count a request as started; `leave` must follow.
@@ -84,12 +93,11 @@
         """
         load = self._find(team)
         load.active_until = now + ACTIVE_S
+        is_over = load.in_flight >= self._limit * load.weight / self._weights
+        if is_over and not self._has_idle(load, now):
+            raise errors.TeamOverloadedError(f"team {team} has used its share")
         if self._in_flight >= self.limit:
-            if load.in_flight >= self._share(load, now):
-                raise errors.TeamOverloadedError(f"team {team} has used its share")
             raise errors.OverloadedError("this VM is at its limit")
-        if load.in_flight >= self._share(load, now) and not self._has_idle(load, now):
-            raise errors.TeamOverloadedError(f"team {team} has used its share")
         load.in_flight += 1
         self._in_flight += 1
 
@@ -124,20 +132,19 @@
         load = self._teams.get(team)
         if load is None:
             load = self._teams[team] = _TeamLoad()
+            self._weights += load.weight
         return load
 
-    def _share(self, load, now):
-        """Return the team's part of the limit among the teams that are active."""
-        weights = sum(t.weight for t in self._teams.values() if t.active_until > now)
-        return self._limit * load.weight / weights
-
     def _has_idle(self, load, now):
-        """Whether a team over its share may use what the others leave free."""
-        kept = 0.0
-        for other in self._teams.values():
-            if other is not load and other.active_until > now:
-                kept += max(0.0, self._share(other, now) - other.in_flight)
-        if len(self._teams) > 1:
+        """Whether a team over its share may use what the others leave free.
+
+        Shares that no active team uses are again divided by weight.
+        """
+        others = [team for team in self._teams.values() if team is not load]
+        active = [team for team in others if team.active_until > now]
+        unit = self._limit / (load.weight + sum(team.weight for team in active))
+        kept = sum(max(0.0, unit * t.weight - t.in_flight) for t in active)
+        if others:
             kept = max(kept, self._limit * RESERVE, 1.0)
         return self._in_flight + kept < self._limit
 
--- a/tarragonchute/searches.py
+++ b/tarragonchute/searches.py
@@ -521,8 +521,10 @@
         if shard.lacking and self._is_unobtainable(shard, now):
             self._handle_unobtainable(shard, now)
             return
-        self._idle.append(shard)
-        self._idle_due = min(self._idle_due, now + RETRY_DELAY_S)
+        due = now + RETRY_DELAY_S
+        if due <= self._retry_until:
+            self._idle.append(shard)
+            self._idle_due = min(self._idle_due, due)
 
     def _is_unobtainable(self, shard, now):
         others = [t for t in shard.replicas if t not in shard.lacking]
@@ -601,8 +603,6 @@
             self._retry_shard(shard, now)
 
     def _retry_shard(self, shard, now):
-        if now > self._retry_until:
-            return
         if shard.tried and not self._budget.retries.try_spend(now):
             self._wait(shard, now)
             return
--- a/tests/test_booking_faults.py
+++ b/tests/test_booking_faults.py
@@ -47,6 +47,8 @@
         self.lose_answers = 0
         self.lose_writes = 0
         self.goes_down_after_loss = False
+        self.count = self.leases = 0
+        self.used_leases = set()
         self.hook = lambda point, value: None
 
     async def get(self, key):
@@ -55,6 +57,7 @@
 
     async def put(self, key, value, expect, lease=None):
         self.hook("put", value)
+        self.used_leases.add(lease)
         await self.begin()
         if self.lose_writes:
             self.lose_writes -= 1
@@ -90,7 +93,8 @@
 
     async def grant_lease(self, ttl_s):
         await self.begin()
-        return "lease"
+        self.leases += 1
+        return f"lease-{self.leases}"
 
     def fall_back(self):
         """Return to the empty state of the start, as from an old backup."""
@@ -98,6 +102,7 @@
         self.revision = 100
 
     async def begin(self):
+        self.count += 1
         await trio.sleep(self.delay_s)
         if self.is_down:
             raise errors.StoreUnavailableError("down")
