--- /dev/null
+++ b/tarragonchute/entry.py
@@ -0,0 +1,323 @@
+"""HTTP routes for callers: searches, bookings, health and metrics."""
+
+import secrets
+
+import orjson
+
+from .errors import (
+    BadRequestError,
+    CoverageTooLowError,
+    DeadlinePassedError,
+    DrainingError,
+    Finding,
+    FindingsError,
+    KeyRequiredError,
+    Outcome,
+    TarragonchuteError,
+    UnknownDatasetError,
+    UnknownTeamError,
+)
+from .httpio import HttpResponse
+
+MIN_DEADLINE_MS = 5
+MAX_KEY_LENGTH = 200
+RETRY_AFTER_S = 1
+
+
+class SearchRequest:
+    """A caller's search, checked against the settings.
+
+    Parameters
+    ----------
+    team : TeamSettings
+    dataset : DatasetSettings
+    query : object
+        JSON passed on to every shard.
+    deadline_ms : float
+    least_coverage : float
+        Fraction from 0 to 1.
+    """
+
+    __slots__ = ("team", "dataset", "query", "deadline_ms", "least_coverage")
+
+    def __init__(self, team, dataset, query, deadline_ms, least_coverage):
+        self.team = team
+        self.dataset = dataset
+        self.query = query
+        self.deadline_ms = deadline_ms
+        self.least_coverage = least_coverage
+
+
+class BookingRequest:
+    """A caller's booking, checked against the settings.
+
+    Parameters
+    ----------
+    team : TeamSettings
+    dataset : DatasetSettings
+    shard : str
+    order : object
+        JSON passed on to the target.
+    key : str
+        Idempotency key.
+    deadline_ms : float
+    """
+
+    __slots__ = ("team", "dataset", "shard", "order", "key", "deadline_ms")
+
+    def __init__(self, team, dataset, shard, order, key, deadline_ms):
+        self.team = team
+        self.dataset = dataset
+        self.shard = shard
+        self.order = order
+        self.key = key
+        self.deadline_ms = deadline_ms
+
+
+def parse_search(body, tree):
+    """Check the body of a search.
+
+    Parameters
+    ----------
+    body : bytes
+    tree : settings.Tree
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the body.
+    UnknownTeamError, UnknownDatasetError
+    """
+    fields = _parse_object(body)
+    findings = _check_fields(fields, _SEARCH_TYPES)
+    _raise_findings(findings)
+    team, dataset = _find_team_and_dataset(fields, tree)
+    coverage = fields.get("least_coverage", team.least_coverage)
+    findings = []
+    deadline_ms = _check_deadline(fields, team, findings)
+    if not 0 <= coverage <= 1:
+        findings.append(Finding("least_coverage", "must be between 0 and 1"))
+    _raise_findings(findings)
+    query = fields["query"]
+    return SearchRequest(team, dataset, query, deadline_ms, coverage)
+
+
+def parse_booking(body, key, tree):
+    """Check the body and idempotency key of a booking.
+
+    Parameters
+    ----------
+    body : bytes
+    key : str or None
+        Value of the header `Idempotency-Key`.
+    tree : settings.Tree
+
+    Raises
+    ------
+    KeyRequiredError
+        If the key is missing or longer than `MAX_KEY_LENGTH` characters.
+    FindingsError
+        With every fault of the body.
+    UnknownTeamError, UnknownDatasetError
+    """
+    if not key or len(key) > MAX_KEY_LENGTH or not key.isprintable():
+        text = f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters"
+        raise KeyRequiredError(text)
+    fields = _parse_object(body)
+    findings = _check_fields(fields, _BOOKING_TYPES)
+    _raise_findings(findings)
+    team, dataset = _find_team_and_dataset(fields, tree)
+    findings = []
+    deadline_ms = _check_deadline(fields, team, findings)
+    shard = fields["shard"]
+    if not any(shard in layout for layout in dataset.layouts.values()):
+        text = f"dataset {dataset.name!r} has no shard {shard!r}"
+        findings.append(Finding("shard", text))
+    _raise_findings(findings)
+    return BookingRequest(team, dataset, shard, fields["order"], key, deadline_ms)
+
+
+_NUMBER = (int, float)
+_SEARCH_TYPES = {
+    "team": (str, True),
+    "dataset": (str, True),
+    "query": (object, True),
+    "deadline_ms": (_NUMBER, False),
+    "least_coverage": (_NUMBER, False),
+}
+_BOOKING_TYPES = {
+    "team": (str, True),
+    "dataset": (str, True),
+    "shard": (str, True),
+    "order": (object, True),
+    "deadline_ms": (_NUMBER, False),
+}
+
+
+def _parse_object(body):
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadRequestError(f"body is not JSON: {error}") from error
+    if not isinstance(fields, dict):
+        raise BadRequestError("body must be a JSON object")
+    return fields
+
+
+def _check_fields(fields, types):
+    findings = []
+    for name, (expected, is_required) in types.items():
+        if name not in fields:
+            if is_required:
+                findings.append(Finding(name, "is required"))
+        elif not _has_type(fields[name], expected):
+            findings.append(Finding(name, "has the wrong type"))
+    for name in sorted(set(fields) - set(types)):
+        findings.append(Finding(name, "is not a known field"))
+    return findings
+
+
+def _has_type(value, expected):
+    if expected is _NUMBER and isinstance(value, bool):
+        return False
+    return isinstance(value, expected)
+
+
+def _raise_findings(findings):
+    if findings:
+        raise FindingsError(findings)
+
+
+def _find_team_and_dataset(fields, tree):
+    team = tree.teams.get(fields["team"])
+    if team is None:
+        raise UnknownTeamError(f"team {fields['team']!r} is not in the settings")
+    name = fields["dataset"]
+    dataset = tree.datasets.get(name)
+    if dataset is None or name not in team.datasets or not dataset.layouts:
+        raise UnknownDatasetError(f"team {team.name!r} has no dataset {name!r}")
+    return team, dataset
+
+
+def _check_deadline(fields, team, findings):
+    deadline_ms = fields.get("deadline_ms", team.default_deadline_ms)
+    if not MIN_DEADLINE_MS <= deadline_ms <= team.max_deadline_ms:
+        text = f"must be from {MIN_DEADLINE_MS} to {team.max_deadline_ms} ms"
+        findings.append(Finding("deadline_ms", text))
+    return deadline_ms
+
+
+class CallerRoutes:
+    """Answers callers' HTTP requests.
+
+    Parameters
+    ----------
+    service : CallerService
+        Runs checked searches and bookings.
+    """
+
+    def __init__(self, service):
+        self._service = service
+        self._routes = {
+            ("POST", "/v1/search"): self._search,
+            ("POST", "/v1/bookings"): self._book,
+            ("GET", "/healthz"): self._report_health,
+            ("GET", "/metrics"): self._report_metrics,
+        }
+
+    async def handle(self, request):
+        """Answer one `HttpRequest` with an `HttpResponse`; never raises."""
+        request_id = secrets.token_hex(16)
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return self._refuse_path(request, request_id)
+        try:
+            return await route(request, request_id)
+        except TarragonchuteError as error:
+            self._service.note_refusal(request_id, error)
+            return build_error_response(request_id, error)
+
+    async def _search(self, request, request_id):
+        self._check_open()
+        search = parse_search(request.body, self._service.tree)
+        result = await self._service.search(search, request_id)
+        if result.coverage < search.least_coverage:
+            error = CoverageTooLowError(
+                f"{result.answered} of {result.total} shards answered"
+            )
+            return build_error_response(request_id, error, result)
+        body = {"request_id": request_id, "outcome": Outcome.DONE}
+        body.update(_describe_result(result))
+        return _build_json_response(200, body)
+
+    async def _book(self, request, request_id):
+        self._check_open()
+        key = request.headers.get("idempotency-key")
+        booking = parse_booking(request.body, key, self._service.tree)
+        result = await self._service.book(booking, request_id)
+        body = {"request_id": request_id, "outcome": Outcome.DONE, "result": result}
+        return _build_json_response(200, body)
+
+    async def _report_health(self, request, request_id):
+        reason = self._service.find_unready_reason()
+        status = 503 if reason else 200
+        return _build_json_response(status, {"status": reason or "ok"})
+
+    async def _report_metrics(self, request, request_id):
+        body, content_type = self._service.render_metrics()
+        return HttpResponse(200, {"content-type": content_type}, body)
+
+    def _check_open(self):
+        if self._service.is_closed:
+            raise DrainingError("this VM is shutting down")
+
+    def _refuse_path(self, request, request_id):
+        paths = {path for _, path in self._routes}
+        error = BadRequestError(f"no route for {request.method} {request.path}")
+        error.status = 405 if request.path in paths else 404
+        return build_error_response(request_id, error)
+
+
+def build_error_response(request_id, error, result=None):
+    """Return the HTTP answer that reports an error.
+
+    Parameters
+    ----------
+    request_id : str
+    error : TarragonchuteError
+    result : SearchResult or None
+        States the coverage of an answer that had too little of it.
+    """
+    body = {
+        "request_id": request_id,
+        "outcome": error.outcome,
+        "code": error.code,
+        "message": str(error),
+    }
+    if isinstance(error, FindingsError):
+        body["findings"] = [str(finding) for finding in error.findings]
+    if result is not None:
+        body.update(_describe_result(result))
+        body.pop("results")
+    response = _build_json_response(error.status, body)
+    if error.status in (429, 503) and not isinstance(error, DeadlinePassedError):
+        response.headers["retry-after"] = str(RETRY_AFTER_S)
+    return response
+
+
+def _describe_result(result):
+    coverage = {
+        "answered": result.answered,
+        "total": result.total,
+        "missing": result.missing,
+    }
+    return {
+        "snapshot": result.version,
+        "coverage": coverage,
+        "results": result.results,
+    }
+
+
+def _build_json_response(status, body):
+    headers = {"content-type": "application/json"}
+    return HttpResponse(status, headers, orjson.dumps(body))
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,218 @@
+"""Callers behind a small load balancer, for the demo and the process tests."""
+
+import random
+import statistics
+
+import orjson
+import trio
+
+from tarragonchute.httpio import HttpConnection
+
+HEALTH_PERIOD_S = 0.2
+ANSWER_TIMEOUT_S = 3.0
+MAX_BOOKING_TRIES = 8
+BOOKING_RETRY_DELAY_S = 0.2
+
+
+class PhaseReport:
+    """What callers saw during one phase.
+
+    Attributes
+    ----------
+    latencies_ms : list of float
+        Of the searches that were answered.
+    coverages : list of float
+    errors : dict of str to int
+        Error code, or ``connection`` for a broken one, to its count.
+    bookings : dict of str to str
+        Idempotency key to the last outcome that its caller got.
+    """
+
+    __slots__ = ("name", "latencies_ms", "coverages", "errors", "bookings", "late")
+
+    def __init__(self, name):
+        self.name = name
+        self.latencies_ms = []
+        self.coverages = []
+        self.errors = {}
+        self.bookings = {}
+        self.late = 0
+
+    def note_error(self, code):
+        """Count a search that got no answer."""
+        self.errors[code] = self.errors.get(code, 0) + 1
+
+    @property
+    def requests(self):
+        """Number of searches, answered or not."""
+        return len(self.latencies_ms) + sum(self.errors.values())
+
+    def find_quantile(self, fraction):
+        """Return a latency quantile in milliseconds; 0 without answers."""
+        ordered = sorted(self.latencies_ms)
+        if not ordered:
+            return 0.0
+        return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+    def find_coverage(self):
+        """Return mean and least coverage of the answered searches."""
+        if not self.coverages:
+            return 0.0, 0.0
+        return statistics.fmean(self.coverages), min(self.coverages)
+
+
+class Balancer:
+    """Knows which VMs report healthy, as the platform's load balancer does.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        VM to its caller address.
+    """
+
+    def __init__(self, addresses):
+        self.addresses = dict(addresses)
+        self.healthy = set()
+        self._idle = {vm_id: [] for vm_id in addresses}
+
+    async def run(self):
+        """Ask every VM for its health until cancelled."""
+        while True:
+            async with trio.open_nursery() as nursery:
+                for vm_id in self.addresses:
+                    nursery.start_soon(self._check, vm_id)
+            await trio.sleep(HEALTH_PERIOD_S)
+
+    async def wait_healthy(self, count, timeout_s=20.0):
+        """Wait until `count` VMs are healthy.
+
+        Raises
+        ------
+        trio.TooSlowError
+        """
+        with trio.fail_after(timeout_s):
+            while len(self.healthy) < count:
+                await trio.sleep(HEALTH_PERIOD_S / 4)
+
+    async def exchange(self, vm_id, method, path, body=b"", headers=None):
+        """Exchange one request with a VM; None if the connection broke."""
+        idle = self._idle[vm_id]
+        connection = idle.pop() if idle else None
+        try:
+            with trio.fail_after(ANSWER_TIMEOUT_S):
+                if connection is None:
+                    connection = await HttpConnection.connect(self.addresses[vm_id])
+                response = await connection.exchange(method, path, headers, body)
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError, EOFError):
+            if connection is not None:
+                await connection.aclose()
+            return None
+        idle.append(connection)
+        return response
+
+    async def _check(self, vm_id):
+        response = await self.exchange(vm_id, "GET", "/healthz")
+        if response is not None and response.status == 200:
+            self.healthy.add(vm_id)
+        else:
+            self.healthy.discard(vm_id)
+
+
+class Callers:
+    """Sends searches and bookings at a fixed rate.
+
+    Parameters
+    ----------
+    balancer : Balancer
+    team, dataset : str
+    booking_dataset : str
+    booking_shards : list of str
+    deadline_ms : int
+    seed : int
+    """
+
+    def __init__(
+        self,
+        balancer,
+        team,
+        dataset,
+        booking_dataset,
+        booking_shards,
+        deadline_ms=1000,
+        seed=1,
+    ):
+        self._balancer = balancer
+        self._team = team
+        self._dataset = dataset
+        self._booking_dataset = booking_dataset
+        self._booking_shards = booking_shards
+        self._deadline_ms = deadline_ms
+        self._random = random.Random(seed)
+        self._count = 0
+
+    async def run(self, report, searches, interval_s, booking_every=5):
+        """Send `searches` searches, one each `interval_s` seconds."""
+        async with trio.open_nursery() as nursery:
+            for number in range(searches):
+                nursery.start_soon(self._search, report)
+                if number % booking_every == 0:
+                    nursery.start_soon(self._book, report)
+                await trio.sleep(interval_s)
+
+    def _choose_vm(self):
+        healthy = sorted(self._balancer.healthy)
+        return self._random.choice(healthy or sorted(self._balancer.addresses))
+
+    async def _search(self, report):
+        fields = {
+            "team": self._team,
+            "dataset": self._dataset,
+            "query": {"text": "lantern"},
+            "deadline_ms": self._deadline_ms,
+            "least_coverage": 0.0,
+        }
+        started_at = trio.current_time()
+        vm_id = self._choose_vm()
+        body = orjson.dumps(fields)
+        response = await self._balancer.exchange(vm_id, "POST", "/v1/search", body)
+        elapsed_ms = (trio.current_time() - started_at) * 1000
+        if response is None:
+            report.note_error("connection")
+            return
+        answer = orjson.loads(response.body)
+        if response.status != 200:
+            report.note_error(answer["code"])
+            return
+        report.latencies_ms.append(elapsed_ms)
+        coverage = answer["coverage"]
+        report.coverages.append(coverage["answered"] / coverage["total"])
+
+    async def _book(self, report):
+        self._count += 1
+        key = f"{self._team}-{report.name}-{self._count}".replace(" ", "-")
+        fields = {
+            "team": self._team,
+            "dataset": self._booking_dataset,
+            "shard": self._random.choice(self._booking_shards),
+            "order": {"guide": self._count},
+            "deadline_ms": self._deadline_ms,
+        }
+        report.bookings[key] = await self._send_until_known(key, orjson.dumps(fields))
+
+    async def _send_until_known(self, key, body):
+        """Send with the same key until the outcome is not ``not_run``."""
+        outcome = "unsent"
+        for _ in range(MAX_BOOKING_TRIES):
+            vm_id = self._choose_vm()
+            headers = {"idempotency-key": key}
+            response = await self._balancer.exchange(
+                vm_id, "POST", "/v1/bookings", body, headers
+            )
+            if response is None:
+                outcome = "unknown"
+            else:
+                outcome = orjson.loads(response.body)["outcome"]
+                if outcome != "not_run":
+                    return outcome
+            await trio.sleep(BOOKING_RETRY_DELAY_S)
+        return outcome
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import logging
 import pathlib
 import sys
 import time
@@ -68,6 +69,8 @@
     parser.add_argument("names", nargs="*", help="e.g. tests.test_wire")
     parser.add_argument("-v", "--verbose", action="store_true")
     arguments = parser.parse_args()
+    # Log lines of provoked faults would hide the report of a failing test.
+    logging.getLogger().addHandler(logging.NullHandler())
     loader = unittest.TestLoader()
     if arguments.names:
         suite = loader.loadTestsFromNames(arguments.names)
