--- /dev/null
+++ b/tarragonchute/httpio.py
@@ -0,0 +1,683 @@
+"""HTTP/1.1 with h11 under trio: a server and a client connection.
+
+Addresses are ``host:port`` with an IP number as host; IPv6 stands in brackets.
+"""
+
+import errno
+import functools
+import logging
+import select
+import socket
+from urllib.parse import parse_qsl, unquote
+
+import h11
+import orjson
+import trio
+
+from .errors import BadRequestError, PortInUseError, ProtocolError, TarragonchuteError
+
+logger = logging.getLogger(__name__)
+
+MAX_HEADER_BYTES = 16 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+RECEIVE_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 75.0
+REQUEST_TIMEOUT_S = 10.0
+IDLE_GRACE_S = 0.25
+LINGER_S = 1.0
+# A client that sends more than this ahead is no longer watched for a disconnect,
+# so that it cannot fill the memory.
+MAX_PIPELINED_BYTES = 256 * 1024
+
+JSON_TYPE = "application/json"
+
+
+def split_address(address):
+    """Return ``(host, port)`` of a ``host:port`` text.
+
+    Raises
+    ------
+    ValueError
+        If there is no port, or it is not a number from 0 to 65535.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(f"{address!r} is not an address of the form host:port")
+    return host.strip("[]"), int(port)
+
+
+async def bind_listeners(address):
+    """Listen on an address and return a list of `trio.SocketListener`.
+
+    Parameters
+    ----------
+    address : str
+        Port 0 chooses a free port; see `get_address`.
+
+    Raises
+    ------
+    PortInUseError
+        If another socket listens there already.
+    ValueError
+        If the text is no address.
+    """
+    host, port = split_address(address)
+    try:
+        return await trio.open_tcp_listeners(port, host=host)
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+        raise PortInUseError(
+            f"cannot listen on {address}: the port is in use; stop the process that "
+            "uses it or set another port"
+        ) from error
+
+
+def get_address(listeners):
+    """Return the ``host:port`` on which the first listener listens."""
+    host, port = listeners[0].socket.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class HttpRequest:
+    """One request as the server's handler receives it.
+
+    Parameters
+    ----------
+    method : str
+    path : str
+        Without the query; percent-decoded.
+    query : dict of str to str
+        The last value of each name.
+    headers : dict of str to str
+        Names in lower case.
+    body : bytes
+    """
+
+    __slots__ = ("method", "path", "query", "headers", "body")
+
+    def __init__(self, method, path, query=None, headers=None, body=b""):
+        self.method = method
+        self.path = path
+        self.query = query or {}
+        self.headers = headers or {}
+        self.body = body
+
+    def parse_json(self):
+        """Return the body as JSON.
+
+        Raises
+        ------
+        BadRequestError
+            If the body is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise BadRequestError(f"the body is not JSON: {error}") from error
+
+
+class HttpResponse:
+    """One response, on either side.
+
+    Parameters
+    ----------
+    status : int
+    body : bytes
+    headers : dict of str to str
+        The client's names are in lower case. The server adds ``Content-Length``.
+    """
+
+    __slots__ = ("status", "body", "headers")
+
+    def __init__(self, status, body=b"", headers=None):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+
+    @classmethod
+    def from_json(cls, value, status=200, headers=None):
+        """Return a response whose body is JSON."""
+        headers = {"Content-Type": JSON_TYPE, **(headers or {})}
+        return cls(status, orjson.dumps(value), headers)
+
+    def parse_json(self):
+        """Return the body as JSON.
+
+        Raises
+        ------
+        ProtocolError
+            If the body is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise ProtocolError(f"the body is not JSON: {error}") from error
+
+
+def build_error_response(error, request_id=None):
+    """Return the response that reports a `TarragonchuteError` to a caller."""
+    body = {
+        "request_id": request_id,
+        "outcome": error.outcome,
+        "code": error.code,
+        "message": str(error),
+    }
+    return HttpResponse.from_json(body, error.status)
+
+
+class ServerOptions:
+    """Limits and behaviour of a server.
+
+    Parameters
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Larger requests get 431 or 413 and their connection is closed.
+    idle_timeout_s : float
+        Seconds after which a connection without a request is closed.
+    request_timeout_s : float
+        Seconds for a request to arrive whole after its first byte; then 408.
+    idle_grace_s : float
+        Seconds for which a draining server still takes requests. It covers the
+        requests that were sent before the client learned of the shutdown.
+    cancel_on_disconnect : bool
+        Cancel the handler when the client closes the connection, or its sending
+        half, before it has its answer.
+    """
+
+    __slots__ = (
+        "max_header_bytes",
+        "max_body_bytes",
+        "idle_timeout_s",
+        "request_timeout_s",
+        "idle_grace_s",
+        "cancel_on_disconnect",
+    )
+
+    def __init__(
+        self,
+        max_header_bytes=MAX_HEADER_BYTES,
+        max_body_bytes=MAX_BODY_BYTES,
+        idle_timeout_s=IDLE_TIMEOUT_S,
+        request_timeout_s=REQUEST_TIMEOUT_S,
+        idle_grace_s=IDLE_GRACE_S,
+        cancel_on_disconnect=False,
+    ):
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+        self.idle_timeout_s = idle_timeout_s
+        self.request_timeout_s = request_timeout_s
+        self.idle_grace_s = idle_grace_s
+        self.cancel_on_disconnect = cancel_on_disconnect
+
+
+async def serve_http(handler, listeners, options=None, shutdown=None):
+    """Serve until cancelled, or until `shutdown` is set and all work is done.
+
+    Parameters
+    ----------
+    handler : callable
+        Async; takes an `HttpRequest` and returns an `HttpResponse`, or None to close
+        the connection without an answer. A `TarragonchuteError` becomes its error
+        response and any other exception a 500.
+    listeners : list of trio.abc.Listener
+        Closed at the end.
+    options : ServerOptions or None
+    shutdown : trio.Event or None
+        Once set, each answer closes its connection; after `idle_grace_s` the
+        listeners and the idle connections are closed. The call returns when the
+        last request in flight has its answer.
+    """
+    server = _Server(handler, options or ServerOptions())
+    async with trio.open_nursery() as connections, trio.open_nursery() as accepting:
+        accepting.start_soon(
+            functools.partial(
+                trio.serve_listeners,
+                server.serve_connection,
+                listeners,
+                handler_nursery=connections,
+            )
+        )
+        if shutdown is not None:
+            await shutdown.wait()
+            await server.drain()
+            accepting.cancel_scope.cancel()
+
+
+class _Server:
+    """What all connections of one server share."""
+
+    __slots__ = ("handler", "options", "is_draining", "is_closing", "idle_scopes")
+
+    def __init__(self, handler, options):
+        self.handler = handler
+        self.options = options
+        self.is_draining = False
+        self.is_closing = False
+        self.idle_scopes = set()
+
+    async def drain(self):
+        self.is_draining = True
+        await trio.sleep(self.options.idle_grace_s)
+        self.is_closing = True
+        for scope in self.idle_scopes:
+            scope.cancel()
+
+    async def serve_connection(self, stream):
+        try:
+            await _ServerConnection(self, stream).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except Exception:
+            # A fault in one connection must not end the server.
+            logger.exception("a connection failed")
+        finally:
+            await trio.aclose_forcefully(stream)
+
+
+class _ServerConnection:
+    """One accepted connection."""
+
+    __slots__ = ("_server", "_stream", "_h11")
+
+    def __init__(self, server, stream):
+        self._server = server
+        self._stream = stream
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.options.max_header_bytes
+        )
+
+    async def run(self):
+        try:
+            while await self._serve_one():
+                self._h11.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(_refuse_request(error.error_status_hint, str(error)))
+        except BadRequestError as error:
+            await self._refuse(error)
+
+    async def _serve_one(self):
+        """Answer one request and return whether another may follow."""
+        request = await self._read_request()
+        if request is None:
+            return False
+        response = await self._run_handler(request)
+        if response is None:
+            return False
+        await self._send(response, is_head=request.method == "HEAD")
+        return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+
+    async def _read_request(self):
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA:
+            if not await self._wait_for_data():
+                return None
+            event = None
+        with trio.move_on_after(self._server.options.request_timeout_s):
+            return await self._read_message(event)
+        raise _refuse_request(408, "the request did not arrive in time")
+
+    async def _wait_for_data(self):
+        """Wait on an idle connection; return whether a request has begun."""
+        server = self._server
+        if server.is_closing:
+            return False
+        with trio.move_on_after(server.options.idle_timeout_s) as scope:
+            server.idle_scopes.add(scope)
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            finally:
+                server.idle_scopes.discard(scope)
+        if scope.cancelled_caught or not data:
+            return False
+        self._h11.receive_data(data)
+        return True
+
+    async def _read_message(self, event):
+        event = event or await self._next_event()
+        if type(event) is h11.ConnectionClosed:
+            return None
+        self._check_headers(event)
+        if self._h11.they_are_waiting_for_100_continue:
+            reply = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._h11.send(reply))
+        return _build_request(event, await self._read_body())
+
+    async def _read_body(self):
+        parts = []
+        size = 0
+        while type(event := await self._next_event()) is h11.Data:
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            self._check_body_size(size)
+        return b"".join(parts)
+
+    async def _next_event(self):
+        while (event := self._h11.next_event()) is h11.NEED_DATA:
+            self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        return event
+
+    def _check_headers(self, event):
+        size = len(event.target)
+        for name, value in event.headers:
+            size += len(name) + len(value)
+            if name == b"content-length":
+                self._check_body_size(int(value))
+        limit = self._server.options.max_header_bytes
+        if size > limit:
+            raise _refuse_request(431, f"the headers exceed {limit} bytes")
+
+    def _check_body_size(self, size):
+        limit = self._server.options.max_body_bytes
+        if size > limit:
+            raise _refuse_request(413, f"the body exceeds {limit} bytes")
+
+    async def _run_handler(self, request):
+        if not self._server.options.cancel_on_disconnect:
+            return await self._call_handler(request)
+        response = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_disconnect, nursery.cancel_scope)
+            response = await self._call_handler(request)
+            nursery.cancel_scope.cancel()
+        return response
+
+    async def _call_handler(self, request):
+        try:
+            return await self._server.handler(request)
+        except TarragonchuteError as error:
+            return build_error_response(error)
+        except Exception:
+            logger.exception("handler of %s %s failed", request.method, request.path)
+            return build_error_response(TarragonchuteError("internal error"))
+
+    async def _watch_disconnect(self, scope):
+        size = 0
+        while size < MAX_PIPELINED_BYTES:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except trio.BrokenResourceError:
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._h11.receive_data(data)
+            size += len(data)
+
+    async def _send(self, response, is_head=False):
+        headers = list(response.headers.items())
+        headers.append(("Content-Length", str(len(response.body))))
+        if self._server.is_draining:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        parts = [self._h11.send(head)]
+        if response.body and not is_head:
+            parts.append(self._h11.send(h11.Data(data=response.body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        await self._stream.send_all(b"".join(parts))
+
+    async def _refuse(self, error):
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = build_error_response(error)
+        response.headers["Connection"] = "close"
+        await self._send(response)
+        await self._linger()
+
+    async def _linger(self):
+        """Read on for a moment: closing with unread data can destroy the answer."""
+        if isinstance(self._stream, trio.abc.HalfCloseableStream):
+            await self._stream.send_eof()
+        with trio.move_on_after(LINGER_S):
+            while await self._stream.receive_some(RECEIVE_BYTES):
+                pass
+
+
+def _refuse_request(status, message):
+    error = BadRequestError(message)
+    error.status = status
+    return error
+
+
+def _build_request(event, body):
+    path, _, query = event.target.decode("ascii").partition("?")
+    return HttpRequest(
+        event.method.decode("ascii"),
+        unquote(path),
+        dict(parse_qsl(query, keep_blank_values=True)) if query else {},
+        _decode_headers(event.headers),
+        body,
+    )
+
+
+def _decode_headers(headers):
+    return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
+
+
+class HttpConnection:
+    """One client connection, for one exchange at a time.
+
+    After a failed or cancelled exchange it is not reusable and must be closed.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+    host : str
+        Value of the ``Host`` header.
+    """
+
+    __slots__ = ("_stream", "_h11", "_host", "_poll", "_is_idle", "is_request_sent")
+
+    def __init__(self, stream, host):
+        self._stream = stream
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._host = host.encode("ascii")
+        self._poll = select.poll()
+        self._poll.register(stream.socket.fileno(), select.POLLIN)
+        self._is_idle = True
+        self.is_request_sent = False
+
+    @classmethod
+    async def open(cls, address, timeout_s):
+        """Connect.
+
+        Raises
+        ------
+        OSError
+            If the connection fails; `TimeoutError` after `timeout_s` seconds.
+        """
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = trio.socket.socket(family, socket.SOCK_STREAM)
+        try:
+            with trio.move_on_after(timeout_s) as scope:
+                await sock.connect((host, port))
+            if scope.cancelled_caught:
+                raise TimeoutError(f"no connection to {address} in {timeout_s} s")
+        except BaseException:
+            sock.close()
+            raise
+        return cls(trio.SocketStream(sock), address)
+
+    @property
+    def is_reusable(self):
+        """Whether another exchange may start.
+
+        Bytes that arrive on an idle connection are an answer to nobody's request,
+        or the end of the connection.
+        """
+        return self._is_idle and not self._poll.poll(0)
+
+    async def exchange(self, method, path, headers=(), body=b""):
+        """Send one request and return its `HttpResponse`.
+
+        Parameters
+        ----------
+        method, path : str
+            The path is percent-encoded and may have a query.
+        headers : list of (str or bytes, str or bytes)
+            Without ``Host`` and ``Content-Length``.
+        body : bytes
+
+        Raises
+        ------
+        ConnectionError
+            If the connection ended before the answer was whole.
+        ProtocolError
+            If the answer breaks HTTP.
+        """
+        await self.send_request(method, path, headers, body)
+        return await self.receive_response()
+
+    async def send_request(self, method, path, headers=(), body=b""):
+        """Send one request; raises `ConnectionError` if the connection ended."""
+        self._is_idle = False
+        self.is_request_sent = False
+        lines = [(b"Host", self._host), *headers]
+        if body or method != "GET":
+            lines.append((b"Content-Length", b"%d" % len(body)))
+        data = self._h11.send(h11.Request(method=method, target=path, headers=lines))
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        self._h11.send(h11.EndOfMessage())
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionResetError(str(error)) from error
+        self.is_request_sent = True
+
+    async def receive_response(self):
+        """Return the response to the request that was sent; raises like `exchange`."""
+        status = 0
+        headers = {}
+        parts = []
+        while True:
+            event = await self._next_event()
+            kind = type(event)
+            if kind is h11.Response:
+                status = event.status_code
+                headers = _decode_headers(event.headers)
+            elif kind is h11.Data:
+                parts.append(bytes(event.data))
+            elif kind is h11.EndOfMessage:
+                break
+        self._finish_exchange()
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        return HttpResponse(status, body, headers)
+
+    async def skip_response(self):
+        """Wait for the end of the response, also of one received in part."""
+        while type(await self._next_event()) is not h11.EndOfMessage:
+            pass
+
+    def close(self):
+        """Close the connection at once."""
+        self._is_idle = False
+        self._stream.socket.close()
+
+    async def _next_event(self):
+        is_ended = False
+        try:
+            while (event := self._h11.next_event()) is h11.NEED_DATA:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                is_ended = not data
+                self._h11.receive_data(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionResetError(str(error)) from error
+        except h11.RemoteProtocolError as error:
+            if is_ended:
+                raise ConnectionResetError("the peer closed the connection") from error
+            raise ProtocolError(f"the answer breaks HTTP: {error}") from error
+        if type(event) is h11.ConnectionClosed:
+            raise ConnectionResetError("the peer closed the connection")
+        return event
+
+    def _finish_exchange(self):
+        state = self._h11
+        is_done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        # Bytes after the answer could be taken for the answer to the next request.
+        if is_done and state.trailing_data == (b"", False):
+            state.start_next_cycle()
+            self._is_idle = True
+
+
+class ConnectionPool:
+    """A bounded set of connections to one address.
+
+    Usage is `reserve`, then `connect`, then one `release` for each `reserve`.
+
+    Parameters
+    ----------
+    address : str
+    max_connections : int
+        At least 1. Idle connections and those being opened count.
+    connect_timeout_s : float
+    """
+
+    __slots__ = (
+        "_address",
+        "_connect_timeout_s",
+        "_permits",
+        "_idle",
+        "_is_closed",
+        "connections",
+    )
+
+    def __init__(self, address, max_connections, connect_timeout_s):
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._permits = trio.Semaphore(max_connections)
+        self._idle = []
+        self._is_closed = False
+        self.connections = 0
+
+    def try_reserve(self):
+        """Take a place without waiting; return whether there was one."""
+        if not self._permits.value:
+            return False
+        self._permits.acquire_nowait()
+        return True
+
+    async def reserve(self):
+        """Take a place, waiting for one if all are taken."""
+        if not self.try_reserve():
+            await self._permits.acquire()
+
+    async def connect(self):
+        """Return an idle `HttpConnection`, or a new one.
+
+        Raises
+        ------
+        OSError
+            If no connection can be opened. The place stays taken.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            self._close(connection)
+        self.connections += 1
+        try:
+            return await HttpConnection.open(self._address, self._connect_timeout_s)
+        except BaseException:
+            self.connections -= 1
+            raise
+
+    def release(self, connection):
+        """Give back the place and its connection, or None if there is none."""
+        if connection is not None:
+            if connection.is_reusable and not self._is_closed:
+                self._idle.append(connection)
+            else:
+                self._close(connection)
+        self._permits.release()
+
+    def close(self):
+        """Close the idle connections now and the others when they are released."""
+        self._is_closed = True
+        while self._idle:
+            self._close(self._idle.pop())
+
+    def _close(self, connection):
+        connection.close()
+        self.connections -= 1
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -1,6 +1,27 @@
 """The platform's key-value service: interface, in-memory twin and HTTP client."""
 
+import itertools
+import math
 from typing import Protocol
+from urllib.parse import quote
+
+import orjson
+import trio
+
+from .errors import (
+    BadRequestError,
+    NotRunError,
+    ProtocolError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from .httpio import ConnectionPool
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_STORE_CONNECTIONS = 32
+# The twin forgets the oldest deleted keys beyond this, to bound its memory.
+MAX_DELETED_KEYS = 10_000
 
 
 class Entry:
@@ -9,8 +30,8 @@
     Parameters
     ----------
     key : str
-    value : str
-        At most one megabyte in UTF-8.
+    value : str or None
+        At most one megabyte in UTF-8. None in a watch: the key was deleted.
     revision : int
         Store-wide revision of the last write to this key.
     """
@@ -63,7 +84,9 @@
         ----------
         prefix : str
         after : int
-            Only changes with a higher revision are returned.
+            Only changes with a higher revision are returned. If the store's own
+            revision is lower, as after a restore from a backup, the call returns
+            at once with no entries and that revision.
         wait_s : float
             Longest wait in seconds; then the list is empty.
         """
@@ -73,3 +96,373 @@
 
     async def renew_lease(self, lease):
         """Extend the lease by its time to live."""
+
+
+class LeaseNotFoundError(NotRunError):
+    """The lease named in a call does not exist, or has ended."""
+
+    code = "lease_not_found"
+    status = 404
+
+
+class MemoryStore:
+    """In-memory twin of the key-value service, with faults.
+
+    Parameters
+    ----------
+    clock : callable or None
+        Returns monotonic seconds; by default trio's clock.
+
+    Attributes
+    ----------
+    is_unavailable : bool
+        Each call raises `StoreUnavailableError` and has no effect.
+    delay_s : float
+        Seconds that each call waits before it is carried out.
+    lose_answers : int
+        So many of the next writes take effect and raise `StoreOutcomeUnknownError`.
+    lose_writes : int
+        So many of the next writes raise it and take no effect.
+    revision : int
+        Store-wide revision of the last change.
+    calls : dict of str to int
+        Number of calls by method name.
+    """
+
+    def __init__(self, clock=None):
+        self._clock = clock or trio.current_time
+        self._entries = {}
+        self._deleted = {}
+        self._leases = {}
+        self._lease_numbers = itertools.count(1)
+        self._changed = trio.Event()
+        self.is_unavailable = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.revision = 0
+        self.calls = {}
+
+    async def get(self, key):
+        """Return the `Entry`, or None."""
+        await self._begin("get")
+        return self._find(key)
+
+    async def put(self, key, value, expect, lease=None):
+        """Write by compare-and-swap; see `Store.put`."""
+        await self._begin("put")
+        _check_value(value)
+        if lease is not None:
+            self._find_lease(lease)
+        self._check_revision(key, expect)
+        self._begin_write()
+        self.revision += 1
+        self._deleted.pop(key, None)
+        self._entries[key] = _StoredEntry(key, value, self.revision, lease)
+        return self._end_write()
+
+    async def delete(self, key, expect):
+        """Delete by compare-and-swap; return the new revision."""
+        await self._begin("delete")
+        self._check_revision(key, expect)
+        self._begin_write()
+        self._remove(key)
+        return self._end_write()
+
+    async def list(self, prefix):
+        """Return ``(entries, revision)``."""
+        await self._begin("list")
+        self._expire_leases()
+        return self._select(self._entries, prefix, 0), self.revision
+
+    async def watch(self, prefix, after, wait_s):
+        """Wait for changes; see `Store.watch`."""
+        await self._begin("watch")
+        with trio.move_on_after(wait_s):
+            while not self._list_changes(prefix, after) and after <= self.revision:
+                await self._wait_for_change()
+        return self._list_changes(prefix, after), self.revision
+
+    async def grant_lease(self, ttl_s):
+        """Return the id of a new lease."""
+        await self._begin("grant_lease")
+        lease = f"lease-{next(self._lease_numbers)}"
+        self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
+        return lease
+
+    async def renew_lease(self, lease):
+        """Extend the lease; raises `LeaseNotFoundError` if it has ended."""
+        await self._begin("renew_lease")
+        row = self._find_lease(lease)
+        row.ends_at = self._clock() + row.ttl_s
+        self._notify()
+
+    def save_backup(self):
+        """Return the present data for a later `restore_backup`."""
+        self._expire_leases()
+        return dict(self._entries), dict(self._deleted), self.revision
+
+    def restore_backup(self, backup):
+        """Return to older data; revisions are used again, as by a real restore."""
+        entries, deleted, self.revision = backup
+        self._entries = dict(entries)
+        self._deleted = dict(deleted)
+        self._notify()
+
+    def expire_leases(self):
+        """End all leases now, with their keys."""
+        for lease in self._leases.values():
+            lease.ends_at = -math.inf
+        self._expire_leases()
+
+    async def _begin(self, name):
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
+        if self.is_unavailable:
+            raise StoreUnavailableError("the store refuses calls")
+
+    def _begin_write(self):
+        if self.lose_writes:
+            self.lose_writes -= 1
+            raise StoreOutcomeUnknownError("the write was lost")
+
+    def _end_write(self):
+        self._notify()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError("the answer to the write was lost")
+        return self.revision
+
+    def _find(self, key):
+        self._expire_leases()
+        return self._entries.get(key)
+
+    def _check_revision(self, key, expect):
+        entry = self._find(key)
+        revision = entry.revision if entry else 0
+        if revision != expect or (entry is None and expect):
+            text = f"{key} has revision {revision}, not {expect}"
+            raise StoreConflictError(text, entry)
+
+    def _remove(self, key):
+        del self._entries[key]
+        self.revision += 1
+        self._deleted[key] = Entry(key, None, self.revision)
+        if len(self._deleted) > MAX_DELETED_KEYS:
+            del self._deleted[next(iter(self._deleted))]
+
+    def _select(self, entries, prefix, after):
+        return [
+            entry
+            for key, entry in sorted(entries.items())
+            if key.startswith(prefix) and entry.revision > after
+        ]
+
+    def _list_changes(self, prefix, after):
+        self._expire_leases()
+        changes = self._select(self._entries, prefix, after)
+        return changes + self._select(self._deleted, prefix, after)
+
+    async def _wait_for_change(self):
+        ends = [lease.ends_at for lease in self._leases.values()]
+        with trio.move_on_after(max(min(ends, default=math.inf) - self._clock(), 0)):
+            await self._changed.wait()
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _find_lease(self, lease):
+        self._expire_leases()
+        if lease not in self._leases:
+            raise LeaseNotFoundError(f"{lease} does not exist or has ended")
+        return self._leases[lease]
+
+    def _expire_leases(self):
+        now = self._clock()
+        ended = {name for name, row in self._leases.items() if row.ends_at <= now}
+        if not ended:
+            return
+        for name in ended:
+            del self._leases[name]
+        for key in [k for k, e in self._entries.items() if e.lease in ended]:
+            self._remove(key)
+        self._notify()
+
+
+class _StoredEntry(Entry):
+    __slots__ = ("lease",)
+
+    def __init__(self, key, value, revision, lease):
+        super().__init__(key, value, revision)
+        self.lease = lease
+
+
+class _Lease:
+    __slots__ = ("ttl_s", "ends_at")
+
+    def __init__(self, ttl_s, ends_at):
+        self.ttl_s = ttl_s
+        self.ends_at = ends_at
+
+
+def _check_value(value):
+    size = len(value.encode())
+    if size > MAX_VALUE_BYTES:
+        raise BadRequestError(
+            f"the value has {size} bytes, above the store's {MAX_VALUE_BYTES}"
+        )
+
+
+class HttpStore:
+    """Client of the key-value service.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    timeout_s : float
+        Longest wait in seconds for one call, with its connection. A watch may take
+        this much longer than its own wait.
+
+    Attributes
+    ----------
+    calls : dict of str to int
+        Number of calls by method name. A waiting watch counts once.
+    """
+
+    def __init__(self, address, timeout_s=2.0):
+        self._timeout_s = timeout_s
+        self._pool = ConnectionPool(address, MAX_STORE_CONNECTIONS, timeout_s)
+        # A waiting watch must not take a connection that a call needs.
+        self._watch_pool = ConnectionPool(address, MAX_STORE_CONNECTIONS, timeout_s)
+        self.calls = {}
+
+    async def get(self, key):
+        """Return the `Entry`, or None."""
+        answer = await self._read("get", f"/v1/kv/{quote(key)}")
+        return _parse_entry(answer) if answer else None
+
+    async def put(self, key, value, expect, lease=None):
+        """Write by compare-and-swap; see `Store.put`."""
+        _check_value(value)
+        path = f"/v1/kv/{quote(key)}?expect={expect}"
+        body = {"value": value, "lease": lease}
+        return (await self._write("put", "PUT", path, body))["revision"]
+
+    async def delete(self, key, expect):
+        """Delete by compare-and-swap; return the new revision."""
+        path = f"/v1/kv/{quote(key)}?expect={expect}"
+        return (await self._write("delete", "DELETE", path))["revision"]
+
+    async def list(self, prefix):
+        """Return ``(entries, revision)``."""
+        return _parse_entries(await self._read("list", f"/v1/list/{quote(prefix)}"))
+
+    async def watch(self, prefix, after, wait_s):
+        """Wait for changes; see `Store.watch`."""
+        wait_ms = int(wait_s * 1000)
+        path = f"/v1/watch/{quote(prefix)}?after={after}&wait_ms={wait_ms}"
+        return _parse_entries(await self._read("watch", path, wait_s))
+
+    async def grant_lease(self, ttl_s):
+        """Return the id of a new lease."""
+        body = {"ttl_ms": int(ttl_s * 1000)}
+        return (await self._write("grant_lease", "POST", "/v1/leases", body))["lease"]
+
+    async def renew_lease(self, lease):
+        """Extend the lease; raises `LeaseNotFoundError` if it has ended."""
+        path = f"/v1/leases/{quote(lease, safe='')}/renew"
+        await self._write("renew_lease", "POST", path)
+
+    def close(self):
+        """Close all connections."""
+        self._pool.close()
+        self._watch_pool.close()
+
+    async def _read(self, name, path, wait_s=0.0):
+        pool = self._watch_pool if name == "watch" else self._pool
+        try:
+            response = await self._call(name, pool, "GET", path, b"", wait_s)
+        except (OSError, ProtocolError) as error:
+            text = f"{name} from the store failed: {error}"
+            raise StoreUnavailableError(text) from error
+        if response.status == 404 and name == "get":
+            return None
+        return _parse_answer(response, StoreUnavailableError)
+
+    async def _write(self, name, method, path, body=None):
+        data = orjson.dumps(body) if body is not None else b""
+        try:
+            response = await self._call(name, self._pool, method, path, data)
+        except _NotSentError as error:
+            text = f"{name} did not reach the store: {error}"
+            raise StoreUnavailableError(text) from error
+        except (OSError, ProtocolError) as error:
+            text = f"the answer to {name} was lost: {error}"
+            raise StoreOutcomeUnknownError(text) from error
+        return _parse_answer(response, StoreOutcomeUnknownError)
+
+    async def _call(self, name, pool, method, path, body, wait_s=0.0):
+        self.calls[name] = self.calls.get(name, 0) + 1
+        connection = None
+        with trio.move_on_after(self._timeout_s + wait_s):
+            await pool.reserve()
+            try:
+                connection = await _connect(pool)
+                return await connection.exchange(method, path, (), body)
+            finally:
+                pool.release(connection)
+        if connection is None:
+            raise _NotSentError("no connection in time")
+        raise TimeoutError(f"no answer within {self._timeout_s + wait_s} s")
+
+
+class _NotSentError(OSError):
+    """No byte of the call was sent."""
+
+
+async def _connect(pool):
+    try:
+        return await pool.connect()
+    except OSError as error:
+        raise _NotSentError(str(error)) from error
+
+
+def _parse_answer(response, unclear_error):
+    """Return the JSON of an answer, or raise the error that it reports.
+
+    Parameters
+    ----------
+    response : httpio.HttpResponse
+    unclear_error : type
+        Raised for an answer that does not tell what became of the call.
+    """
+    try:
+        answer = response.parse_json()
+        if response.status == 200:
+            return answer
+        code = answer["code"]
+        text = answer["message"]
+        if code == StoreConflictError.code:
+            entry = answer["entry"]
+            raise StoreConflictError(text, entry and _parse_entry(entry))
+    except (ProtocolError, KeyError, TypeError) as error:
+        text = f"the store answered {response.status}: {error!r}"
+        raise unclear_error(text) from error
+    for error_class in (StoreUnavailableError, LeaseNotFoundError, BadRequestError):
+        if code == error_class.code:
+            raise error_class(text)
+    raise unclear_error(f"the store answered {response.status} {code}: {text}")
+
+
+def _parse_entry(answer):
+    return Entry(answer["key"], answer["value"], answer["revision"])
+
+
+def _parse_entries(answer):
+    try:
+        return [_parse_entry(row) for row in answer["entries"]], answer["revision"]
+    except (KeyError, TypeError) as error:
+        raise StoreUnavailableError(f"malformed answer: {error!r}") from error
--- a/tarragonchute/targets.py
+++ b/tarragonchute/targets.py
@@ -1,6 +1,31 @@
 """Exchanges with one target: interface, HTTP client and in-memory twin."""
 
+import collections
+import contextlib
+import time
+import uuid
 from typing import Protocol
+from urllib.parse import quote
+
+import orjson
+import trio
+
+from .errors import ProtocolError
+from .httpio import JSON_TYPE, ConnectionPool
+from .messages import BOOKING, SEARCH
+
+CONNECT_TIMEOUT_S = 0.25
+STATUS_TIMEOUT_S = 0.5
+CLOCK_SKEW_S = 0.25
+"""Largest offset between this VM's wall clock and the target's."""
+
+COLD_LIMIT = 1
+"""Requests that a cold `MemoryTarget` bears at the same time."""
+COLD_FACTOR = 5.0
+"""How much slower a cold `MemoryTarget` is than a warm one."""
+SHED_FACTOR = 2
+"""A `MemoryTarget` sheds from this multiple of its slots on."""
+MAX_CANCELLED_IDS = 10_000
 
 
 class TargetRequest:
@@ -122,3 +147,523 @@
 
     async def aclose(self):
         """Close all connections."""
+
+
+class HttpTargetClient:
+    """HTTP client of one target with a bounded set of connections.
+
+    Parameters
+    ----------
+    target_id : str
+    address : str
+        ``host:port``.
+    max_connections : int
+        Connections that this client may open; fewer than 1 counts as 1.
+    wall_clock : callable
+        Returns Unix time in seconds.
+    """
+
+    def __init__(self, target_id, address, max_connections, wall_clock=time.time):
+        self.target_id = target_id
+        self._wall_clock = wall_clock
+        self._pool = ConnectionPool(address, max(max_connections, 1), CONNECT_TIMEOUT_S)
+
+    @property
+    def connections(self):
+        """Number of open connections, with those being opened."""
+        return self._pool.connections
+
+    async def exchange(self, request):
+        """Send one `TargetRequest`; see `TargetClient.exchange`.
+
+        A cancelled exchange ends when the target acknowledged the cancel or
+        answered, at the latest `CLOCK_SKEW_S` after the deadline. So the caller
+        may count the target's slot as free afterwards.
+        """
+        remaining = request.deadline - self._wall_clock()
+        code = "deadline_passed"
+        with trio.move_on_after(max(remaining, 0)):
+            await self._pool.reserve()
+            connection = None
+            code = "connect_failed"
+            try:
+                connection = await self._pool.connect()
+                code = "timed_out"
+                return await self._exchange_on(connection, request)
+            except OSError:
+                return TargetAnswer("connection_lost" if connection else code)
+            except ProtocolError:
+                return TargetAnswer("wrong_answer")
+            except trio.Cancelled:
+                if connection and connection.is_request_sent:
+                    await self._abandon(connection, request)
+                raise
+            finally:
+                self._pool.release(connection)
+        return TargetAnswer(code)
+
+    async def fetch_status(self):
+        """Return the state that the target reports, or None."""
+        with trio.move_on_after(STATUS_TIMEOUT_S):
+            response = await self._call_on_spare("GET", "/v1/status")
+            with contextlib.suppress(ProtocolError, KeyError, TypeError):
+                return response and response.parse_json()["state"]
+        return None
+
+    async def aclose(self):
+        """Close the idle connections now, the others after their exchange."""
+        self._pool.close()
+
+    async def _exchange_on(self, connection, request):
+        response = await connection.exchange(
+            "POST",
+            f"/v1/shards/{quote(request.shard, safe='')}/{_ROUTES[request.operation]}",
+            _build_headers(request),
+            orjson.dumps(request.payload),
+        )
+        return _parse_answer(request, response)
+
+    async def _abandon(self, connection, request):
+        """Hold the connection until the target no longer works on the request."""
+        remaining = max(request.deadline - self._wall_clock(), 0)
+        with trio.move_on_after(remaining + CLOCK_SKEW_S, shield=True):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_cancel, request, nursery.cancel_scope)
+                with contextlib.suppress(OSError, ProtocolError):
+                    await connection.skip_response()
+                    nursery.cancel_scope.cancel()
+
+    async def _send_cancel(self, request, scope):
+        body = orjson.dumps({"request_id": request.request_id})
+        response = await self._call_on_spare("POST", "/v1/cancel", body)
+        with contextlib.suppress(ProtocolError, KeyError, TypeError):
+            if response and response.parse_json()["cancelled"]:
+                scope.cancel()
+
+    async def _call_on_spare(self, method, path, body=b""):
+        """Call on a free connection; return None if there is none or it fails."""
+        if not self._pool.try_reserve():
+            return None
+        connection = None
+        try:
+            connection = await self._pool.connect()
+            response = await connection.exchange(method, path, (), body)
+        except (OSError, ProtocolError):
+            return None
+        finally:
+            self._pool.release(connection)
+        return response if response.status == 200 else None
+
+
+_ROUTES = {SEARCH: "search", BOOKING: "bookings"}
+_REFUSAL_STATUSES = {
+    "shedding": 503,
+    "draining": 503,
+    "deadline_passed": 504,
+    "version_missing": 409,
+    "shard_unknown": 404,
+    "timed_out": 504,
+}
+
+
+def _build_headers(request):
+    headers = [
+        ("X-Request-Id", request.request_id),
+        ("X-Deadline-Ms", str(int(request.deadline * 1000))),
+        ("X-Snapshot", request.version),
+        ("Content-Type", JSON_TYPE),
+    ]
+    if request.idempotency_key is not None:
+        headers.append(("X-Idempotency-Key", request.idempotency_key))
+    return headers
+
+
+def _parse_answer(request, response):
+    headers = response.headers
+    # A refusal must match as well: one for another request proves nothing here.
+    if (
+        headers.get("x-request-id") != request.request_id
+        or headers.get("x-shard") != request.shard
+        or headers.get("x-snapshot") != request.version
+    ):
+        return TargetAnswer("wrong_answer")
+    body = response.parse_json()
+    state = headers.get("x-state")
+    boot_id = headers.get("x-boot-id")
+    if response.status == 200:
+        return TargetAnswer("ok", body, state, boot_id)
+    code = body.get("code") if isinstance(body, dict) else None
+    if _REFUSAL_STATUSES.get(code) != response.status:
+        return TargetAnswer("wrong_answer", None, state, boot_id)
+    return TargetAnswer(code, None, state, boot_id, body.get("versions") or ())
+
+
+class TargetCounters:
+    """What a `MemoryTarget` counted by itself.
+
+    Attributes
+    ----------
+    received : int
+        Requests for a shard, refused ones included.
+    refused : dict of str to int
+        Refusals by code.
+    cancelled : int
+        Requests that a cancel stopped while they ran.
+    greatest_work, greatest_cold_work : int
+        Most requests that ran at the same time, in any state and while cold.
+    slot_breaches, cold_breaches : int
+        Requests that started above the slots or above the cold limit.
+    connections_peak, connection_breaches : int
+        Most open connections, and connections that were closed over the limit.
+    runs : dict of str to int
+        Runs for each idempotency key.
+    """
+
+    __slots__ = (
+        "received",
+        "refused",
+        "cancelled",
+        "finished",
+        "greatest_work",
+        "greatest_cold_work",
+        "slot_breaches",
+        "cold_breaches",
+        "connections_peak",
+        "connection_breaches",
+        "runs",
+    )
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+        self.refused = {}
+        self.runs = {}
+
+    def to_body(self):
+        """Return the JSON form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class MemoryTarget:
+    """Model of a target, for tests and for the stand-in process.
+
+    A cold target bears one request; more make all of them slow and keep it cold.
+
+    Parameters
+    ----------
+    target_id : str
+    shards, versions : list of str
+    slots, max_connections : int
+    service_s : float
+        Seconds for one request when warm and within the slots.
+    wall_clock : callable
+        Returns Unix time in seconds.
+    state : str
+        ``cold`` or ``warm``.
+
+    Attributes
+    ----------
+    warm_after : int
+        Requests after which a cold target is warm.
+    straggle_factor : float
+        Multiplies the service time.
+    is_shedding, is_draining, is_unreachable : bool
+    reported_state : str or None
+        What the status endpoint says in place of the truth.
+    lose_answers, wrong_ids, duplicate_answers : int
+        So many of the next answers are lost, carry another request id, or come
+        twice.
+    delay_answers_s : float
+        Seconds between the end of the work and the answer.
+    counters : TargetCounters
+    """
+
+    def __init__(
+        self,
+        target_id,
+        shards,
+        versions=("1",),
+        slots=2,
+        max_connections=25,
+        service_s=0.005,
+        wall_clock=time.time,
+        state="warm",
+    ):
+        self.target_id = target_id
+        self.shards = list(shards)
+        self.versions = list(versions)
+        self.slots = slots
+        self.max_connections = max_connections
+        self.service_s = service_s
+        self.wall_clock = wall_clock
+        self.state = state
+        self.warm_after = 20
+        self.straggle_factor = 1.0
+        self.is_shedding = False
+        self.is_draining = False
+        self.is_unreachable = False
+        self.reported_state = None
+        self.lose_answers = 0
+        self.wrong_ids = 0
+        self.duplicate_answers = 0
+        self.delay_answers_s = 0.0
+        self.counters = TargetCounters()
+        self.connections = 0
+        self._warmed = 0
+        self._works = {}
+        self._cancelled = collections.OrderedDict()
+        self.boot_id = uuid.uuid4().hex
+
+    @property
+    def work(self):
+        """Number of requests that run now."""
+        return len(self._works)
+
+    @property
+    def shown_state(self):
+        """State in `X-State`."""
+        return "draining" if self.is_draining else self.state
+
+    def restart(self):
+        """Start anew: cold, with another boot id; running requests are lost."""
+        for work in self._works.values():
+            work.scope.cancel()
+        self.boot_id = uuid.uuid4().hex
+        self.turn_cold()
+
+    def turn_cold(self):
+        """Turn cold without warning."""
+        self.state = "cold"
+        self._warmed = 0
+
+    def open_connection(self):
+        """Count a new connection; return False if it is over the limit."""
+        if self.connections >= self.max_connections:
+            self.counters.connection_breaches += 1
+            return False
+        self.connections += 1
+        peak = max(self.counters.connections_peak, self.connections)
+        self.counters.connections_peak = peak
+        return True
+
+    def close_connection(self):
+        """Count the end of a connection."""
+        self.connections -= 1
+
+    async def handle(self, request):
+        """Run one `TargetRequest`.
+
+        Returns
+        -------
+        TargetAnswer or None
+            None if a restart lost the request.
+        """
+        self.counters.received += 1
+        code = self._find_refusal(request)
+        if code is not None:
+            self.counters.refused[code] = self.counters.refused.get(code, 0) + 1
+            return self._answer(code)
+        return await self._run(request)
+
+    async def cancel(self, request_id):
+        """Stop a request; return True once it does not run and never will.
+
+        The id is remembered, so that a request which a cancel has overtaken is
+        refused when it arrives.
+        """
+        self._cancelled[request_id] = None
+        if len(self._cancelled) > MAX_CANCELLED_IDS:
+            self._cancelled.popitem(last=False)
+        works = [w for w in self._works.values() if w.request_id == request_id]
+        for work in works:
+            work.is_cancelled = True
+            work.scope.cancel()
+            await work.ended.wait()
+        return True
+
+    def _find_refusal(self, request):
+        if self.wall_clock() > request.deadline:
+            return "deadline_passed"
+        if request.request_id in self._cancelled:
+            return "cancelled"
+        if self.is_draining:
+            return "draining"
+        if self.is_shedding or self.work >= self.slots * SHED_FACTOR:
+            return "shedding"
+        if request.shard not in self.shards:
+            return "shard_unknown"
+        if request.version not in self.versions:
+            return "version_missing"
+        return None
+
+    async def _run(self, request):
+        work = _Work(request.request_id)
+        number = object()
+        self._works[number] = work
+        self._count_start(request)
+        remaining = request.deadline - self.wall_clock()
+        is_done = False
+        try:
+            with work.scope, trio.move_on_after(remaining):
+                await trio.sleep(self._choose_service_time())
+                is_done = True
+        except trio.Cancelled:
+            # The in-memory client cancels by the scope that surrounds it.
+            self.counters.cancelled += self.wall_clock() < request.deadline
+            raise
+        finally:
+            del self._works[number]
+            work.ended.set()
+        if is_done:
+            return await self._finish(request)
+        return self._explain_stop(work)
+
+    def _count_start(self, request):
+        counters = self.counters
+        counters.greatest_work = max(counters.greatest_work, self.work)
+        counters.slot_breaches += self.work > self.slots
+        if self.state == "cold":
+            greatest = max(counters.greatest_cold_work, self.work)
+            counters.greatest_cold_work = greatest
+            counters.cold_breaches += self.work > COLD_LIMIT
+            if self.work > COLD_LIMIT:
+                self._warmed = 0
+        if request.idempotency_key is not None:
+            key = request.idempotency_key
+            counters.runs[key] = counters.runs.get(key, 0) + 1
+
+    def _choose_service_time(self):
+        time_s = self.service_s * self.straggle_factor
+        if self.state == "cold":
+            return time_s * COLD_FACTOR * max(self.work, 1) ** 2
+        return time_s * max(self.work / self.slots, 1)
+
+    async def _finish(self, request):
+        self.counters.finished += 1
+        self._warmed += 1
+        if self.state == "cold" and self._warmed >= self.warm_after:
+            self.state = "warm"
+        answer = self._answer("ok", _build_result(request))
+        if self.delay_answers_s:
+            await trio.sleep(self.delay_answers_s)
+        return answer
+
+    def _explain_stop(self, work):
+        if work.is_cancelled:
+            self.counters.cancelled += 1
+            return self._answer("cancelled")
+        if work.scope.cancelled_caught:
+            return None
+        return self._answer("timed_out")
+
+    def _answer(self, code, result=None):
+        versions = self.versions if code == "version_missing" else ()
+        return TargetAnswer(code, result, self.shown_state, self.boot_id, versions)
+
+
+class _Work:
+    """One running request."""
+
+    __slots__ = ("request_id", "scope", "ended", "is_cancelled")
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+        self.scope = trio.CancelScope()
+        self.ended = trio.Event()
+        self.is_cancelled = False
+
+
+def _build_result(request):
+    """Return a result that shows which request and snapshot it belongs to."""
+    result = {"shard": request.shard, "version": request.version}
+    if request.operation == BOOKING:
+        return {**result, "order": request.payload}
+    title = f"{request.payload} in {request.shard} at {request.version}"
+    return {**result, "hits": [{"title": title, "score": len(title)}]}
+
+
+class MemoryTargetClient:
+    """In-memory twin of `HttpTargetClient`.
+
+    Parameters
+    ----------
+    target : MemoryTarget
+    max_connections : int
+    delay_s : float
+        Seconds one way.
+    """
+
+    def __init__(self, target, max_connections, delay_s=0.0):
+        self.target = target
+        self.target_id = target.target_id
+        self.delay_s = delay_s
+        self.connections = 0
+        self._permits = trio.Semaphore(max(max_connections, 1))
+        self._idle = 0
+
+    async def exchange(self, request):
+        """Run one `TargetRequest`; see `TargetClient.exchange`."""
+        remaining = request.deadline - self.target.wall_clock()
+        code = "deadline_passed"
+        with trio.move_on_after(max(remaining, 0)):
+            async with self._permits:
+                if self.target.is_unreachable:
+                    return TargetAnswer("connect_failed")
+                if not self._connect():
+                    return TargetAnswer("connection_lost")
+                code = "timed_out"
+                is_whole = False
+                try:
+                    await trio.sleep(self.delay_s)
+                    answer = await self.target.handle(request)
+                    await trio.sleep(self.delay_s)
+                    answer = self._apply_faults(answer)
+                    is_whole = answer.code not in ("connection_lost", "wrong_answer")
+                    return answer
+                finally:
+                    self._disconnect(is_whole)
+        return TargetAnswer(code)
+
+    async def fetch_status(self):
+        """Return the state that the target reports, or None."""
+        await trio.sleep(self.delay_s)
+        if self.target.is_unreachable:
+            return None
+        return self.target.reported_state or self.target.shown_state
+
+    async def aclose(self):
+        """Close all idle connections."""
+        while self._idle:
+            self._idle -= 1
+            self._close()
+
+    def _connect(self):
+        if self._idle:
+            self._idle -= 1
+            return True
+        if not self.target.open_connection():
+            return False
+        self.connections += 1
+        return True
+
+    def _disconnect(self, is_whole):
+        if is_whole:
+            self._idle += 1
+        else:
+            self._close()
+
+    def _close(self):
+        self.connections -= 1
+        self.target.close_connection()
+
+    def _apply_faults(self, answer):
+        target = self.target
+        if answer is None or target.is_unreachable:
+            return TargetAnswer("connection_lost")
+        if target.lose_answers:
+            target.lose_answers -= 1
+            return TargetAnswer("connection_lost")
+        if target.wrong_ids:
+            target.wrong_ids -= 1
+            return TargetAnswer("wrong_answer")
+        return answer
--- a/tarragonchute/vmlist.py
+++ b/tarragonchute/vmlist.py
@@ -3,6 +3,11 @@
 import enum
 from typing import Protocol
 
+import trio
+
+from .errors import ProtocolError, StoreUnavailableError
+from .httpio import ConnectionPool
+
 
 class VmState(enum.StrEnum):
     """State of a VM as the platform lists it. The list lags."""
@@ -23,3 +28,93 @@
         StoreUnavailableError
             If the list cannot be read.
         """
+
+
+class MemoryVmList:
+    """In-memory twin of the VM list, with faults.
+
+    Parameters
+    ----------
+    clock : callable or None
+        Returns monotonic seconds; by default trio's clock.
+
+    Attributes
+    ----------
+    lag_s : float
+        Age in seconds of what `fetch` returns.
+    is_unavailable : bool
+        `fetch` raises `StoreUnavailableError`.
+    """
+
+    def __init__(self, clock=None):
+        self._clock = clock or trio.current_time
+        self._history = []
+        self.domains = {}
+        self.lag_s = 0.0
+        self.is_unavailable = False
+
+    def set_state(self, vm_id, state, domain=None):
+        """Change a VM to a `VmState`, or remove it from the list with None."""
+        states = dict(self._history[-1][1]) if self._history else {}
+        states.pop(vm_id, None)
+        if state is not None:
+            states[vm_id] = VmState(state)
+        if domain is not None:
+            self.domains[vm_id] = domain
+        self._history.append((self._clock(), states))
+
+    async def fetch(self):
+        """Return a dict of vm_id to `VmState`, as it was `lag_s` ago."""
+        if self.is_unavailable:
+            raise StoreUnavailableError("the VM list refuses calls")
+        if not self._history:
+            return {}
+        horizon = self._clock() - self.lag_s
+        # The first state is never too young: the list does not start empty.
+        known = [states for at, states in self._history if at <= horizon]
+        return dict(known[-1] if known else self._history[0][1])
+
+
+class HttpVmList:
+    """Client of the platform's VM list.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    timeout_s : float
+        Longest wait in seconds for one call.
+    """
+
+    def __init__(self, address, timeout_s=1.0):
+        self._timeout_s = timeout_s
+        self._pool = ConnectionPool(address, 1, timeout_s)
+
+    async def fetch(self):
+        """Return a dict of vm_id to `VmState`; see `VmList.fetch`."""
+        try:
+            with trio.fail_after(self._timeout_s):
+                response = await self._call()
+            if response.status != 200:
+                raise ProtocolError(f"status {response.status}")
+            rows = response.parse_json()["vms"]
+            return {row["vm_id"]: VmState(row["state"]) for row in rows}
+        except (OSError, trio.TooSlowError, ProtocolError) as error:
+            text = f"the VM list cannot be read: {error}"
+            raise StoreUnavailableError(text) from error
+        except (KeyError, TypeError, ValueError) as error:
+            text = f"the VM list is malformed: {error!r}"
+            raise StoreUnavailableError(text) from error
+
+    def close(self):
+        """Close the connection."""
+        self._pool.close()
+
+    async def _call(self):
+        connection = None
+        await self._pool.reserve()
+        try:
+            connection = await self._pool.connect()
+            return await connection.exchange("GET", "/v1/vms")
+        finally:
+            self._pool.release(connection)
