--- /dev/null
+++ b/tarragonchute/health.py
@@ -0,0 +1,196 @@
+"""Judges each target cold, warm, draining or dead.
+
+The answers of the target count first. Its status endpoint lags and misleads, so it
+may only lower the limit, or end a draining or dead state in favour of the cold one.
+"""
+
+import logging
+import random
+import statistics
+
+from .limits import COLD, DEAD, DRAINING, WARM, TargetLimiter
+
+logger = logging.getLogger(__name__)
+
+STATUS_PERIOD_S = 1.0
+DRAINING_PROBE_PERIOD_S = 2.0
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+BACKOFF_JITTER = 0.5  # fraction of the delay; spreads the probes of many holders
+SLOW_FACTOR = 5.0  # times the warm median
+SLOW_ANSWERS_TO_RELEARN = 32  # a lasting change of speed becomes the new normal
+LATENCIES_KEPT = 32
+MEDIAN_EVERY = 8  # answers; one median for each answer would cost 3 µs
+
+_GOOD_STATES = (None, WARM)
+
+
+class TargetHealth:
+    """Judges targets and plans the reading of their status.
+
+    Parameters
+    ----------
+    limiter : TargetLimiter
+    random : random.Random or None
+        Source of the jitter; seed it for a repeatable run.
+    """
+
+    __slots__ = ("_limiter", "_random")
+
+    def __init__(self, limiter=None, random=random):
+        self._limiter = limiter or TargetLimiter()
+        self._random = random
+
+    def begin(self, row, now, reason):
+        """Treat a target as new: cold, with its first status read soon."""
+        row.probe_delay = 0.0
+        row.probe_due_at = now + STATUS_PERIOD_S * self._random.random()
+        self._judge(row, COLD, reason)
+
+    def handle_answer(self, row, answer, latency, is_alone, sequence, now):
+        """Judge a target by one answer or failure.
+
+        Parameters
+        ----------
+        row : TargetRow
+        answer : targets.TargetAnswer
+        latency : float
+            Seconds from dispatch to answer.
+        is_alone : bool
+            Whether nothing else was in flight to the target meanwhile.
+        sequence : int
+            Number of the dispatch.
+        now : float
+            Seconds on the local monotonic clock.
+        """
+        row.last_answer_at = now
+        code = answer.code
+        if code == "connect_failed":
+            self._handle_connect_failure(row, now)
+        elif row.state in (DRAINING, DEAD):
+            # Older requests end in these states too; only a probe leaves them.
+            return
+        elif code == "draining" or answer.state == DRAINING:
+            self._handle_draining(row, now, "an answer says draining")
+        elif code == "connection_lost":
+            self._judge(row, COLD, "a connection was lost")
+        elif self._has_restarted(row, answer):
+            self._judge(row, COLD, "the boot id changed")
+        elif answer.state == COLD:
+            self._judge(row, COLD, "an answer says cold")
+            self._note_latency(row, latency)
+        else:
+            self._handle_speed(row, answer, latency, is_alone, sequence)
+
+    def handle_status(self, row, state, now):
+        """Judge a target by its status endpoint.
+
+        Parameters
+        ----------
+        row : TargetRow
+        state : str or None
+            State that the target reports of itself; None if it could not be read.
+        now : float
+            Seconds on the local monotonic clock.
+        """
+        row.is_probing = False
+        row.last_probe_at = now
+        if state == DRAINING:
+            self._handle_draining(row, now, "the status says draining")
+        elif row.state == DEAD and state is None:
+            self._back_off(row, now)
+        elif row.state in (DRAINING, DEAD) and state is not None:
+            self.begin(row, now, f"the status says {state} again")
+        elif state == COLD and row.state == WARM:
+            self._judge(row, COLD, "the status says cold")
+
+    def take_due_probe(self, row, now):
+        """Return whether the status must be read now; at most one at a time."""
+        if row.is_probing or now < row.probe_due_at:
+            return False
+        row.is_probing = True
+        period = DRAINING_PROBE_PERIOD_S if row.state == DRAINING else STATUS_PERIOD_S
+        row.probe_due_at = now + period
+        return True
+
+    def _judge(self, row, state, reason):
+        if state != row.state:
+            logger.info(
+                "target %s judged %s, was %s: %s",
+                row.target_id,
+                state,
+                row.state,
+                reason,
+            )
+            row.latencies.clear()
+        row.state = state
+        if state == COLD:
+            self._limiter.restart(row)
+        else:
+            self._limiter.update(row)
+
+    def _handle_connect_failure(self, row, now):
+        if row.state == DEAD:
+            # Requests of the same burst fail together; only probes lengthen the
+            # delay.
+            return
+        row.probe_delay = 0.0
+        self._judge(row, DEAD, "a connection could not be opened")
+        self._back_off(row, now)
+
+    def _handle_draining(self, row, now, reason):
+        if row.state != DRAINING:
+            row.probe_due_at = now + DRAINING_PROBE_PERIOD_S
+        self._judge(row, DRAINING, reason)
+
+    def _back_off(self, row, now):
+        delay = row.probe_delay * 2 or FIRST_BACKOFF_S
+        row.probe_delay = min(delay, MAX_BACKOFF_S)
+        jitter = 1.0 + BACKOFF_JITTER * (2 * self._random.random() - 1)
+        row.probe_due_at = now + row.probe_delay * jitter
+
+    def _has_restarted(self, row, answer):
+        if answer.boot_id is None or answer.boot_id == row.boot_id:
+            return False
+        is_known = row.boot_id is not None
+        row.boot_id = answer.boot_id
+        return is_known
+
+    def _handle_speed(self, row, answer, latency, is_alone, sequence):
+        code = answer.code
+        if code == "shedding":
+            self._limiter.note_shed(row, sequence)
+        elif code in ("ok", "timed_out") and self._is_slow(row, latency, is_alone):
+            self._handle_slow_answer(row, latency)
+        elif code == "ok" and answer.state in _GOOD_STATES:
+            self._handle_good_answer(row, latency)
+        elif code in ("timed_out", "wrong_answer"):
+            self._limiter.note_bad_answer(row)
+
+    def _is_slow(self, row, latency, is_alone):
+        median = row.warm_median
+        return is_alone and median is not None and latency > SLOW_FACTOR * median
+
+    def _handle_slow_answer(self, row, latency):
+        row.slow_answers += 1
+        if row.slow_answers >= SLOW_ANSWERS_TO_RELEARN:
+            row.slow_answers = 0
+            row.warm_median = None
+        times = latency / row.warm_median if row.warm_median else SLOW_FACTOR
+        self._judge(row, COLD, f"latency rose to {times:.1f} times the warm median")
+
+    def _handle_good_answer(self, row, latency):
+        row.slow_answers = 0
+        self._note_latency(row, latency)
+        if self._limiter.note_good_answer(row) and row.state == COLD:
+            self._judge(row, WARM, "slow start reached the full limit")
+
+    def _note_latency(self, row, latency):
+        row.latencies.append(latency)
+        count = len(row.latencies)
+        if count % MEDIAN_EVERY == 0 or row.median_latency is None:
+            row.median_latency = statistics.median(row.latencies)
+            if row.state == WARM:
+                row.warm_median = row.median_latency
+        if count >= LATENCIES_KEPT:
+            del row.latencies[:MEDIAN_EVERY]
--- a/tarragonchute/tables.py
+++ b/tarragonchute/tables.py
@@ -65,6 +65,34 @@
         Requests that it runs at the same time when warm.
     max_connections : int
         Connections that it accepts from the whole fleet.
+
+    Attributes
+    ----------
+    limit : int
+        Requests that may be in flight now; 0 stops new work.
+    in_flight : int
+        Requests that may still occupy a slot of the target.
+    connection_limit : int
+        Connections that this VM may open.
+    slow_start_limit : int
+        Part of `limit` that doubles after good answers.
+    shed_limit : float
+        Part of `limit` that falls on shed answers and rises on good ones.
+    sequence : int
+        Number of the latest dispatch.
+    lowered_sequence : int
+        Value of `sequence` when `shed_limit` was last lowered.
+    latencies : list of float
+        Recent latencies in seconds.
+    median_latency, warm_median : float or None
+        Median of recent latencies in seconds, in any state and only while warm.
+    slow_answers : int
+        Answers in a row that were too slow for a warm target.
+    probe_due_at, probe_delay : float
+        When the status is read next, and the current back-off, in seconds.
+    queue : holders.FairQueue or None
+    pending : settings.TargetSettings or None
+        Changed settings that apply once nothing is in flight.
     """
 
     __slots__ = (
@@ -83,6 +111,20 @@
         "last_answer_at",
         "last_probe_at",
         "gained_epoch",
+        "connection_limit",
+        "slow_start_limit",
+        "shed_limit",
+        "sequence",
+        "lowered_sequence",
+        "latencies",
+        "warm_median",
+        "slow_answers",
+        "probe_due_at",
+        "probe_delay",
+        "is_probing",
+        "is_held",
+        "queue",
+        "pending",
     )
 
     def __init__(self, target_id, address, domain, slots, max_connections):
@@ -101,6 +143,20 @@
         self.last_answer_at = None
         self.last_probe_at = None
         self.gained_epoch = 0
+        self.connection_limit = 1
+        self.slow_start_limit = 1
+        self.shed_limit = float(slots)
+        self.sequence = 0
+        self.lowered_sequence = 0
+        self.latencies = []
+        self.warm_median = None
+        self.slow_answers = 0
+        self.probe_due_at = 0.0
+        self.probe_delay = 0.0
+        self.is_probing = False
+        self.is_held = True
+        self.queue = None
+        self.pending = None
 
 
 class MemberRow:
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,150 @@
+"""Tests of the judgement of targets."""
+
+import random
+
+import testtools
+
+from tarragonchute import health
+from tarragonchute.health import TargetHealth
+from tarragonchute.limits import COLD, DEAD, DRAINING, WARM
+from tarragonchute.tables import TargetRow
+from tarragonchute.targets import TargetAnswer
+
+SERVICE_S = 0.01
+
+
+class HealthTests(testtools.TestCase):
+    """State after answers and status reads."""
+
+    def setUp(self):
+        super().setUp()
+        self.health = TargetHealth(random=random.Random(1))
+        self.now = 100.0
+
+    def _build_row(self, state=COLD):
+        row = TargetRow("t1", "127.0.0.1:1", "d1", 2, 25)
+        self.health.begin(row, self.now, "test")
+        if state == WARM:
+            self._answer(row, count=24, state=WARM, boot_id="b1")
+        elif state == DRAINING:
+            self._answer(row, "draining")
+        elif state == DEAD:
+            self._answer(row, "connect_failed")
+        self.assertEqual(state, row.state)
+        return row
+
+    def _answer(self, row, code="ok", count=1, latency=SERVICE_S, alone=True, **more):
+        for _ in range(count):
+            self.now += latency
+            row.sequence += 1
+            answer = TargetAnswer(code, **more)
+            self.health.handle_answer(
+                row, answer, latency, alone, row.sequence, self.now
+            )
+
+    def test_answers(self):
+        """Guards against trusting a target whose answers say otherwise."""
+        same = {"boot_id": "b1"}
+        cases = [
+            (WARM, "ok", {**same, "state": WARM}, WARM),
+            (WARM, "ok", {**same, "state": COLD}, COLD),
+            (WARM, "ok", {**same, "state": DRAINING}, DRAINING),
+            (WARM, "ok", {"state": WARM, "boot_id": "b2"}, COLD),
+            (WARM, "draining", same, DRAINING),
+            (WARM, "shedding", {**same, "state": COLD}, COLD),
+            (WARM, "version_missing", same, WARM),
+            (WARM, "connection_lost", {}, COLD),
+            (WARM, "connect_failed", {}, DEAD),
+            (WARM, "wrong_answer", {}, WARM),
+            (COLD, "draining", {}, DRAINING),
+            (DRAINING, "ok", {"state": WARM}, DRAINING),
+            (DRAINING, "connect_failed", {}, DEAD),
+            (DEAD, "ok", {"state": WARM}, DEAD),
+        ]
+        for before, code, more, after in cases:
+            row = self._build_row(before)
+            self._answer(row, code, **more)
+            self.assertEqual(after, row.state, (before, code, more))
+            expected = {WARM: 2, COLD: 1, DRAINING: 0, DEAD: 0}[after]
+            self.assertEqual(expected, row.limit, (before, code, more))
+
+    def test_status_only_lowers(self):
+        """Guards against a lagging status that raises the limit."""
+        cases = [
+            (WARM, WARM, WARM),
+            (WARM, COLD, COLD),
+            (WARM, DRAINING, DRAINING),
+            (WARM, None, WARM),
+            (COLD, WARM, COLD),
+            (DRAINING, DRAINING, DRAINING),
+            (DRAINING, None, DRAINING),
+            (DRAINING, WARM, COLD),
+            (DEAD, None, DEAD),
+            (DEAD, WARM, COLD),
+            (DEAD, DRAINING, DRAINING),
+        ]
+        for before, status, after in cases:
+            row = self._build_row(before)
+            self.health.handle_status(row, status, self.now)
+            self.assertEqual(after, row.state, (before, status))
+
+    def test_latency_over_five_times_the_warm_median(self):
+        """Guards against full load on a warm target that turned cold in silence."""
+        cases = [(4.9, True, WARM), (5.1, True, COLD), (5.1, False, WARM)]
+        for code in ("ok", "timed_out"):
+            for factor, alone, after in cases:
+                row = self._build_row(WARM)
+                self._answer(row, code, latency=factor * SERVICE_S, alone=alone)
+                self.assertEqual(after, row.state, (code, factor, alone))
+
+    def test_slow_answers_do_not_end_a_cold_start(self):
+        """Guards against raising the limit of a target that is still slow."""
+        row = self._build_row(WARM)
+        count = health.SLOW_ANSWERS_TO_RELEARN - 1
+        self._answer(row, count=count, latency=6 * SERVICE_S)
+        self.assertEqual((COLD, 1), (row.state, row.limit))
+
+    def test_lasting_change_of_speed_is_learned(self):
+        """Guards against a target that stays at its cold limit for ever."""
+        row = self._build_row(WARM)
+        count = health.SLOW_ANSWERS_TO_RELEARN + 24
+        self._answer(row, count=count, latency=6 * SERVICE_S)
+        self.assertEqual((WARM, 2), (row.state, row.limit))
+
+    def test_back_off_grows_with_jitter_up_to_a_bound(self):
+        """Guards against probes that hammer a target which is down."""
+        row = self._build_row(DEAD)
+        delays = []
+        for _ in range(10):
+            delays.append(row.probe_due_at - self.now)
+            self.assertFalse(self.health.take_due_probe(row, self.now))
+            self.now = row.probe_due_at
+            self.assertTrue(self.health.take_due_probe(row, self.now))
+            self.assertFalse(self.health.take_due_probe(row, self.now + 60))
+            self.health.handle_status(row, None, self.now)
+        for n, delay in enumerate(delays):
+            nominal = min(health.FIRST_BACKOFF_S * 2**n, health.MAX_BACKOFF_S)
+            self.assertTrue(0.5 * nominal <= delay <= 1.5 * nominal, delays)
+        self.assertGreater(len(set(delays)), 5)
+
+    def test_burst_of_failures_counts_once(self):
+        """Guards against a delay that grows with the load."""
+        row = self._build_row(DEAD)
+        due = row.probe_due_at
+        self._answer(row, "connect_failed", count=5, latency=0.0)
+        self.assertEqual(due, row.probe_due_at)
+
+    def test_probe_periods(self):
+        """Guards against a draining target that is noticed late."""
+        for state, period in ((WARM, 1.0), (COLD, 1.0), (DRAINING, 2.0)):
+            row = self._build_row(state)
+            self.now = row.probe_due_at
+            self.health.take_due_probe(row, self.now)
+            self.assertAlmostEqual(period, row.probe_due_at - self.now)
+
+    def test_each_judgement_is_logged_with_its_reason(self):
+        """Guards against changes of state that operators cannot explain."""
+        row = self._build_row(WARM)
+        with self.assertLogs("tarragonchute.health", "INFO") as logs:
+            self._answer(row, state=COLD, boot_id="b1")
+        self.assertIn("t1 judged cold, was warm: an answer says cold", logs.output[0])
--- /dev/null
+++ b/tests/test_holders.py
@@ -0,0 +1,478 @@
+"""Tests of the holder in virtual time."""
+
+import random
+
+import testtools
+import trio
+import trio.testing
+
+from tarragonchute import holders
+from tarragonchute.errors import (
+    DomainOutError,
+    NoLeaseError,
+    NotHolderError,
+    Outcome,
+)
+from tarragonchute.holders import (
+    Abort,
+    Answer,
+    Dispatch,
+    Holder,
+    HolderCore,
+    Probe,
+    Retire,
+)
+from tarragonchute.messages import BOOKING, ShardCancel, ShardGroup, ShardItem
+from tarragonchute.settings import TargetSettings
+from tarragonchute.targets import TargetAnswer
+from tarragonchute.timers import TimerService
+
+
+class Permissions:
+    """A `Permission` whose answer a test sets."""
+
+    def __init__(self):
+        self.error = None
+
+    def check_target(self, target_id, now):
+        if self.error is not None:
+            raise self.error
+
+
+def build_group(attempts, target="t1", remaining_ms=500, team="a", **more):
+    items = [ShardItem(n, f"s{n}", target) for n in attempts]
+    request_id = more.pop("request_id", "r1")
+    return ShardGroup(request_id, team, "ds", "v1", {}, remaining_ms, items, **more)
+
+
+def build_target(target_id="t1", slots=2, max_connections=25, domain="d1"):
+    return TargetSettings(target_id, "127.0.0.1:1", domain, slots, max_connections)
+
+
+class CoreTests(testtools.TestCase):
+    """Admission, order and ends of requests."""
+
+    def setUp(self):
+        super().setUp()
+        self._start_core()
+
+    def _start_core(self):
+        self.permission = Permissions()
+        self.core = HolderCore(self.permission, random.Random(1))
+        self.now = 100.0
+        self.core.set_targets([build_target()], 1, self.now)
+
+    def _submit(self, attempts, number=1, **more):
+        return self.core.submit("e1", number, build_group(attempts, **more), self.now)
+
+    def _complete(self, dispatch, code="ok", after=0.01, **more):
+        self.now += after
+        return self.core.complete(dispatch, TargetAnswer(code, **more), self.now)
+
+    def _warm_up(self):
+        (dispatch,) = self._submit([9000], number=9000, request_id="w")
+        for n in range(9001, 9010):
+            self._complete(dispatch)
+            (dispatch,) = self._submit([n], number=n, request_id="w")
+        self._complete(dispatch)
+        self.assertEqual(2, self.core.get_row("t1").limit)
+
+    def _answers(self, actions):
+        return [
+            (action.answer.attempt, action.answer.code, str(action.answer.outcome))
+            for action in actions
+            if type(action) is Answer
+        ]
+
+    def _dispatched(self, actions):
+        return [action.attempt for action in actions if type(action) is Dispatch]
+
+    def test_outcome_of_each_code(self):
+        """Guards against calling a request not run that may have run."""
+        codes = {
+            "ok": Outcome.DONE,
+            "shedding": Outcome.NOT_RUN,
+            "draining": Outcome.NOT_RUN,
+            "deadline_passed": Outcome.NOT_RUN,
+            "version_missing": Outcome.NOT_RUN,
+            "shard_unknown": Outcome.NOT_RUN,
+            "connect_failed": Outcome.NOT_RUN,
+            "connection_lost": Outcome.UNKNOWN,
+            "timed_out": Outcome.UNKNOWN,
+            "wrong_answer": Outcome.UNKNOWN,
+            "cancelled": Outcome.UNKNOWN,
+            "a_new_code": Outcome.UNKNOWN,
+        }
+        for code, end in codes.items():
+            self._start_core()
+            (dispatch,) = self._submit([1], operation=BOOKING, idempotency_key="k")
+            actions = self._complete(dispatch, code, versions=["v0"])
+            self.assertEqual([(1, code, end)], self._answers(actions))
+            self.assertEqual([], self._complete(dispatch, code), "answered twice")
+
+    def test_cold_target_gets_one_request_at_a_time(self):
+        """Guards against a burst at a target in a cold start."""
+        actions = self._submit([1, 2, 3])
+        self.assertEqual([1], self._dispatched(actions))
+        actions = self._complete(actions[0])
+        self.assertEqual([2], self._dispatched(actions))
+
+    def test_deadline_of_a_dispatch_is_bounded(self):
+        """Guards against a paused holder whose request arrives after hand-over."""
+        for remaining_ms, expected in ((200, 0.2), (5000, holders.MAX_SHARD_TIME_S)):
+            self._start_core()
+            (dispatch,) = self._submit([1], remaining_ms=remaining_ms)
+            self.assertAlmostEqual(expected, dispatch.deadline - self.now)
+
+    def test_refusals_at_submit(self):
+        """Guards against work that is not allowed, or would be in vain."""
+        cases = [
+            (NoLeaseError(), {}, "no_lease"),
+            (NotHolderError(), {}, "not_holder"),
+            (DomainOutError(), {}, "domain_out"),
+            (None, {"target": "t9"}, "not_holder"),
+            (None, {"remaining_ms": 0}, "deadline_passed"),
+            (None, {"remaining_ms": float("nan")}, "deadline_passed"),
+        ]
+        for error, more, code in cases:
+            self._start_core()
+            self.permission.error = error
+            actions = self._submit([1], **more)
+            self.assertEqual([(1, code, "not_run")], self._answers(actions))
+            self.assertEqual({code: 1}, self.core.refused)
+
+    def test_permission_is_checked_again_before_a_queued_request(self):
+        """Guards against sending after the lease lapsed in the queue."""
+        (first,) = self._submit([1, 2])
+        self.permission.error = NoLeaseError()
+        actions = self._complete(first)
+        self.assertEqual(
+            [(1, "ok", "done"), (2, "no_lease", "not_run")], self._answers(actions)
+        )
+
+    def test_expected_wait(self):
+        """Guards against queueing a request that would be answered late."""
+        actions = self._submit(range(1, 20), remaining_ms=100)
+        refused = self._answers(actions)
+        # 20 ms for each request: one in flight and four more fit into 100 ms.
+        self.assertEqual(14, len(refused))
+        self.assertEqual({"overloaded"}, {code for _, code, _ in refused})
+
+    def test_queue_is_bounded_for_each_team(self):
+        """Guards against memory growth, and one team filling another's queue."""
+        bound = holders.MAX_QUEUED_PER_TEAM
+        actions = self._submit(range(bound + 9), remaining_ms=60000)
+        self.assertEqual(8, len(self._answers(actions)))
+        actions = self._submit([1], number=2, remaining_ms=60000, team="b")
+        self.assertEqual([], actions)
+
+    def test_order_by_deadline_within_a_team_and_fair_between_teams(self):
+        """Guards against a busy team that delays the others."""
+        (dispatch,) = self._submit([1])
+        self._submit([11, 12, 13, 14], number=2, remaining_ms=900)
+        self._submit([15], number=3, remaining_ms=800)
+        self._submit([21, 22], number=4, remaining_ms=950, team="b")
+        order = []
+        while dispatch is not None:
+            actions = self._complete(dispatch)
+            dispatch = actions[1] if len(actions) > 1 else None
+            order += self._dispatched(actions)
+        self.assertEqual([15, 21, 11, 22, 12, 13, 14], order)
+
+    def test_queued_request_expires(self):
+        """Guards against a request that waits past its deadline."""
+        self._submit([1])
+        self._submit([2], number=2, remaining_ms=100)
+        self.assertEqual([], self._answers(self.core.advance(self.now + 0.09)))
+        actions = self.core.advance(self.now + 0.1)
+        self.assertEqual([(2, "deadline_passed", "not_run")], self._answers(actions))
+        self.assertEqual(0, self.core.count_queued())
+
+    def test_slot_counts_until_the_exchange_is_surely_over(self):
+        """Guards against two requests at a target that can bear one."""
+        times = {"ok": 0, "shedding": 0, "cancelled": 0}
+        lost = dict.fromkeys(("connection_lost", "timed_out", "wrong_answer"), 0.45)
+        for code, delay in {**times, **lost}.items():
+            self._start_core()
+            (dispatch,) = self._submit([1], remaining_ms=200)
+            start = self.now
+            self._complete(dispatch, code, after=0)
+            self.assertEqual(1 if delay else 0, self.core.get_row("t1").in_flight)
+            self.core.advance(start + delay - 0.01)
+            self.assertEqual(1 if delay else 0, self.core.get_row("t1").in_flight)
+            self.core.advance(start + delay + 0.001)
+            self.assertEqual(0, self.core.get_row("t1").in_flight)
+
+    def test_exchange_that_never_ends(self):
+        """Guards against a slot that is lost when a client hangs."""
+        (dispatch,) = self._submit([1], remaining_ms=200)
+        actions = self.core.advance(self.now + 0.46)
+        self.assertEqual([(1, "timed_out", "unknown")], self._answers(actions))
+        self.assertIn(Abort, [type(action) for action in actions])
+        self.assertEqual([], self._complete(dispatch))
+        self.assertEqual(0, self.core.breaches)
+
+    def test_cancel(self):
+        """Guards against work for a caller that left, and against lost bookings."""
+        cases = [
+            # when, operation, actions of the cancel, in flight afterwards
+            ("before", "search", [], 0),
+            ("queued", "search", [Answer], 1),
+            ("in flight", "search", [Abort], 1),
+            ("in flight", BOOKING, [], 1),
+            ("after", "search", [], 0),
+        ]
+        for when, operation, expected, in_flight in cases:
+            self._start_core()
+            cancel = ShardCancel("r1", [2])
+            if when == "before":
+                self.core.cancel("e1", 1, cancel, self.now)
+            if when == "queued":
+                self._submit([1])
+            sent = self._submit([2], operation=operation)
+            if when == "after":
+                self._complete(sent[0])
+            actions = self.core.cancel("e1", 1, cancel, self.now)
+            self.assertEqual(expected, [type(action) for action in actions], when)
+            self.assertEqual(in_flight, self.core.get_row("t1").in_flight, when)
+            if when == "before":
+                self.assertEqual([(2, "cancelled", "not_run")], self._answers(sent))
+
+    def test_duplicate_group(self):
+        """Guards against running a request twice."""
+        self._submit([1, 2])
+        self.assertEqual([], self._submit([1, 2]))
+        self.assertEqual(2, self.core.duplicates)
+        actions = self._submit([1], request_id="r2")
+        self.assertEqual([], actions, "a restarted VM may use a number again")
+        self.assertEqual(2, self.core.count_queued())
+
+    def test_memory_of_duplicates_ends(self):
+        """Guards against memory that grows with the number of requests."""
+        (dispatch,) = self._submit([1])
+        self._complete(dispatch)
+        self.core.advance(self.now + 9)
+        self.assertEqual([], self._submit([1]))
+        self.core.advance(self.now + 20)
+        self.assertEqual(1, len(self._dispatched(self._submit([1]))))
+
+    def test_removed_target(self):
+        """Guards against release being reported while requests are in flight."""
+        (first,) = self._submit([1, 2])
+        actions = self.core.set_targets([], 2, self.now)
+        self.assertEqual([(2, "not_holder", "not_run")], self._answers(actions))
+        self.assertEqual(1, self.core.released_epoch)
+        self.assertEqual(["t1"], self.core.list_in_flight_elsewhere())
+        actions = self._complete(first)
+        self.assertEqual([Answer, Retire], sorted(map(type, actions), key=str))
+        self.assertEqual(2, self.core.released_epoch)
+        self.assertEqual([], self.core.list_in_flight_elsewhere())
+
+    def test_target_regained_while_its_requests_are_in_flight(self):
+        """Guards against forgetting requests that still occupy slots."""
+        self._submit([1])
+        self.core.set_targets([], 2, self.now)
+        self.core.set_targets([build_target()], 3, self.now)
+        self.assertEqual(3, self.core.released_epoch)
+        self.assertEqual([], self._dispatched(self._submit([5], number=5)))
+
+    def test_changed_settings_wait_for_requests_in_flight(self):
+        """Guards against two clients that together open too many connections."""
+        self._warm_up()
+        (first,) = self._submit([1])
+        changed = [build_target(slots=1)]
+        self.core.set_targets(changed, 2, self.now)
+        self.assertEqual([], self._submit([2]))
+        actions = self._complete(first)
+        kinds = [type(action) for action in actions]
+        self.assertEqual([Retire, Answer, Dispatch], kinds)
+        self.assertEqual(1, self.core.get_row("t1").slots)
+
+    def test_domain_out_and_in(self):
+        """Guards against work for a failure domain that is out, or cold on return."""
+        self._warm_up()
+        self._submit([1, 2, 3])
+        actions = self.core.set_domain_out("d1", self.now)
+        self.assertEqual([(3, "domain_out", "not_run")], self._answers(actions))
+        actions = self._submit([4])
+        self.assertEqual([(4, "domain_out", "not_run")], self._answers(actions))
+        self.core.set_domain_in("d1", self.now)
+        self.assertEqual(1, self.core.get_row("t1").limit)
+
+    def test_unfit_target_refuses_its_queue(self):
+        """Guards against requests that wait for a target which cannot serve."""
+        for code in ("draining", "connect_failed"):
+            self._start_core()
+            (first,) = self._submit([1, 2])
+            actions = self._complete(first, code)
+            expected = [(1, code, "not_run"), (2, code, "not_run")]
+            self.assertEqual(expected, sorted(self._answers(actions)))
+            actions = self._submit([3])
+            self.assertEqual([(3, code, "not_run")], self._answers(actions))
+
+    def test_probe_brings_a_target_back(self):
+        """Guards against a target that is never used again."""
+        (first,) = self._submit([1])
+        self._complete(first, "connect_failed")
+        self.now += 0.2
+        actions = self.core.advance(self.now)
+        self.assertEqual([Probe], [type(action) for action in actions])
+        self.assertEqual([], self.core.advance(self.now + 9), "one at a time")
+        self.core.handle_status("t1", "warm", self.now)
+        self.assertEqual(1, self.core.get_row("t1").limit)
+
+    def test_answers_carry_the_load(self):
+        """Guards against routing that cannot see a queue grow."""
+        (first,) = self._submit([1, 2, 3])
+        (answer, _) = self._complete(first)
+        load = answer.answer.load
+        self.assertEqual((1, 2), (load.limit, load.waiting))
+        self.assertAlmostEqual(10.0, load.service_ms)
+
+
+class _Client:
+    """A client whose exchanges take a set time."""
+
+    def __init__(self, seconds=0.05, answer="ok"):
+        self.seconds = seconds
+        self.answer = answer
+        self.requests = []
+        self.connections = 0
+        self.cancels = 0
+        self.is_closed = False
+
+    async def exchange(self, request):
+        self.requests.append(request)
+        try:
+            await trio.sleep(self.seconds)
+        except trio.Cancelled:
+            self.cancels += 1
+            raise
+        if self.answer is None:
+            raise RuntimeError("a fault of the client")
+        return TargetAnswer(self.answer)
+
+    async def fetch_status(self):
+        return "warm"
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+class _Links:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, vm_id, kind, body, number=0):
+        self.sent.append((vm_id, kind, body, number))
+        return True
+
+
+class HolderTests(testtools.TestCase):
+    """The runner under trio, on a virtual clock."""
+
+    def _run(self, scenario, client):
+        async def main():
+            link = _Links()
+            holder = Holder(
+                Permissions(),
+                link,
+                lambda settings, connections: client,
+                wall_clock=lambda: 1000.0 + trio.current_time(),
+            )
+            service = TimerService(trio.current_time())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(service.run)
+                await nursery.start(holder.run, service)
+                holder.set_targets([build_target()], 1)
+                await scenario(holder, link)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_answers_come_back_and_the_deadline_is_wall_clock(self):
+        """Guards against lost answers and a deadline in the wrong clock."""
+        client = _Client()
+
+        async def scenario(holder, link):
+            start = trio.current_time()
+            holder.submit("e1", 7, build_group([1, 2, 3]))
+            await trio.sleep(0.2)
+            answers = [item for _, _, body, _ in link.sent for item in body[1]]
+            self.assertEqual([1, 2, 3], [item[0] for item in answers])
+            self.assertEqual({("e1", 7)}, {(x[0], x[3]) for x in link.sent})
+            expected = 1000.0 + start + 0.5
+            self.assertAlmostEqual(expected, client.requests[0].deadline)
+
+        self._run(scenario, client)
+
+    def test_answers_are_batched(self):
+        """Guards against one message for each refusal."""
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group(range(1, 60), remaining_ms=100))
+            await trio.sleep(0.01)
+            self.assertEqual(1, len(link.sent))
+            self.assertGreater(len(link.sent[0][2][1]), 50)
+
+        self._run(scenario, _Client())
+
+    def test_cancel_frees_the_slot_once_acknowledged(self):
+        """Guards against a slot that stays counted, or is freed too early."""
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group([1, 2]))
+            await trio.sleep(0.001)
+            holder.cancel("e1", 7, ShardCancel("r1", [1]))
+            self.assertEqual(1, holder.core.get_row("t1").in_flight)
+            await trio.sleep(0.002)
+            self.assertEqual(2, len(client.requests))
+            self.assertEqual(1, client.cancels)
+
+        client = _Client()
+        self._run(scenario, client)
+
+    def test_dispatch_past_its_deadline_is_not_sent(self):
+        """Guards against sending after a pause between check and write."""
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group([1]))
+            holder._clock = lambda: trio.current_time() + 5.0
+            await trio.sleep(0.001)
+            self.assertEqual([], client.requests)
+            (answer,) = link.sent[0][2][1]
+            self.assertEqual([1, "deadline_passed", "not_run"], answer[:3])
+
+        client = _Client()
+        self._run(scenario, client)
+
+    def test_fault_of_a_client_ends_one_exchange_only(self):
+        """Guards against one exception that stops the whole holder."""
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group([1], remaining_ms=100))
+            await trio.sleep(0.5)
+            client.answer = "ok"
+            holder.submit("e1", 8, build_group([1], request_id="r2"))
+            await trio.sleep(0.1)
+            codes = [item[1] for _, _, body, _ in link.sent for item in body[1]]
+            self.assertEqual(["wrong_answer", "ok"], codes)
+
+        client = _Client(answer=None)
+        with self.assertLogs("tarragonchute.holders", "ERROR"):
+            self._run(scenario, client)
+
+    def test_client_of_a_removed_target_is_closed(self):
+        """Guards against connections kept to targets of other holders."""
+        client = _Client()
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group([1]))
+            await trio.sleep(0.01)
+            holder.set_targets([], 2)
+            self.assertFalse(client.is_closed)
+            await trio.sleep(0.1)
+            self.assertTrue(client.is_closed)
+            self.assertEqual(2, holder.core.released_epoch)
+
+        self._run(scenario, client)
