Parse the settings files and report every finding at once

Operators edit the tree by hand, so a file with five faults must not need five runs. The parser of the standard library was ruled out: it keeps no line numbers and stops at the first duplicate.

Beyond single options the parser refuses two operators with one token, operators none of whom may change subtree fleet (no token could ever repair that), two targets with one address (two holders would each use its whole limits) and a wildcard as peer address (it is told to other VMs).

--- a/tarragonchute/settings.py
+++ b/tarragonchute/settings.py
@@ -4,6 +4,19 @@
 an INI text in the store; each VM has one INI file of its own with its addresses.
 """
 
+import fnmatch
+import ipaddress
+import math
+import pathlib
+import re
+
+from .errors import Finding, FindingsError
+from .schema import KIND_HELP, SUBTREE_SCHEMAS, VM_SCHEMA, Kind
+
+_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_DIGEST_PATTERN = re.compile(r"[0-9a-fA-F]{64}")
+_HEADER_PATTERN = re.compile(r"\[([^\[\]]*)\]")
+
 
 class VmSettings:
     """One VM's own file.
@@ -20,6 +33,9 @@
     log_level : str
     drain_timeout_s : float
         Longest wait in seconds for requests in flight at shutdown.
+    bootstrap_token_sha256 : str
+        Hexadecimal digest of the token that opens the admin port while subtree
+        ``fleet`` names no operator; empty for none.
     """
 
     __slots__ = (
@@ -34,9 +50,11 @@
         "log_format",
         "log_level",
         "drain_timeout_s",
+        "bootstrap_token_sha256",
     )
 
-    def __init__(self, **values):
+    def __init__(self, bootstrap_token_sha256="", **values):
+        values["bootstrap_token_sha256"] = bootstrap_token_sha256
         for name in self.__slots__:
             setattr(self, name, values[name])
 
@@ -60,6 +78,10 @@
         self.token_sha256 = token_sha256
         self.subtrees = subtrees
 
+    def may_change(self, subtree):
+        """Whether one of the operator's patterns opens this subtree."""
+        return any(fnmatch.fnmatchcase(subtree, one) for one in self.subtrees)
+
 
 class FleetSettings:
     """Subtree ``fleet``.
@@ -195,3 +217,587 @@
     def is_domain_in(self, domain):
         """Whether a failure domain may receive new work."""
         return self.fleet.domains.get(domain, True)
+
+
+class TreeFiles:
+    """A settings directory that passed every check.
+
+    Parameters
+    ----------
+    tree : Tree
+    texts : dict of str to str
+        Subtree to its text: ``fleet`` first, then datasets, then teams, so that
+        each one refers only to subtrees before it.
+    """
+
+    __slots__ = ("tree", "texts")
+
+    def __init__(self, tree, texts):
+        self.tree = tree
+        self.texts = texts
+
+
+def parse_vm_settings(text, file_name):
+    """Parse one VM's own file.
+
+    Parameters
+    ----------
+    text : str
+    file_name : str
+        Shown in findings.
+
+    Returns
+    -------
+    VmSettings
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the file.
+    """
+    document = _read_document(text, file_name, VM_SCHEMA)
+    document.raise_findings()
+    values = dict(document.values["vm"])
+    values["store_address"] = document.values["store"]["address"]
+    values["vm_list_address"] = document.values["vm_list"]["address"]
+    log = document.values.get("log") or _list_defaults(VM_SCHEMA.sections["log"])
+    values["log_format"] = log["format"]
+    values["log_level"] = log["level"]
+    return VmSettings(**values)
+
+
+def parse_subtree(subtree, text, file_name):
+    """Parse one subtree of the operators' tree.
+
+    Parameters
+    ----------
+    subtree : str
+        ``fleet``, ``team/<name>`` or ``dataset/<name>``.
+    text : str
+    file_name : str
+        Shown in findings.
+
+    Returns
+    -------
+    FleetSettings, TeamSettings or DatasetSettings
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the text, or if the subtree's name is not valid.
+    """
+    return _parse_subtree(subtree, text, file_name).settings
+
+
+def check_subtree_name(subtree):
+    """Return the kind and the name of a subtree, e.g. ``team`` and ``hollowmere``.
+
+    Raises
+    ------
+    FindingsError
+        If the subtree is neither ``fleet`` nor ``team/<name>`` or
+        ``dataset/<name>``.
+    """
+    kind, _, name = subtree.partition("/")
+    is_fleet = subtree == "fleet"
+    is_named = kind in ("team", "dataset") and _NAME_PATTERN.fullmatch(name)
+    if is_fleet or is_named:
+        return kind, name
+    message = "expected fleet, team/NAME or dataset/NAME"
+    raise FindingsError([Finding(subtree, message)])
+
+
+def check_tree(tree, places=None):
+    """Return the findings that concern several subtrees.
+
+    Parameters
+    ----------
+    tree : Tree
+    places : dict or None
+        ``(subtree, section, option)`` to ``FILE:LINE``. Without it, a finding
+        names the subtree in place of the file and line.
+
+    Returns
+    -------
+    list of Finding
+    """
+    finder = _TreeFinder(places or {})
+    for team in tree.teams.values():
+        finder.check_team(team, tree.datasets)
+    for dataset in tree.datasets.values():
+        finder.check_dataset(dataset, tree.fleet.domains)
+    return finder.findings
+
+
+def load_tree_files(directory):
+    """Read and check a directory of settings.
+
+    Files named ``vm.ini`` and ``vm.NAME.ini`` are no part of the tree and are left
+    out; any other unexpected ``.ini`` file is a finding, because a misspelt name
+    would otherwise drop a subtree silently.
+
+    Parameters
+    ----------
+    directory : str or pathlib.Path
+
+    Returns
+    -------
+    TreeFiles
+
+    Raises
+    ------
+    FindingsError
+        With the faults of all files.
+    OSError
+        If the directory or a file cannot be read.
+    """
+    tree, texts, places, findings = Tree(), {}, {}, []
+    for path in sorted(pathlib.Path(directory).glob("*.ini"), key=_sort_key):
+        if is_vm_file(path.name):
+            continue
+        try:
+            subtree = find_subtree_of_file(path.name)
+            text = path.read_text(encoding="utf-8")
+            document = _parse_subtree(subtree, text, str(path))
+        except UnicodeDecodeError:
+            findings.append(Finding(f"{path}:1", "is not UTF-8 text"))
+        except FindingsError as error:
+            findings.extend(error.findings)
+        else:
+            texts[subtree] = text
+            replace_subtree(tree, subtree, document.settings)
+            places.update(document.list_places(subtree))
+    # Missing subtrees would only repeat the faults of the files that failed.
+    findings = findings or check_tree(tree, places)
+    if findings:
+        raise FindingsError(findings)
+    return TreeFiles(tree, texts)
+
+
+def is_vm_file(name):
+    """Whether a file of this name holds one VM's own settings."""
+    return name == "vm.ini" or (name.startswith("vm.") and name.endswith(".ini"))
+
+
+def find_subtree_of_file(name):
+    """Return the subtree that a file of this name holds.
+
+    Raises
+    ------
+    FindingsError
+        If the name is neither ``fleet.ini`` nor ``team.NAME.ini`` or
+        ``dataset.NAME.ini``.
+    """
+    subtree = name.removesuffix(".ini").replace(".", "/", 1)
+    try:
+        check_subtree_name(subtree)
+    except FindingsError as error:
+        message = "expected fleet.ini, team.NAME.ini, dataset.NAME.ini or vm.NAME.ini"
+        raise FindingsError([Finding(f"{name}:1", message)]) from error
+    return subtree
+
+
+def replace_subtree(tree, subtree, settings):
+    """Put one parsed subtree into a `Tree`; None removes it.
+
+    Parameters
+    ----------
+    tree : Tree
+    subtree : str
+    settings : FleetSettings, TeamSettings, DatasetSettings or None
+    """
+    kind, name = check_subtree_name(subtree)
+    if kind == "fleet":
+        tree.fleet = settings or Tree().fleet
+        return
+    rows = tree.teams if kind == "team" else tree.datasets
+    rows.pop(name, None)
+    if settings is not None:
+        rows[name] = settings
+
+
+def _sort_key(path):
+    kind = path.name.partition(".")[0]
+    order = ("fleet", "dataset", "team")
+    return (order.index(kind) if kind in order else len(order), path.name)
+
+
+class _TreeFinder:
+    """Collects the findings across subtrees."""
+
+    def __init__(self, places):
+        self.findings = []
+        self._places = places
+        self._owners = {}
+
+    def check_team(self, team, datasets):
+        for name in team.datasets:
+            if name not in datasets:
+                self._add(
+                    f"team/{team.name}",
+                    "team",
+                    "datasets",
+                    f"dataset {name!r} does not exist",
+                )
+
+    def check_dataset(self, dataset, domains):
+        subtree = f"dataset/{dataset.name}"
+        for target in dataset.targets.values():
+            section = f"target {target.target_id}"
+            if target.domain not in domains:
+                message = f"subtree fleet has no [domain {target.domain}]"
+                self._add(subtree, section, "domain", message)
+            owner = self._owners.setdefault(target.target_id, subtree)
+            if owner != subtree:
+                self._add(subtree, section, "", f"target id is also in {owner}")
+
+    def _add(self, subtree, section, option, message):
+        place = self._places.get((subtree, section, option), subtree)
+        where = f"{section}.{option}" if option else section
+        self.findings.append(Finding(f"{place}: {where}", message))
+
+
+class _Document:
+    """One parsed INI text with the line of each section and option.
+
+    The parser of the standard library keeps no line numbers and stops at the first
+    duplicate, so it cannot report every finding with its place.
+    """
+
+    def __init__(self, file_name):
+        self.file_name = file_name
+        self.sections = {}
+        self.values = {}
+        self.lines = {}
+        self.findings = []
+        self.settings = None
+
+    def add_finding(self, section, option, message, line=None):
+        line = line or self.lines.get((section, option))
+        line = line or self.lines.get((section, "")) or 1
+        place = f"{self.file_name}:{line}"
+        where = f"{section}.{option}" if option else section
+        if where:
+            place = f"{place}: {where}"
+        self.findings.append((line, Finding(place, message)))
+
+    def raise_findings(self):
+        if self.findings:
+            ordered = sorted(self.findings, key=lambda entry: entry[0])
+            raise FindingsError([finding for _, finding in ordered])
+
+    def list_places(self, subtree):
+        return {
+            (subtree, section, option): f"{self.file_name}:{line}"
+            for (section, option), line in self.lines.items()
+        }
+
+    def list_named(self, kind):
+        """Return ``(name, section, values)`` of the sections of one kind."""
+        prefix = f"{kind} "
+        return [
+            (section.removeprefix(prefix), section, values)
+            for section, values in self.values.items()
+            if section.startswith(prefix)
+        ]
+
+
+def _read_document(text, file_name, schema):
+    document = _Document(file_name)
+    _read_lines(document, text)
+    for section in document.sections:
+        _check_section(document, section, schema)
+    _check_missing_sections(document, schema)
+    return document
+
+
+def _read_lines(document, text):
+    section, option = None, None
+    for number, raw in enumerate(text.splitlines(), start=1):
+        line = raw.strip()
+        if not line or line[0] in "#;":
+            continue
+        if line[0] == "[":
+            section, option = _read_header(document, line, number), None
+        elif raw[0].isspace() and option is not None:
+            document.sections[section][option] += f" {line}"
+        elif section is None:
+            document.add_finding("", "", "option outside of a section", number)
+        else:
+            option = _read_option(document, section, line, number)
+
+
+def _read_header(document, line, number):
+    match = _HEADER_PATTERN.fullmatch(line)
+    if match is None:
+        document.add_finding("", "", "expected a section header such as [name]", number)
+        return None
+    section = " ".join(match[1].split())
+    if section in document.sections:
+        first = document.lines[section, ""]
+        message = f"duplicate section, first in line {first}"
+        document.add_finding(section, "", message, number)
+        # Options of the duplicate are still checked, against the first section.
+        return section
+    document.sections[section] = {}
+    document.lines[section, ""] = number
+    return section
+
+
+def _read_option(document, section, line, number):
+    name, separator, value = line.partition("=")
+    name = name.strip()
+    if not separator or not name:
+        document.add_finding(section, "", "expected option = value", number)
+        return None
+    if name in document.sections[section]:
+        first = document.lines[section, name]
+        message = f"duplicate option, first in line {first}"
+        document.add_finding(section, name, message, number)
+        return None
+    document.sections[section][name] = value.strip()
+    document.lines[section, name] = number
+    return name
+
+
+def _check_section(document, section, schema):
+    kind, _, name = section.partition(" ")
+    section_schema = schema.sections.get(kind)
+    if section_schema is None or bool(name) != bool(section_schema.label):
+        known = ", ".join(one.header for one in schema.sections.values())
+        document.add_finding(section, "", f"unknown section; expected {known}")
+        return
+    if name and not _NAME_PATTERN.fullmatch(name):
+        message = f"the name must be {KIND_HELP[Kind.NAME]}"
+        document.add_finding(section, "", message)
+    document.values[section] = _read_values(document, section, section_schema)
+
+
+def _read_values(document, section, schema):
+    values = _list_defaults(schema)
+    for name, text in document.sections[section].items():
+        option = schema.options.get(name) or schema.repeated
+        if option is None:
+            known = ", ".join(schema.options)
+            document.add_finding(section, name, f"unknown option; expected {known}")
+            continue
+        if option is schema.repeated and not _NAME_PATTERN.fullmatch(name):
+            message = f"the name must be {KIND_HELP[Kind.NAME]}"
+            document.add_finding(section, name, message)
+        try:
+            values[name] = _parse_value(option, text)
+        except ValueError as error:
+            document.add_finding(section, name, str(error))
+    for name, option in schema.options.items():
+        if option.is_required and name not in document.sections[section]:
+            document.add_finding(section, name, "option is missing")
+    return values
+
+
+def _check_missing_sections(document, schema):
+    kinds = {section.partition(" ")[0] for section in document.sections}
+    for section in schema.sections.values():
+        if section.is_required and section.name not in kinds:
+            document.add_finding(section.name, "", "section is missing")
+
+
+def _list_defaults(schema):
+    return {
+        name: option.default
+        for name, option in schema.options.items()
+        if not option.is_required
+    }
+
+
+def _parse_value(option, text):
+    """Return the typed value; raise `ValueError` that says what is expected."""
+    value = _PARSERS[option.kind](option, text)
+    too_small = option.minimum is not None and value < option.minimum
+    too_large = option.maximum is not None and value > option.maximum
+    if too_small or too_large:
+        unit = f" {option.unit}" if option.unit else ""
+        raise ValueError(
+            f"{text} is out of bounds; expected {option.minimum:g} to "
+            f"{option.maximum:g}{unit}"
+        )
+    return value
+
+
+def _parse_name(option, text):
+    if not _NAME_PATTERN.fullmatch(text):
+        raise ValueError(f"{text!r} is not valid; expected {KIND_HELP[Kind.NAME]}")
+    return text
+
+
+def _parse_names(option, text):
+    names = [_parse_name(option, word) for word in text.split()]
+    return _check_words(names)
+
+
+def _check_words(words):
+    if not words:
+        raise ValueError("expected at least one name")
+    repeated = sorted({word for word in words if words.count(word) > 1})
+    if repeated:
+        raise ValueError(f"named more than once: {' '.join(repeated)}")
+    return words
+
+
+def _parse_patterns(option, text):
+    words = text.split()
+    for word in words:
+        kind = word.partition("/")[0]
+        if word not in ("*", "fleet") and kind not in ("team", "dataset"):
+            raise ValueError(
+                f"{word!r} matches no subtree; expected *, fleet, team/NAME or "
+                "dataset/NAME"
+            )
+    return _check_words(words)
+
+
+def _parse_integer(option, text):
+    if not re.fullmatch(r"[+-]?[0-9]{1,18}", text):
+        raise ValueError(f"{text!r} is not a whole number")
+    return int(text)
+
+
+def _parse_number(option, text):
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise ValueError(f"{text!r} is not a decimal number")
+    return value
+
+
+def _parse_choice(option, text):
+    if text not in option.choices:
+        raise ValueError(f"{text!r} is not one of {', '.join(option.choices)}")
+    return text
+
+
+def _parse_address(option, text):
+    host, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(_strip_brackets(host))
+        is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise ValueError(f"{text!r} is not valid; expected {KIND_HELP[option.kind]}")
+    if option.kind is Kind.ADDRESS and ip.is_unspecified:
+        raise ValueError(f"{text!r} cannot be reached from other machines")
+    return text
+
+
+def _strip_brackets(host):
+    if host.startswith("[") and host.endswith("]"):
+        return host[1:-1]
+    if ":" in host:
+        raise ValueError(host)
+    return host
+
+
+def _parse_digest(option, text):
+    if not _DIGEST_PATTERN.fullmatch(text):
+        # The value is not repeated: it may be a token entered by mistake.
+        raise ValueError(f"expected {KIND_HELP[Kind.DIGEST]}")
+    return text.lower()
+
+
+_PARSERS = {
+    Kind.NAME: _parse_name,
+    Kind.NAMES: _parse_names,
+    Kind.PATTERNS: _parse_patterns,
+    Kind.INTEGER: _parse_integer,
+    Kind.NUMBER: _parse_number,
+    Kind.CHOICE: _parse_choice,
+    Kind.ADDRESS: _parse_address,
+    Kind.LISTEN: _parse_address,
+    Kind.DIGEST: _parse_digest,
+}
+
+
+def _parse_subtree(subtree, text, file_name):
+    """Return the `_Document` with its `settings`; raise all findings."""
+    kind, name = check_subtree_name(subtree)
+    document = _read_document(text, file_name, SUBTREE_SCHEMAS[kind])
+    _CHECKS[kind](document)
+    document.raise_findings()
+    document.settings = _BUILDERS[kind](document, name)
+    return document
+
+
+def _check_fleet(document):
+    digests, patterns = {}, []
+    for name, section, values in document.list_named("operator"):
+        patterns += values.get("subtrees", [])
+        digest = values.get("token_sha256")
+        owner = digests.setdefault(digest, name)
+        if digest and owner != name:
+            message = f"operator {owner} has the same token"
+            document.add_finding(section, "token_sha256", message)
+    # Otherwise no token could change the operators ever again.
+    if patterns and not any(fnmatch.fnmatchcase("fleet", one) for one in patterns):
+        message = "at least one operator must have subtree fleet"
+        section = document.list_named("operator")[0][1]
+        document.add_finding(section, "subtrees", message)
+
+
+def _check_team(document):
+    values = document.values.get("team", {})
+    default, maximum = values.get("default_deadline_ms"), values.get("max_deadline_ms")
+    if default is not None and maximum is not None and default > maximum:
+        message = f"{default} ms is above max_deadline_ms, {maximum} ms"
+        document.add_finding("team", "default_deadline_ms", message)
+
+
+def _check_dataset(document):
+    targets = {name for name, _, _ in document.list_named("target")}
+    addresses = {}
+    for name, section, values in document.list_named("target"):
+        address = values.get("address")
+        owner = addresses.setdefault(address, name)
+        if address and owner != name:
+            # Two holders would each use the server's whole limits.
+            document.add_finding(section, "address", f"target {owner} has it too")
+    for _, section, shards in document.list_named("layout"):
+        if not document.sections[section]:
+            document.add_finding(section, "", "expected at least one shard")
+        for shard, names in shards.items():
+            for unknown in [name for name in names if name not in targets]:
+                message = f"there is no [target {unknown}]"
+                document.add_finding(section, shard, message)
+
+
+def _build_fleet(document, name):
+    domains = {
+        domain: values["state"] == "in"
+        for domain, _, values in document.list_named("domain")
+    }
+    operators = {
+        operator: OperatorSettings(operator, **values)
+        for operator, _, values in document.list_named("operator")
+    }
+    limits = document.values.get("limits") or _list_defaults(
+        SUBTREE_SCHEMAS["fleet"].sections["limits"]
+    )
+    return FleetSettings(domains, operators, limits["max_in_flight"])
+
+
+def _build_team(document, name):
+    return TeamSettings(name, **document.values["team"])
+
+
+def _build_dataset(document, name):
+    targets = {
+        target_id: TargetSettings(target_id, **values)
+        for target_id, _, values in document.list_named("target")
+    }
+    layouts = {version: shards for version, _, shards in document.list_named("layout")}
+    return DatasetSettings(name, targets, layouts)
+
+
+_CHECKS = {"fleet": _check_fleet, "team": _check_team, "dataset": _check_dataset}
+_BUILDERS = {"fleet": _build_fleet, "team": _build_team, "dataset": _build_dataset}
