--- a/tarragonchute/admin.py
+++ b/tarragonchute/admin.py
@@ -19,6 +19,7 @@
     FindingsError,
     NotAuthorizedError,
     NotRunError,
+    SettingsConflictError,
     SettingsTooLargeError,
     TarragonchuteError,
 )
@@ -189,12 +190,30 @@
         Members of the view that have the version, and all of them.
     current : SettingsEntry or None
         After a conflict: the edit of the other operator.
+    yours : SettingsEntry or None
+        After a conflict: the refused edit with its base version. Filled in by the
+        routes.
     """
 
-    __slots__ = ("state", "subtree", "version", "acknowledged", "members", "current")
+    __slots__ = (
+        "state",
+        "subtree",
+        "version",
+        "acknowledged",
+        "members",
+        "current",
+        "yours",
+    )
 
     def __init__(
-        self, state, subtree, version, acknowledged=0, members=0, current=None
+        self,
+        state,
+        subtree,
+        version,
+        acknowledged=0,
+        members=0,
+        current=None,
+        yours=None,
     ):
         self.state = ProposalState(state)
         self.subtree = subtree
@@ -202,19 +221,22 @@
         self.acknowledged = acknowledged
         self.members = members
         self.current = current
+        self.yours = yours
 
     def to_body(self):
         """Return the JSON form."""
         body = {name: getattr(self, name) for name in self.__slots__}
         body["current"] = self.current and self.current.to_body()
+        body["yours"] = self.yours and self.yours.to_body()
         return body
 
     @classmethod
     def from_body(cls, body):
         """Rebuild the result from its JSON form."""
         fields = {name: body[name] for name in cls.__slots__}
-        if fields["current"]:
-            fields["current"] = SettingsEntry.from_body(fields["current"])
+        for name in ("current", "yours"):
+            if fields[name]:
+                fields[name] = SettingsEntry.from_body(fields[name])
         return cls(**fields)
 
 
@@ -604,7 +626,11 @@
         if subtree == "fleet" and has_hidden_digest(content):
             entry = (await self._backend.read_settings()).find(subtree)
             if entry is None or entry.version != base_version:
-                return self._answer_conflict(subtree, entry, operator, content)
+                version = entry.version if entry else 0
+                result = ProposalResult(
+                    ProposalState.CONFLICT, subtree, version, current=entry
+                )
+                return self._answer_proposal(result, operator, content, base_version)
             content = restore_digests(content, entry.content)
         self._check_edit(subtree, content)
         result = await self._backend.propose_change(
@@ -619,7 +645,7 @@
                 "version": result.version,
             },
         )
-        return self._answer_proposal(result, operator, content)
+        return self._answer_proposal(result, operator, content, base_version)
 
     def _check_edit(self, subtree, content):
         """Raise `FindingsError` for faults that the edit brings into the tree."""
@@ -633,21 +659,17 @@
         if findings:
             raise FindingsError(findings)
 
-    def _answer_conflict(self, subtree, entry, operator, content):
-        version = entry.version if entry else 0
-        result = ProposalResult(ProposalState.CONFLICT, subtree, version, current=entry)
-        return self._answer_proposal(result, operator, content)
-
-    def _answer_proposal(self, result, operator, content):
+    def _answer_proposal(self, result, operator, content, base_version):
         if result.current is not None:
             result.current = hide_entry(result.current)
+        if result.state is ProposalState.CONFLICT:
+            yours = SettingsEntry(
+                result.subtree, base_version, content, operator.name, 0.0
+            )
+            result.yours = hide_entry(yours)
         body = result.to_body()
         if result.state is ProposalState.CONFLICT:
-            body["code"] = "settings_conflict"
-            body["yours"] = {
-                "operator": operator.name,
-                "content": hide_digests(content),
-            }
+            body["code"] = SettingsConflictError.code
         return self._answer(body, _PROPOSAL_STATUS[result.state])
 
     async def _show_status(self, request, operator, rest):
