--- a/tarragonchute/entry.py
+++ b/tarragonchute/entry.py
@@ -6,8 +6,6 @@
 
 from .errors import (
     BadRequestError,
-    CoverageTooLowError,
-    DeadlinePassedError,
     DrainingError,
     Finding,
     FindingsError,
@@ -241,14 +239,14 @@
         self._check_open()
         search = parse_search(request.body, self._service.tree)
         result = await self._service.search(search, request_id)
-        if result.coverage < search.least_coverage:
-            error = CoverageTooLowError(
-                f"{result.answered} of {result.total} shards answered"
-            )
-            return build_error_response(request_id, error, result)
-        body = {"request_id": request_id, "outcome": Outcome.DONE}
-        body.update(_describe_result(result))
-        return _build_json_response(200, body)
+        body = {
+            "request_id": request_id,
+            "outcome": Outcome.DONE,
+            "snapshot": result.version,
+            "coverage": _describe_coverage(result.coverage),
+            "results": result.results,
+        }
+        return HttpResponse.from_json(body)
 
     async def _book(self, request, request_id):
         self._check_open()
@@ -256,16 +254,16 @@
         booking = parse_booking(request.body, key, self._service.tree)
         result = await self._service.book(booking, request_id)
         body = {"request_id": request_id, "outcome": Outcome.DONE, "result": result}
-        return _build_json_response(200, body)
+        return HttpResponse.from_json(body)
 
     async def _report_health(self, request, request_id):
         reason = self._service.find_unready_reason()
         status = 503 if reason else 200
-        return _build_json_response(status, {"status": reason or "ok"})
+        return HttpResponse.from_json({"status": reason or "ok"}, status)
 
     async def _report_metrics(self, request, request_id):
         body, content_type = self._service.render_metrics()
-        return HttpResponse(200, {"content-type": content_type}, body)
+        return HttpResponse(200, body, {"Content-Type": content_type})
 
     def _check_open(self):
         if self._service.is_closed:
@@ -278,15 +276,14 @@
         return build_error_response(request_id, error)
 
 
-def build_error_response(request_id, error, result=None):
+def build_error_response(request_id, error):
     """Return the HTTP answer that reports an error.
 
     Parameters
     ----------
     request_id : str
     error : TarragonchuteError
-    result : SearchResult or None
-        States the coverage of an answer that had too little of it.
+        Its attribute `coverage`, if any, is stated too.
     """
     body = {
         "request_id": request_id,
@@ -296,28 +293,18 @@
     }
     if isinstance(error, FindingsError):
         body["findings"] = [str(finding) for finding in error.findings]
-    if result is not None:
-        body.update(_describe_result(result))
-        body.pop("results")
-    response = _build_json_response(error.status, body)
-    if error.status in (429, 503) and not isinstance(error, DeadlinePassedError):
-        response.headers["retry-after"] = str(RETRY_AFTER_S)
-    return response
-
-
-def _describe_result(result):
-    coverage = {
-        "answered": result.answered,
-        "total": result.total,
-        "missing": result.missing,
-    }
-    return {
-        "snapshot": result.version,
-        "coverage": coverage,
-        "results": result.results,
-    }
+    coverage = getattr(error, "coverage", None)
+    if coverage is not None:
+        body["coverage"] = _describe_coverage(coverage)
+    headers = {}
+    if error.status in (429, 503):
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    return HttpResponse.from_json(body, error.status, headers)
 
 
-def _build_json_response(status, body):
-    headers = {"content-type": "application/json"}
-    return HttpResponse(status, headers, orjson.dumps(body))
+def _describe_coverage(coverage):
+    return {
+        "answered": coverage.answered,
+        "total": coverage.total,
+        "missing": coverage.missing,
+    }
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 
 from tarragonchute import entry, errors, settings
 from tarragonchute.httpio import HttpRequest
+from tarragonchute.searches import Coverage, SearchResult
 
 
 def build_tree():
@@ -16,19 +17,11 @@
     return settings.Tree(teams={"hollowmere": team}, datasets={"catalogue": dataset})
 
 
-class FakeResult:
-    """A search result in which one of two shards answered."""
-
-    answered = 1
-    total = 2
-    coverage = 0.5
-    missing = ("s1",)
-    version = "1"
-    results = ("hit",)
+COVERAGE = Coverage(1, 2, ["s1"])
 
 
 class FakeService:
-    """Answers each search with `FakeResult` and counts the calls."""
+    """Answers each search from one of two shards and counts the calls."""
 
     def __init__(self):
         self.tree = build_tree()
@@ -38,9 +31,13 @@
         self.booking_error = None
 
     async def search(self, search, request_id):
-        """Count a search."""
+        """Count a search in which one of two shards answers."""
         self.searches += 1
-        return FakeResult()
+        if search.least_coverage > COVERAGE.fraction:
+            error = errors.CoverageTooLowError(str(COVERAGE))
+            error.coverage = COVERAGE
+            raise error
+        return SearchResult(request_id, "1", COVERAGE, ["hit"])
 
     async def book(self, booking, request_id):
         """Count a booking and answer or fail as told."""
@@ -63,7 +60,7 @@
 
 def send(service, method, path, body=b"", headers=None):
     """Return status and decoded JSON of one request."""
-    request = HttpRequest(method, path, "", headers or {}, body)
+    request = HttpRequest(method, path, {}, headers or {}, body)
     response = trio.run(entry.CallerRoutes(service).handle, request)
     return response.status, orjson.loads(response.body)
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -6,9 +6,11 @@
 import orjson
 import trio
 
+from tarragonchute.errors import TarragonchuteError
 from tarragonchute.httpio import HttpConnection
 
 HEALTH_PERIOD_S = 0.2
+CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 3.0
 MAX_BOOKING_TRIES = 8
 BOOKING_RETRY_DELAY_S = 0.2
@@ -74,6 +76,7 @@
         self.addresses = dict(addresses)
         self.healthy = set()
         self._idle = {vm_id: [] for vm_id in addresses}
+        self._is_checked = trio.Event()
 
     async def run(self):
         """Ask every VM for its health until cancelled."""
@@ -81,6 +84,8 @@
             async with trio.open_nursery() as nursery:
                 for vm_id in self.addresses:
                     nursery.start_soon(self._check, vm_id)
+            self._is_checked.set()
+            self._is_checked = trio.Event()
             await trio.sleep(HEALTH_PERIOD_S)
 
     async def wait_healthy(self, count, timeout_s=20.0):
@@ -92,24 +97,33 @@
         """
         with trio.fail_after(timeout_s):
             while len(self.healthy) < count:
-                await trio.sleep(HEALTH_PERIOD_S / 4)
+                await self._is_checked.wait()
 
     async def exchange(self, vm_id, method, path, body=b"", headers=None):
         """Exchange one request with a VM; None if the connection broke."""
-        idle = self._idle[vm_id]
-        connection = idle.pop() if idle else None
+        connection = None
         try:
             with trio.fail_after(ANSWER_TIMEOUT_S):
-                if connection is None:
-                    connection = await HttpConnection.connect(self.addresses[vm_id])
-                response = await connection.exchange(method, path, headers, body)
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError, EOFError):
+                connection = await self._connect(vm_id)
+                response = await connection.exchange(
+                    method, path, list((headers or {}).items()), body
+                )
+        except (OSError, trio.TooSlowError, TarragonchuteError):
             if connection is not None:
-                await connection.aclose()
+                connection.close()
             return None
-        idle.append(connection)
+        self._idle[vm_id].append(connection)
         return response
 
+    async def _connect(self, vm_id):
+        idle = self._idle[vm_id]
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return await HttpConnection.open(self.addresses[vm_id], CONNECT_TIMEOUT_S)
+
     async def _check(self, vm_id):
         response = await self.exchange(vm_id, "GET", "/healthz")
         if response is not None and response.status == 200:
