Assemble the VM process and show the whole path in a demo

Three entry VMs serve both teams over stand-ins of the store, the VM list and 48 targets. Seen and still open: coverage falls to 0.5 for some seconds after a VM was killed.

--- a/tarragonchute/configuration.py
+++ b/tarragonchute/configuration.py
@@ -215,10 +215,14 @@
         )
         return known
 
+    def count_acknowledged(self, subtree, version, vm_ids):
+        """Return how many of the VMs have acknowledged a version."""
+        known = [self._acknowledged.get(k, {}).get(subtree, 0) for k in set(vm_ids)]
+        return sum(1 for one in known if one >= version)
+
     def _has_majority(self, subtree, version, vm_ids):
         members = set(vm_ids)
-        known = [self._acknowledged.get(k, {}).get(subtree, 0) for k in members]
-        return 2 * sum(1 for one in known if one >= version) > len(members)
+        return 2 * self.count_acknowledged(subtree, version, members) > len(members)
 
 
 def digest_vector(vector):
--- a/tarragonchute/links.py
+++ b/tarragonchute/links.py
@@ -1,6 +1,6 @@
 """Messages between VMs: interface, TCP links and in-memory twin."""
 
-import contextlib
+import functools
 import logging
 from typing import Protocol
 
@@ -36,18 +36,25 @@
 class TcpLinks:
     """One outgoing TCP connection to each peer, and a server for theirs.
 
+    A VM that is not known as a peer, such as one that is about to join, is answered
+    over the connection that it opened.
+
     Parameters
     ----------
     vm_id : str
         This VM.
     handle : callable
         Called with each received `wire.Envelope`. It must not block.
+    handle_lost : callable or None
+        Called with the vm_id of a peer whose connection broke.
     """
 
-    def __init__(self, vm_id, handle):
+    def __init__(self, vm_id, handle, handle_lost=None):
         self._vm_id = vm_id
         self._handle = handle
+        self._handle_lost = handle_lost
         self._peers = {}
+        self._inbound = {}
         self._nursery = None
 
     async def run(self, listeners):
@@ -62,7 +69,7 @@
             self._nursery = nursery
             for peer in self._peers.values():
                 nursery.start_soon(peer.run)
-            await trio.serve_listeners(self._receive, listeners)
+            await trio.serve_listeners(self._serve_peer, listeners)
 
     def set_peers(self, addresses):
         """Replace the known VMs by a dict of vm_id to ``host:port``."""
@@ -78,93 +85,131 @@
         if vm_id == self._vm_id:
             self._handle(wire.Envelope(kind, vm_id, number, body))
             return True
-        peer = self._peers.get(vm_id)
-        if peer is None:
+        channel = self._find_channel(vm_id)
+        if channel is None:
             return False
-        frame = wire.encode_envelope(kind, self._vm_id, number, body)
-        return peer.send(frame)
+        return channel.send(wire.encode_envelope(kind, self._vm_id, number, body))
+
+    def _find_channel(self, vm_id):
+        peer = self._peers.get(vm_id)
+        if peer is not None and peer.channel is not None:
+            return peer.channel
+        return self._inbound.get(vm_id)
 
     def _add_peer(self, vm_id, address):
-        peer = _Peer(vm_id, address)
+        peer = _Peer(vm_id, address, self)
         self._peers[vm_id] = peer
         if self._nursery is not None:
             self._nursery.start_soon(peer.run)
 
-    async def _receive(self, stream):
-        reader = wire.FrameReader()
+    async def _serve_peer(self, stream):
+        channel = _Channel(stream)
         try:
-            async for data in stream:
-                for payload in reader.feed(data):
-                    self._handle(wire.decode_envelope(payload))
-        except ProtocolError as error:
-            logger.warning("closed a peer connection: %s", error)
-        except trio.BrokenResourceError:
-            pass
+            await channel.run(functools.partial(self._receive_inbound, channel))
+        finally:
+            self._forget_inbound(channel)
 
+    def _receive_inbound(self, channel, envelope):
+        self._inbound[envelope.sender] = channel
+        self._handle(envelope)
 
-class _Peer:
-    """The outgoing connection to one VM."""
+    def _forget_inbound(self, channel):
+        lost = [k for k, known in self._inbound.items() if known is channel]
+        for vm_id in lost:
+            del self._inbound[vm_id]
 
-    __slots__ = ("vm_id", "address", "_frames", "_wake", "_scope", "is_connected")
+    def receive(self, envelope):
+        """Take an envelope that arrived on an outgoing connection."""
+        self._handle(envelope)
 
-    def __init__(self, vm_id, address):
-        self.vm_id = vm_id
-        self.address = address
+    def note_lost(self, vm_id):
+        """Tell the other parts that the connection to a peer broke."""
+        if self._handle_lost is not None:
+            self._handle_lost(vm_id)
+
+
+class _Channel:
+    """One TCP connection, used in both directions."""
+
+    __slots__ = ("_stream", "_frames", "_wake")
+
+    def __init__(self, stream):
+        self._stream = stream
         self._frames = []
         self._wake = trio.Event()
-        self._scope = trio.CancelScope()
-        self.is_connected = False
 
     def send(self, frame):
-        if not self.is_connected or len(self._frames) >= MAX_QUEUED_FRAMES:
+        if len(self._frames) >= MAX_QUEUED_FRAMES:
             return False
         self._frames.append(frame)
         self._wake.set()
         return True
 
+    async def run(self, handle):
+        """Receive and send until the connection ends."""
+        try:
+            async with self._stream, trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_frames)
+                await self._receive(handle)
+                nursery.cancel_scope.cancel()
+        except* trio.BrokenResourceError:
+            pass
+        except* ProtocolError as group:
+            logger.warning("closed a peer connection: %s", group.exceptions[0])
+
+    async def _receive(self, handle):
+        reader = wire.FrameReader()
+        async for data in self._stream:
+            for payload in reader.feed(data):
+                handle(wire.decode_envelope(payload))
+
+    async def _send_frames(self):
+        # A frame of a broken connection is never sent again: its sender cannot
+        # know whether it arrived.
+        while True:
+            while not self._frames:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            data = b"".join(self._frames)
+            self._frames.clear()
+            await self._stream.send_all(data)
+
+
+class _Peer:
+    """The outgoing connection to one VM."""
+
+    __slots__ = ("vm_id", "address", "channel", "_links", "_scope")
+
+    def __init__(self, vm_id, address, links):
+        self.vm_id = vm_id
+        self.address = address
+        self.channel = None
+        self._links = links
+        self._scope = trio.CancelScope()
+
     def stop(self):
+        self.channel = None
         self._scope.cancel()
 
     async def run(self):
         with self._scope:
             while True:
-                await self._connect_and_send()
+                await self._connect_and_run()
                 await trio.sleep(RECONNECT_DELAY_S)
 
-    async def _connect_and_send(self):
+    async def _connect_and_run(self):
         host, _, port = self.address.rpartition(":")
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError):
             return
-        self.is_connected = True
+        self.channel = _Channel(stream)
         try:
-            async with stream, trio.open_nursery() as nursery:
-                nursery.start_soon(self._cancel_when_closed, stream, nursery)
-                await self._send_frames(stream)
-        except* trio.BrokenResourceError:
-            pass
+            await self.channel.run(self._links.receive)
         finally:
-            self.is_connected = False
-            # A frame of a broken connection is never sent again: its sender
-            # cannot know whether it arrived.
-            self._frames.clear()
-
-    async def _cancel_when_closed(self, stream, nursery):
-        """End the connection when the peer closes it; it never sends data."""
-        with contextlib.suppress(trio.BrokenResourceError):
-            await stream.receive_some(1)
-        nursery.cancel_scope.cancel()
-
-    async def _send_frames(self, stream):
-        while True:
-            while not self._frames:
-                self._wake = trio.Event()
-                await self._wake.wait()
-            data = b"".join(self._frames)
-            self._frames.clear()
-            await stream.send_all(data)
+            self.channel = None
+        self._links.note_lost(self.vm_id)
 
 
 class MemoryNetwork:
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -379,6 +379,11 @@
             return None
         return newest.vm_id
 
+    def heard_ago(self, vm_id, now):
+        """Return the seconds since a VM was heard; None for this VM or never."""
+        heard = [row.heard_at for row in self._rows if row.vm_id == vm_id]
+        return now - max(heard) if heard else None
+
     def list_silent(self, now):
         """Return the ids of the other members not heard for `EXPEL_AFTER_S`."""
         if self.view is None:
--- a/tarragonchute/timers.py
+++ b/tarragonchute/timers.py
@@ -78,6 +78,29 @@
         self._push(subscription)
         return subscription
 
+    async def wait_until(self, name, period, condition):
+        """Return once `condition()` is true, checked every `period` seconds.
+
+        Parameters
+        ----------
+        name : str
+        period : float
+            Seconds.
+        condition : callable
+            Returns a truth value; cheap and without side effects.
+        """
+        is_met = trio.Event()
+
+        def check(_now):
+            if condition():
+                is_met.set()
+
+        subscription = self.subscribe(name, period, check)
+        try:
+            await is_met.wait()
+        finally:
+            subscription.cancel()
+
     def advance(self, now):
         """Call everything that is due at `now`.
 
--- /dev/null
+++ b/tarragonchute/views.py
@@ -0,0 +1,264 @@
+"""Keeps this VM's view in step with the store and with its peers."""
+
+import logging
+import random
+
+import trio
+
+from .errors import ProtocolError, StoreConflictError, TarragonchuteError
+from .membership import MemberState, View, remove_from_view
+
+logger = logging.getLogger(__name__)
+
+VIEW_PULL = "view_pull"
+VIEW = "view"
+HEARTBEAT = "heartbeat"
+
+WATCH_WAIT_S = 10.0
+PLAN_PERIOD_S = 0.1
+RETRY_DELAY_S = 0.3
+MAX_DELAY_S = 1.0
+VM_LIST_PERIOD_S = 1.0
+
+
+class ViewKeeper:
+    """Reads, watches and changes the view of one cell.
+
+    Parameters
+    ----------
+    cell : str
+    membership : membership.Membership
+    store : store.Store
+    vm_list : vmlist.VmList
+    link : links.Link
+    list_groups : callable
+        Returns the groups of targets that the settings name.
+    is_domain_in : callable
+        Returns whether this VM's failure domain is in service.
+    handle_change : callable
+        Called with the time in seconds after a view was adopted.
+    observe_revision : callable
+        Called with a store revision and the revision known when it was asked for.
+    known_revision : callable
+        Returns the highest store revision that this VM has seen.
+
+    Attributes
+    ----------
+    is_draining : bool
+        Set to leave the view.
+    """
+
+    def __init__(
+        self,
+        cell,
+        membership,
+        store,
+        vm_list,
+        link,
+        list_groups,
+        is_domain_in,
+        handle_change,
+        observe_revision,
+        known_revision,
+    ):
+        self.key = f"members/{cell}"
+        self.is_draining = False
+        self.is_store_reached = False
+        self._membership = membership
+        self._store = store
+        self._vm_list = vm_list
+        self._link = link
+        self._list_groups = list_groups
+        self._is_domain_in = is_domain_in
+        self._handle_change = handle_change
+        self._observe_revision = observe_revision
+        self._known_revision = known_revision
+
+    async def run(self):
+        """Follow the store and the VM list until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch)
+            nursery.start_soon(self._change)
+            nursery.start_soon(self._follow_vm_list)
+
+    # Messages.
+
+    def send_heartbeats(self, now):
+        """Send what the membership has due."""
+        for vm_id, heartbeat in self._membership.build_heartbeats(now):
+            self._link.send(vm_id, HEARTBEAT, heartbeat.to_body())
+        self.pull()
+
+    def pull(self):
+        """Ask a peer that has a newer view for it."""
+        vm_id = self._membership.needs_view()
+        if vm_id is not None:
+            self._link.send(vm_id, VIEW_PULL, None)
+
+    def handle_pull(self, sender):
+        """Give the adopted view to a peer."""
+        if self._membership.view is not None:
+            self._link.send(sender, VIEW, self._membership.view.to_body())
+
+    def handle_view(self, body, now):
+        """Take a view from a peer; raises `ProtocolError` if it is malformed."""
+        self.adopt(View.from_body(body), now)
+
+    def adopt(self, view, now):
+        """Adopt a view if it is newer, and tell the other parts."""
+        if not self._membership.adopt_view(view, now):
+            return
+        logger.info("adopted view %d with members %s", view.epoch, sorted(view.members))
+        self._link.set_peers(view.addresses())
+        self._handle_change(now)
+
+    # Store.
+
+    async def _watch(self):
+        after = 0
+        while True:
+            asked = self._known_revision()
+            try:
+                entries, revision = await self._store.watch(
+                    self.key, after, WATCH_WAIT_S
+                )
+                self._observe_revision(revision, asked)
+                self._take(entries)
+                # A store restored from a backup counts from a lower revision.
+                after = revision
+                self.is_store_reached = True
+            except TarragonchuteError as error:
+                self.is_store_reached = False
+                logger.debug("cannot watch %s: %s", self.key, error)
+                await trio.sleep(RETRY_DELAY_S)
+
+    def _take(self, entries):
+        for entry in entries:
+            if entry.key != self.key:
+                continue
+            try:
+                view = View.from_value(entry.value)
+            except ProtocolError as error:
+                logger.error("ignored the view in the store: %s", error)
+                continue
+            self.adopt(view, trio.current_time())
+
+    async def _change(self):
+        """Propose changes of the view as they become due."""
+        delay = PLAN_PERIOD_S
+        while True:
+            if self._choose_plan(trio.current_time()) is not None:
+                try:
+                    await self._propose(self._choose_plan)
+                    delay = PLAN_PERIOD_S
+                except TarragonchuteError as error:
+                    logger.debug("view not changed: %s", error)
+                    # All VMs may have a change due when an outage ends.
+                    delay = min(delay * 2, MAX_DELAY_S) * random.uniform(0.8, 1.2)
+            await trio.sleep(delay)
+
+    def _choose_plan(self, now, stored=None):
+        """Return the view to write in place of the adopted one, or None."""
+        membership = self._membership
+        if not membership.is_member:
+            if self.is_draining:
+                return None
+            state = self._choose_state()
+            return membership.plan_join(stored or membership.view, now, state)
+        if self.is_draining or not self._is_domain_in():
+            return self._plan_departure(now)
+        return (
+            membership.plan_mark_active(now)
+            or membership.plan_expulsion(now)
+            or membership.plan_removal_of_gone(now)
+            or membership.plan_groups(self._list_groups(), now)
+            or membership.plan_compaction(now)
+        )
+
+    def _choose_state(self):
+        return MemberState.ACTIVE if self._is_domain_in() else MemberState.LEAVING
+
+    def _plan_departure(self, now):
+        membership = self._membership
+        plan = membership.plan_mark_leaving(now)
+        if plan is None and self.is_draining:
+            plan = membership.plan_leave(now)
+        return plan
+
+    async def _propose(self, choose):
+        """Read the view, choose a change against it, and write that.
+
+        A lost answer needs no special care: the next call reads the view again.
+        """
+        asked = self._known_revision()
+        entry = await self._store.get(self.key)
+        stored = View.from_value(entry.value) if entry else None
+        now = trio.current_time()
+        if stored is not None:
+            self.adopt(stored, now)
+        if self._is_regressed(stored):
+            await self._write_back(entry, now)
+            return
+        plan = choose(now, stored)
+        if plan is None:
+            return
+        expect = entry.revision if entry else 0
+        try:
+            revision = await self._store.put(self.key, plan.to_value(), expect)
+        except StoreConflictError as error:
+            if error.entry is not None:
+                self.adopt(View.from_value(error.entry.value), trio.current_time())
+            return
+        self._observe_revision(revision, asked)
+        logger.info("wrote view %d: members %s", plan.epoch, _describe(plan))
+        self.adopt(plan, trio.current_time())
+
+    def _is_regressed(self, stored):
+        return (stored.epoch if stored else 0) < self._membership.epoch
+
+    async def _write_back(self, entry, now):
+        """Write the adopted view again over an older one.
+
+        Only the first leased member does this; a VM without a lease could write
+        back a view that a majority has left.
+        """
+        if not self._membership.is_first(now):
+            return
+        view = self._membership.view
+        logger.warning("store_regressed: writing view %d back", view.epoch)
+        expect = entry.revision if entry else 0
+        await self._store.put(self.key, view.to_value(), expect)
+
+    async def remove_member(self, vm_id):
+        """Remove a member that an operator vouches to be dead.
+
+        Returns
+        -------
+        int
+            Epoch of the view without the member.
+
+        Raises
+        ------
+        TarragonchuteError
+            If the store could not be read or written.
+        """
+
+        def plan_removal(now, stored):
+            return remove_from_view(stored, [vm_id]) if stored else None
+
+        await self._propose(plan_removal)
+        return self._membership.epoch
+
+    async def _follow_vm_list(self):
+        while True:
+            try:
+                vms = await self._vm_list.fetch()
+                gone = [vm_id for vm_id, state in vms.items() if state == "gone"]
+                self._membership.set_gone(gone, trio.current_time())
+            except TarragonchuteError as error:
+                logger.debug("cannot read the VM list: %s", error)
+            await trio.sleep(VM_LIST_PERIOD_S)
+
+
+def _describe(view):
+    return {vm_id: str(member.state) for vm_id, member in view.members.items()}
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,163 @@
+"""Show the whole path: three entry VMs, both deployments in small, and faults.
+
+Takes under a minute and ends by itself. Everything runs on loopback.
+"""
+
+import argparse
+import sys
+import tempfile
+
+import trio
+
+from tarragonchute.errors import TarragonchuteError
+from tools.deployment import DatasetPlan, Deployment
+from tools.load import Balancer, Callers, PhaseReport
+
+DOMAINS = ["d1", "d2", "d3"]
+DATASETS = [
+    DatasetPlan("catalogue", "hollowmere", 10, 2, 2, 25),
+    DatasetPlan("schedules", "hollowmere", 1, 4, 4, 100),
+    DatasetPlan("listmaker", "shedlist", 10, 2, 2, 25),
+    DatasetPlan("planshelf", "shedlist", 1, 4, 2, 35),
+]
+SEARCHES = 60
+INTERVAL_S = 0.03
+BOOKING_EVERY = 5
+
+
+class Demo:
+    """One run over a started deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    balancer : Balancer
+    """
+
+    def __init__(self, deployment, balancer):
+        self._deployment = deployment
+        self._balancer = balancer
+        self._teams = [
+            Callers(balancer, "hollowmere", "catalogue", "schedules", ["s0"], seed=1),
+            Callers(balancer, "shedlist", "listmaker", "planshelf", ["s0"], seed=2),
+        ]
+        self.reports = []
+
+    async def run_phase(self, name, act=None):
+        """Send load from both teams; `act` runs once a third of it is sent."""
+        report = PhaseReport(name)
+        before = await self._count_received()
+        async with trio.open_nursery() as nursery:
+            for callers in self._teams:
+                nursery.start_soon(
+                    callers.run, report, SEARCHES, INTERVAL_S, BOOKING_EVERY
+                )
+            if act is not None:
+                await trio.sleep(SEARCHES * INTERVAL_S / 3)
+                await act()
+        received = await self._count_received() - before
+        self.reports.append(report)
+        self._print_report(report, received)
+
+    async def _count_received(self):
+        counters = await self._deployment.read_target_counters()
+        return sum(one["received"] for one in counters.values())
+
+    def _print_report(self, report, received):
+        mean, least = report.find_coverage()
+        needed = report.requests * 10 + len(report.bookings)
+        extra = 100 * (received - needed) / needed
+        outcomes = list(report.bookings.values())
+        errors = ", ".join(f"{k} {v}" for k, v in sorted(report.errors.items()))
+        print(
+            f"{report.name:24} {report.requests:8} "
+            f"{report.find_quantile(0.5):7.1f} {report.find_quantile(0.99):7.1f} "
+            f"{mean:8.3f} {least:6.2f} {extra:7.1f} "
+            f"{outcomes.count('done'):5}/{len(outcomes):<5} {errors or '-'}",
+            flush=True,
+        )
+
+    async def count_breaches(self):
+        """Return doubled bookings, and breaches of slots and cold limits."""
+        counters = await self._deployment.read_target_counters()
+        doubled = breaches = 0
+        for one in counters.values():
+            doubled += sum(1 for runs in one["runs"].values() if runs > 1)
+            breaches += one["slot_breaches"] + one["cold_breaches"]
+            breaches += one["connection_breaches"]
+        return doubled, breaches
+
+
+async def run_demo():
+    """Run all phases and return the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with Deployment(folder, DOMAINS, DATASETS) as deployment:
+            balancer = Balancer(deployment.callers)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(balancer.run)
+                code = await _run_phases(deployment, balancer)
+                nursery.cancel_scope.cancel()
+    return code
+
+
+async def _run_phases(deployment, balancer):
+    first, second, third = deployment.vm_ids
+    await _load_settings(deployment, first)
+    await balancer.wait_healthy(len(deployment.vm_ids))
+    print("3 entry VMs, 3 failure domains, 4 datasets, 48 targets")
+    print(
+        f"{'phase':24} {'searches':>8} {'p50 ms':>7} {'p99 ms':>7} "
+        f"{'coverage':>8} {'least':>6} {'extra %':>7} {'bookings':>11} errors"
+    )
+    demo = Demo(deployment, balancer)
+
+    async def take_domain_out():
+        await deployment.set_domain_state(second, "d3", "out")
+
+    async def bring_domain_back():
+        await deployment.set_domain_state(second, "d3", "in")
+        await balancer.wait_healthy(len(deployment.vm_ids))
+
+    async def kill_vm():
+        deployment.kill_vm(first)
+        await deployment.control_vm_list(vms=[{"vm_id": first, "state": "gone"}])
+
+    async def drain_vm():
+        code = await deployment.drain_vm(second)
+        print(f"{second} drained with exit code {code}")
+
+    await demo.run_phase("warm-up")
+    await demo.run_phase("steady")
+    await demo.run_phase("failure domain d3 out", take_domain_out)
+    await demo.run_phase("failure domain d3 back", bring_domain_back)
+    await demo.run_phase(f"{first} killed", kill_vm)
+    await demo.run_phase("after the kill")
+    await demo.run_phase(f"{second} drained", drain_vm)
+    await demo.run_phase(f"{third} alone")
+    doubled, breaches = await demo.count_breaches()
+    print(f"doubled bookings: {doubled}")
+    print(f"breaches of slots, cold limits or connections: {breaches}")
+    return 1 if doubled or breaches else 0
+
+
+async def _load_settings(deployment, vm_id):
+    """Propose the tree as soon as the VM has a lease."""
+    with trio.fail_after(20):
+        while True:
+            try:
+                results = await deployment.load_settings(vm_id)
+            except TarragonchuteError:
+                results = []
+            if results and all(one.error is None for one in results):
+                return
+            await trio.sleep(0.2)
+
+
+def main():
+    """Run the demo."""
+    argparse.ArgumentParser(description=__doc__.splitlines()[0]).parse_args()
+    return trio.run(run_demo)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,375 @@
+"""Starts a small deployment of real processes on loopback, for demo and tests.
+
+The package itself starts no process; this tool plays the init system.
+"""
+
+import contextlib
+import hashlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import trio
+
+from tarragonchute import commands
+from tarragonchute.httpio import HttpConnection
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TOKEN = "demo-token"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+
+
+class DatasetPlan:
+    """One dataset of a deployment.
+
+    Parameters
+    ----------
+    name, team : str
+    shards : int
+    replicas : int
+        Targets of each shard. With one shard this is the number of its servers.
+    slots, max_connections : int
+    service_ms : float
+    """
+
+    __slots__ = (
+        "name",
+        "team",
+        "shards",
+        "replicas",
+        "slots",
+        "max_connections",
+        "service_ms",
+    )
+
+    def __init__(
+        self, name, team, shards, replicas, slots, max_connections, service_ms=4
+    ):
+        self.name = name
+        self.team = team
+        self.shards = shards
+        self.replicas = replicas
+        self.slots = slots
+        self.max_connections = max_connections
+        self.service_ms = service_ms
+
+    def list_shards(self):
+        """Return the names of the shards."""
+        return [f"s{number}" for number in range(self.shards)]
+
+    def list_replicas(self, shard):
+        """Return the ids of a shard's targets."""
+        return [f"{self.name}-{shard}-{n}" for n in range(self.replicas)]
+
+
+class Process:
+    """One started process.
+
+    Parameters
+    ----------
+    name : str
+    arguments : list of str
+        After the interpreter.
+    log_path : pathlib.Path
+        Receives its standard error.
+    """
+
+    def __init__(self, name, arguments, log_path):
+        self.name = name
+        self.log_path = log_path
+        with log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+
+    async def read_ready(self, count):
+        """Return the addresses that the process reports to listen on."""
+        with trio.fail_after(START_TIMEOUT_S):
+            return [await self._read_ready_line() for _ in range(count)]
+
+    async def _read_ready_line(self):
+        line = await trio.to_thread.run_sync(
+            self._process.stdout.readline, abandon_on_cancel=True
+        )
+        word, _, address = line.decode().strip().partition(" ")
+        if word != "ready":
+            raise RuntimeError(f"{self.name} did not start: {self.read_log()}")
+        return address
+
+    def read_log(self):
+        """Return what the process wrote to standard error."""
+        return self.log_path.read_text(errors="replace")
+
+    def send_signal(self, number):
+        """Send a signal, such as SIGSTOP, to this process only."""
+        self._process.send_signal(number)
+
+    async def wait(self):
+        """Return the exit code once the process has ended."""
+        with trio.fail_after(STOP_TIMEOUT_S):
+            return await trio.to_thread.run_sync(
+                self._process.wait, abandon_on_cancel=True
+            )
+
+    def end(self):
+        """Kill the process if it still runs, and reap it."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        self._process.wait()
+        self._process.stdout.close()
+
+
+class Deployment:
+    """Stand-ins and entry VMs on loopback.
+
+    Parameters
+    ----------
+    folder : str
+        For settings files and logs.
+    domains : list of str
+    datasets : list of DatasetPlan
+    vm_count : int
+    log_level : str
+    """
+
+    def __init__(self, folder, domains, datasets, vm_count=3, log_level="info"):
+        self._folder = pathlib.Path(folder)
+        self._domains = domains
+        self._log_level = log_level
+        self.datasets = datasets
+        self.vm_ids = [f"vm-{number}" for number in range(1, vm_count + 1)]
+        self.processes = {}
+        self.callers = {}
+        self.admins = {}
+        self.peers = {}
+        self._store_address = None
+        self._vm_list_address = None
+        self._target_controls = {}
+        self._target_addresses = {}
+
+    async def __aenter__(self):
+        try:
+            await self._start_platform()
+            await self._start_targets()
+            self._write_tree()
+            for vm_id in self.vm_ids:
+                self.start_vm(vm_id)
+        except BaseException:
+            self.end_all()
+            raise
+        return self
+
+    async def __aexit__(self, *_):
+        self.end_all()
+
+    def end_all(self):
+        """Kill all processes that were started here."""
+        for process in self.processes.values():
+            process.end()
+
+    def list_targets(self):
+        """Return the ids of all targets with their failure domains."""
+        return {target: domain for _, target, domain in self._walk_targets()}
+
+    def _walk_targets(self):
+        for dataset in self.datasets:
+            for index, shard in enumerate(dataset.list_shards()):
+                for number, target in enumerate(dataset.list_replicas(shard)):
+                    domain = self._domains[(index + number) % len(self._domains)]
+                    yield dataset, target, domain
+
+    # Processes.
+
+    def _start(self, name, arguments):
+        log_path = self._folder / f"{name}.log"
+        process = Process(name, arguments, log_path)
+        self.processes[name] = process
+        return process
+
+    async def _start_platform(self):
+        store = self._start("store", ["-m", "standins.store", "--address", _ANY])
+        (self._store_address,) = await store.read_ready(1)
+        arguments = ["-m", "standins.vmlist", "--address", _ANY]
+        for vm_id in self.vm_ids:
+            arguments += ["--vm", f"{vm_id}={self._find_domain(vm_id)}"]
+        vm_list = self._start("vmlist", arguments)
+        (self._vm_list_address,) = await vm_list.read_ready(1)
+
+    async def _start_targets(self):
+        """Start one process with the targets of each dataset."""
+        for dataset in self.datasets:
+            name = f"targets-{dataset.name}"
+            spec_path = self._folder / f"{name}.ini"
+            spec_path.write_text(_format_spec(dataset))
+            process = self._start(
+                name,
+                ["-m", "standins.target", "--spec", str(spec_path), "--control", _ANY],
+            )
+            targets = [t for one, t, _ in self._walk_targets() if one is dataset]
+            addresses = await process.read_ready(len(targets) + 1)
+            self._target_addresses.update(zip(targets, addresses, strict=False))
+            self._target_controls[dataset.name] = addresses[-1]
+
+    def _find_domain(self, vm_id):
+        return self._domains[self.vm_ids.index(vm_id) % len(self._domains)]
+
+    def start_vm(self, vm_id):
+        """Start the process of an entry VM."""
+        if vm_id not in self.callers:
+            self.callers[vm_id] = _find_free_address()
+            self.peers[vm_id] = _find_free_address()
+            self.admins[vm_id] = _find_free_address()
+        path = self._folder / f"{vm_id}.ini"
+        path.write_text(self._format_vm(vm_id))
+        arguments = ["-m", "tarragonchute.cli", "run", str(path)]
+        if vm_id in self.processes:
+            self.processes[vm_id].end()
+        self._start(vm_id, arguments)
+
+    def kill_vm(self, vm_id):
+        """Kill an entry VM and wait for its end."""
+        self.processes[vm_id].end()
+
+    def pause_vm(self, vm_id):
+        """Stop an entry VM without its knowledge."""
+        self.processes[vm_id].send_signal(signal.SIGSTOP)
+
+    def resume_vm(self, vm_id):
+        """Let a paused VM go on."""
+        self.processes[vm_id].send_signal(signal.SIGCONT)
+
+    async def drain_vm(self, vm_id):
+        """Shut an entry VM down gracefully; return its exit code."""
+        self.processes[vm_id].send_signal(signal.SIGTERM)
+        return await self.processes[vm_id].wait()
+
+    # Settings.
+
+    def _format_vm(self, vm_id):
+        lines = [
+            "[vm]",
+            f"vm_id = {vm_id}",
+            f"domain = {self._find_domain(vm_id)}",
+            f"caller_address = {self.callers[vm_id]}",
+            f"peer_address = {self.peers[vm_id]}",
+            f"admin_address = {self.admins[vm_id]}",
+            f"bootstrap_token_sha256 = {hashlib.sha256(TOKEN.encode()).hexdigest()}",
+            "[store]",
+            f"address = {self._store_address}",
+            "[vm_list]",
+            f"address = {self._vm_list_address}",
+            "[log]",
+            "format = json",
+            f"level = {self._log_level}",
+        ]
+        return "\n".join(lines) + "\n"
+
+    def _write_tree(self):
+        tree = self._folder / "tree"
+        tree.mkdir()
+        lines = [f"[domain {domain}]\nstate = in" for domain in self._domains]
+        (tree / "fleet.ini").write_text("\n".join(lines) + "\n")
+        for team in sorted({dataset.team for dataset in self.datasets}):
+            names = [one.name for one in self.datasets if one.team == team]
+            text = f"[team]\nleast_coverage = 0.5\ndatasets = {' '.join(names)}\n"
+            (tree / f"team.{team}.ini").write_text(text)
+        for dataset in self.datasets:
+            path = tree / f"dataset.{dataset.name}.ini"
+            path.write_text(self._format_dataset(dataset))
+
+    def _format_dataset(self, dataset):
+        lines = []
+        for one, target, domain in self._walk_targets():
+            if one is dataset:
+                lines += [
+                    f"[target {target}]",
+                    f"address = {self._target_addresses[target]}",
+                    f"domain = {domain}",
+                    f"slots = {dataset.slots}",
+                    f"max_connections = {dataset.max_connections}",
+                ]
+        lines.append("[layout 1]")
+        for shard in dataset.list_shards():
+            lines.append(f"{shard} = {' '.join(dataset.list_replicas(shard))}")
+        return "\n".join(lines) + "\n"
+
+    async def load_settings(self, vm_id):
+        """Propose the whole tree through one VM; return the results."""
+        return await trio.to_thread.run_sync(
+            commands.load_directory,
+            self.admins[vm_id],
+            TOKEN,
+            str(self._folder / "tree"),
+        )
+
+    async def set_domain_state(self, vm_id, domain, state):
+        """Take a failure domain out (``out``) or bring it back (``in``)."""
+        return await trio.to_thread.run_sync(
+            commands.set_domain_state, self.admins[vm_id], TOKEN, domain, state
+        )
+
+    # Control of the stand-ins.
+
+    async def control_store(self, **switches):
+        """Set faults of the store and return its counters."""
+        return await post_control(self._store_address, switches)
+
+    async def control_vm_list(self, **switches):
+        """Set faults of the VM list."""
+        return await post_control(self._vm_list_address, switches)
+
+    async def control_targets(self, dataset, **switches):
+        """Set faults of a dataset's targets; return their counters by target."""
+        return await post_control(self._target_controls[dataset], switches)
+
+    async def read_target_counters(self):
+        """Return the counters of all targets."""
+        counters = {}
+        for dataset in self.datasets:
+            counters.update(await self.control_targets(dataset.name))
+        return counters
+
+
+async def post_control(address, switches):
+    """Send switches to a stand-in's control route and return its answer."""
+    connection = await HttpConnection.open(address, START_TIMEOUT_S)
+    try:
+        response = await connection.exchange(
+            "POST", "/control", [], orjson.dumps(switches)
+        )
+        if response.status != 200:
+            raise RuntimeError(f"control of {address}: {response.body!r}")
+        return response.parse_json()
+    finally:
+        connection.close()
+
+
+_ANY = "127.0.0.1:0"
+
+
+def _format_spec(dataset):
+    lines = []
+    for shard in dataset.list_shards():
+        for target in dataset.list_replicas(shard):
+            lines += [
+                f"[{target}]",
+                f"address = {_ANY}",
+                f"shards = {shard}",
+                f"slots = {dataset.slots}",
+                f"max_connections = {dataset.max_connections}",
+                f"service_ms = {dataset.service_ms}",
+            ]
+    return "\n".join(lines) + "\n"
+
+
+def _find_free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
