--- a/tools/demo.py
+++ b/tools/demo.py
@@ -102,7 +102,7 @@
 
 async def _run_phases(deployment, balancer):
     first, second, third = deployment.vm_ids
-    await _load_settings(deployment, first)
+    await load_settings(deployment, first)
     await balancer.wait_healthy(len(deployment.vm_ids))
     print("3 entry VMs, 3 failure domains, 4 datasets, 48 targets")
     print(
@@ -140,7 +140,7 @@
     return 1 if doubled or breaches else 0
 
 
-async def _load_settings(deployment, vm_id):
+async def load_settings(deployment, vm_id):
     """Propose the tree as soon as the VM has a lease."""
     with trio.fail_after(20):
         while True:
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -21,6 +21,7 @@
 TOKEN = "demo-token"
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+TARGETS_PER_PROCESS = 60
 
 
 class DatasetPlan:
@@ -89,6 +90,11 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self):
+        """Process id."""
+        return self._process.pid
+
     async def read_ready(self, count):
         """Return the addresses that the process reports to listen on."""
         with trio.fail_after(START_TIMEOUT_S):
@@ -178,6 +184,10 @@
         """Return the ids of all targets with their failure domains."""
         return {target: domain for _, target, domain in self._walk_targets()}
 
+    def find_target_address(self, target):
+        """Return the address on which a target's stand-in listens."""
+        return self._target_addresses[target]
+
     def _walk_targets(self):
         for dataset in self.datasets:
             for index, shard in enumerate(dataset.list_shards()):
@@ -203,19 +213,30 @@
         (self._vm_list_address,) = await vm_list.read_ready(1)
 
     async def _start_targets(self):
-        """Start one process with the targets of each dataset."""
+        """Start processes for the targets of each dataset.
+
+        One process serves at most `TARGETS_PER_PROCESS` targets, because a stand-in
+        that runs out of CPU would be measured in place of the VMs.
+        """
         for dataset in self.datasets:
-            name = f"targets-{dataset.name}"
-            spec_path = self._folder / f"{name}.ini"
-            spec_path.write_text(_format_spec(dataset))
-            process = self._start(
-                name,
-                ["-m", "standins.target", "--spec", str(spec_path), "--control", _ANY],
-            )
             targets = [t for one, t, _ in self._walk_targets() if one is dataset]
-            addresses = await process.read_ready(len(targets) + 1)
-            self._target_addresses.update(zip(targets, addresses, strict=False))
-            self._target_controls[dataset.name] = addresses[-1]
+            self._target_controls[dataset.name] = []
+            for start in range(0, len(targets), TARGETS_PER_PROCESS):
+                chunk = targets[start : start + TARGETS_PER_PROCESS]
+                await self._start_target_process(dataset, chunk)
+
+    async def _start_target_process(self, dataset, targets):
+        controls = self._target_controls[dataset.name]
+        name = f"targets-{dataset.name}-{len(controls)}"
+        spec_path = self._folder / f"{name}.ini"
+        spec_path.write_text(_format_spec(dataset, targets))
+        process = self._start(
+            name,
+            ["-m", "standins.target", "--spec", str(spec_path), "--control", _ANY],
+        )
+        addresses = await process.read_ready(len(targets) + 1)
+        self._target_addresses.update(zip(targets, addresses, strict=False))
+        controls.append(addresses[-1])
 
     def _find_domain(self, vm_id):
         return self._domains[self.vm_ids.index(vm_id) % len(self._domains)]
@@ -327,7 +348,10 @@
 
     async def control_targets(self, dataset, **switches):
         """Set faults of a dataset's targets; return their counters by target."""
-        return await post_control(self._target_controls[dataset], switches)
+        counters = {}
+        for address in self._target_controls[dataset]:
+            counters.update(await post_control(address, switches))
+        return counters
 
     async def read_target_counters(self):
         """Return the counters of all targets."""
@@ -354,18 +378,18 @@
 _ANY = "127.0.0.1:0"
 
 
-def _format_spec(dataset):
+def _format_spec(dataset, targets):
     lines = []
-    for shard in dataset.list_shards():
-        for target in dataset.list_replicas(shard):
-            lines += [
-                f"[{target}]",
-                f"address = {_ANY}",
-                f"shards = {shard}",
-                f"slots = {dataset.slots}",
-                f"max_connections = {dataset.max_connections}",
-                f"service_ms = {dataset.service_ms}",
-            ]
+    for target in targets:
+        shard = target.split("-")[-2]
+        lines += [
+            f"[{target}]",
+            f"address = {_ANY}",
+            f"shards = {shard}",
+            f"slots = {dataset.slots}",
+            f"max_connections = {dataset.max_connections}",
+            f"service_ms = {dataset.service_ms}",
+        ]
     return "\n".join(lines) + "\n"
 
 
