Test the platform clients and stand-ins, and fix what the tests found

Faults that the tests showed in the basic form: a request whose deadline had passed was still sent, because a cancel scope of zero seconds acts only at the first checkpoint; a connection whose answer had a wrong request id was reused; a shard name with a slash was not understood by the stand-in. A cancel now waits for a free connection in place of being dropped when all are busy.

A key or id that HTTP does not allow in a header raises BadRequestError before anything is sent.

Before: no tests of these modules.

--- a/standins/store.py
+++ b/standins/store.py
@@ -51,7 +51,11 @@
             await self._outage_ended.wait()
         if self.outage == "close":
             return None
-        self.store.is_unavailable = self.outage == "refuse"
+        response = await self._answer(request)
+        # An outage that began meanwhile also ends the calls that were waiting.
+        return None if self.outage == "close" else response
+
+    async def _answer(self, request):
         try:
             return HttpResponse.from_json(await self._route(request))
         except StoreOutcomeUnknownError:
@@ -122,6 +126,7 @@
             raise BadRequestError(f"outage must be one of {OUTAGES}")
         if "outage" in body:
             self.outage = body["outage"]
+            store.is_unavailable = self.outage == "refuse"
             self._outage_ended.set()
             self._outage_ended = trio.Event()
         store.delay_s = body.get("delay_ms", store.delay_s * 1000) / 1000
--- a/standins/target.py
+++ b/standins/target.py
@@ -3,7 +3,8 @@
 ``POST /control`` takes JSON with any of the switches in `SWITCHES`, and ``cold`` or
 ``restart`` (true). On a target's own port it acts on that target, and its connection
 counts against the limit. On the port of ``--control`` it acts on the targets named
-in ``target`` (an id or a list of ids), or on all. ``GET /control`` returns the
+in ``target`` (an id or a list of ids), or on all; after ``unreachable`` only this
+port can be reached. ``GET /control`` returns the
 counters and switches: of the target, or on the control port by target id.
 """
 
@@ -18,6 +19,7 @@
 from tarragonchute.targets import MemoryTarget, TargetRequest
 
 MS_PER_S = 1000
+SHARDS_PATH = "/v1/shards/"
 STATUSES = {
     "ok": 200,
     "shedding": 503,
@@ -283,18 +285,18 @@
 
 def _parse_shard_request(request):
     """Return the `TargetRequest` of an HTTP request."""
-    parts = request.path.split("/")
-    if len(parts) != 5 or parts[1:3] != ["v1", "shards"] or parts[4] not in OPERATIONS:
+    path, _, route = request.path.rpartition("/")
+    if not path.startswith(SHARDS_PATH) or route not in OPERATIONS:
         raise BadRequestError(f"unknown path {request.path}")
     headers = request.headers
     try:
         return TargetRequest(
             headers["x-request-id"],
-            parts[3],
+            path.removeprefix(SHARDS_PATH),
             headers["x-snapshot"],
             request.parse_json(),
             int(headers["x-deadline-ms"]) / MS_PER_S,
-            OPERATIONS[parts[4]],
+            OPERATIONS[route],
             headers.get("x-idempotency-key"),
         )
     except (KeyError, ValueError) as error:
--- a/standins/vmlist.py
+++ b/standins/vmlist.py
@@ -11,7 +11,7 @@
 
 from tarragonchute.errors import BadRequestError
 from tarragonchute.httpio import HttpResponse, bind_listeners, get_address, serve_http
-from tarragonchute.vmlist import MemoryVmList, VmState
+from tarragonchute.vmlist import MemoryVmList
 
 
 class VmListServer:
@@ -24,10 +24,7 @@
     """
 
     def __init__(self, domains):
-        self.vm_list = MemoryVmList()
-        self.calls = 0
-        for vm_id, domain in domains.items():
-            self.vm_list.set_state(vm_id, VmState.LIVE, domain)
+        self.vm_list = MemoryVmList(domains)
 
     async def handle(self, request):
         """Answer one `HttpRequest`."""
@@ -35,7 +32,6 @@
             return self._control(request)
         if request.path != "/v1/vms":
             raise BadRequestError(f"unknown path {request.path}")
-        self.calls += 1
         states = await self.vm_list.fetch()
         domains = self.vm_list.domains
         rows = [
@@ -50,7 +46,7 @@
             self._apply(request.parse_json())
         return HttpResponse.from_json(
             {
-                "calls": self.calls,
+                "calls": vm_list.calls,
                 "lag_ms": vm_list.lag_s * 1000,
                 "outage": vm_list.is_unavailable,
             }
--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -25,6 +25,8 @@
 REQUEST_TIMEOUT_S = 10.0
 IDLE_GRACE_S = 0.25
 LINGER_S = 1.0
+# Wait for the first bytes on a connection that was accepted as the server closed.
+LAST_LOOK_S = 0.02
 # A client that sends more than this ahead is no longer watched for a disconnect,
 # so that it cannot fill the memory.
 MAX_PIPELINED_BYTES = 256 * 1024
@@ -292,7 +294,7 @@
             while await self._serve_one():
                 self._h11.start_next_cycle()
         except h11.RemoteProtocolError as error:
-            await self._refuse(_refuse_request(error.error_status_hint, str(error)))
+            await self._refuse(self._explain(error))
         except BadRequestError as error:
             await self._refuse(error)
 
@@ -320,9 +322,8 @@
     async def _wait_for_data(self):
         """Wait on an idle connection; return whether a request has begun."""
         server = self._server
-        if server.is_closing:
-            return False
-        with trio.move_on_after(server.options.idle_timeout_s) as scope:
+        timeout_s = LAST_LOOK_S if server.is_closing else server.options.idle_timeout_s
+        with trio.move_on_after(timeout_s) as scope:
             server.idle_scopes.add(scope)
             try:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
@@ -363,15 +364,24 @@
             size += len(name) + len(value)
             if name == b"content-length":
                 self._check_body_size(int(value))
-        limit = self._server.options.max_header_bytes
-        if size > limit:
-            raise _refuse_request(431, f"the headers exceed {limit} bytes")
+        if size > self._server.options.max_header_bytes:
+            raise self._refuse_headers()
 
     def _check_body_size(self, size):
         limit = self._server.options.max_body_bytes
         if size > limit:
             raise _refuse_request(413, f"the body exceeds {limit} bytes")
 
+    def _explain(self, error):
+        status = error.error_status_hint
+        if status == 431:
+            return self._refuse_headers()
+        return _refuse_request(status, f"the request breaks HTTP: {error}")
+
+    def _refuse_headers(self):
+        limit = self._server.options.max_header_bytes
+        return _refuse_request(431, f"the headers exceed {limit} bytes")
+
     async def _run_handler(self, request):
         if not self._server.options.cancel_on_disconnect:
             return await self._call_handler(request)
@@ -524,22 +534,19 @@
         ConnectionError
             If the connection ended before the answer was whole.
         ProtocolError
-            If the answer breaks HTTP.
+            If the answer breaks HTTP or is too large.
+        BadRequestError
+            If a header or the path has characters that HTTP does not allow.
+            Nothing was sent.
         """
         await self.send_request(method, path, headers, body)
         return await self.receive_response()
 
     async def send_request(self, method, path, headers=(), body=b""):
-        """Send one request; raises `ConnectionError` if the connection ended."""
+        """Send one request; raises like `exchange`."""
         self._is_idle = False
         self.is_request_sent = False
-        lines = [(b"Host", self._host), *headers]
-        if body or method != "GET":
-            lines.append((b"Content-Length", b"%d" % len(body)))
-        data = self._h11.send(h11.Request(method=method, target=path, headers=lines))
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        self._h11.send(h11.EndOfMessage())
+        data = self._encode(method, path, headers, body)
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -551,7 +558,8 @@
         status = 0
         headers = {}
         parts = []
-        while True:
+        size = 0
+        while size <= MAX_BODY_BYTES:
             event = await self._next_event()
             kind = type(event)
             if kind is h11.Response:
@@ -559,11 +567,11 @@
                 headers = _decode_headers(event.headers)
             elif kind is h11.Data:
                 parts.append(bytes(event.data))
+                size += len(event.data)
             elif kind is h11.EndOfMessage:
-                break
-        self._finish_exchange()
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
-        return HttpResponse(status, body, headers)
+                self._finish_exchange()
+                return HttpResponse(status, b"".join(parts), headers)
+        raise ProtocolError(f"the answer exceeds {MAX_BODY_BYTES} bytes")
 
     async def skip_response(self):
         """Wait for the end of the response, also of one received in part."""
@@ -575,6 +583,20 @@
         self._is_idle = False
         self._stream.socket.close()
 
+    def _encode(self, method, path, headers, body):
+        lines = [(b"Host", self._host), *headers]
+        if body or method != "GET":
+            lines.append((b"Content-Length", b"%d" % len(body)))
+        try:
+            head = h11.Request(method=method, target=path, headers=lines)
+            data = self._h11.send(head)
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise BadRequestError(f"cannot be sent as HTTP: {error}") from error
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        self._h11.send(h11.EndOfMessage())
+        return data
+
     async def _next_event(self):
         is_ended = False
         try:
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -181,6 +181,7 @@
         with trio.move_on_after(wait_s):
             while not self._list_changes(prefix, after) and after <= self.revision:
                 await self._wait_for_change()
+        self._check_available()
         return self._list_changes(prefix, after), self.revision
 
     async def grant_lease(self, ttl_s):
@@ -200,13 +201,15 @@
     def save_backup(self):
         """Return the present data for a later `restore_backup`."""
         self._expire_leases()
-        return dict(self._entries), dict(self._deleted), self.revision
+        leases = _copy_leases(self._leases)
+        return dict(self._entries), dict(self._deleted), leases, self.revision
 
     def restore_backup(self, backup):
         """Return to older data; revisions are used again, as by a real restore."""
-        entries, deleted, self.revision = backup
+        entries, deleted, leases, self.revision = backup
         self._entries = dict(entries)
         self._deleted = dict(deleted)
+        self._leases = _copy_leases(leases)
         self._notify()
 
     def expire_leases(self):
@@ -219,6 +222,9 @@
         self.calls[name] = self.calls.get(name, 0) + 1
         if self.delay_s:
             await trio.sleep(self.delay_s)
+        self._check_available()
+
+    def _check_available(self):
         if self.is_unavailable:
             raise StoreUnavailableError("the store refuses calls")
 
@@ -241,7 +247,7 @@
     def _check_revision(self, key, expect):
         entry = self._find(key)
         revision = entry.revision if entry else 0
-        if revision != expect or (entry is None and expect):
+        if revision != expect:
             text = f"{key} has revision {revision}, not {expect}"
             raise StoreConflictError(text, entry)
 
@@ -307,6 +313,10 @@
         self.ends_at = ends_at
 
 
+def _copy_leases(leases):
+    return {name: _Lease(row.ttl_s, row.ends_at) for name, row in leases.items()}
+
+
 def _check_value(value):
     size = len(value.encode())
     if size > MAX_VALUE_BYTES:
--- a/tarragonchute/targets.py
+++ b/tarragonchute/targets.py
@@ -11,7 +11,7 @@
 import trio
 
 from .errors import ProtocolError
-from .httpio import JSON_TYPE, ConnectionPool
+from .httpio import ConnectionPool
 from .messages import BOOKING, SEARCH
 
 CONNECT_TIMEOUT_S = 0.25
@@ -176,13 +176,21 @@
     async def exchange(self, request):
         """Send one `TargetRequest`; see `TargetClient.exchange`.
 
+        The request id must be unique to this attempt: a cancel names nothing else.
         A cancelled exchange ends when the target acknowledged the cancel or
         answered, at the latest `CLOCK_SKEW_S` after the deadline. So the caller
         may count the target's slot as free afterwards.
+
+        Raises
+        ------
+        BadRequestError
+            If an id or the idempotency key cannot stand in a header.
         """
         remaining = request.deadline - self._wall_clock()
         code = "deadline_passed"
-        with trio.move_on_after(max(remaining, 0)):
+        if remaining <= 0:
+            return TargetAnswer(code)
+        with trio.move_on_after(remaining):
             await self._pool.reserve()
             connection = None
             code = "connect_failed"
@@ -204,8 +212,10 @@
 
     async def fetch_status(self):
         """Return the state that the target reports, or None."""
+        if not self._pool.try_reserve():
+            return None
         with trio.move_on_after(STATUS_TIMEOUT_S):
-            response = await self._call_on_spare("GET", "/v1/status")
+            response = await self._call_reserved("GET", "/v1/status")
             with contextlib.suppress(ProtocolError, KeyError, TypeError):
                 return response and response.parse_json()["state"]
         return None
@@ -221,7 +231,11 @@
             _build_headers(request),
             orjson.dumps(request.payload),
         )
-        return _parse_answer(request, response)
+        answer = _parse_answer(request, response)
+        if answer.code == "wrong_answer":
+            # The answer to this request may still follow on the connection.
+            connection.close()
+        return answer
 
     async def _abandon(self, connection, request):
         """Hold the connection until the target no longer works on the request."""
@@ -235,15 +249,14 @@
 
     async def _send_cancel(self, request, scope):
         body = orjson.dumps({"request_id": request.request_id})
-        response = await self._call_on_spare("POST", "/v1/cancel", body)
+        await self._pool.reserve()
+        response = await self._call_reserved("POST", "/v1/cancel", body)
         with contextlib.suppress(ProtocolError, KeyError, TypeError):
             if response and response.parse_json()["cancelled"]:
                 scope.cancel()
 
-    async def _call_on_spare(self, method, path, body=b""):
-        """Call on a free connection; return None if there is none or it fails."""
-        if not self._pool.try_reserve():
-            return None
+    async def _call_reserved(self, method, path, body=b""):
+        """Call on a connection already reserved; return None if the call fails."""
         connection = None
         try:
             connection = await self._pool.connect()
@@ -271,7 +284,6 @@
         ("X-Request-Id", request.request_id),
         ("X-Deadline-Ms", str(int(request.deadline * 1000))),
         ("X-Snapshot", request.version),
-        ("Content-Type", JSON_TYPE),
     ]
     if request.idempotency_key is not None:
         headers.append(("X-Idempotency-Key", request.idempotency_key))
@@ -295,7 +307,9 @@
     code = body.get("code") if isinstance(body, dict) else None
     if _REFUSAL_STATUSES.get(code) != response.status:
         return TargetAnswer("wrong_answer", None, state, boot_id)
-    return TargetAnswer(code, None, state, boot_id, body.get("versions") or ())
+    versions = body.get("versions")
+    versions = versions if isinstance(versions, list) else ()
+    return TargetAnswer(code, None, state, boot_id, versions)
 
 
 class TargetCounters:
@@ -410,6 +424,7 @@
         self.counters = TargetCounters()
         self.connections = 0
         self._warmed = 0
+        self._started = trio.Event()
         self._works = {}
         self._cancelled = collections.OrderedDict()
         self.boot_id = uuid.uuid4().hex
@@ -424,6 +439,11 @@
         """State in `X-State`."""
         return "draining" if self.is_draining else self.state
 
+    async def wait_work(self, count=1):
+        """Wait until so many requests run at the same time."""
+        while self.work < count:
+            await self._started.wait()
+
     def restart(self):
         """Start anew: cold, with another boot id; running requests are lost."""
         for work in self._works.values():
@@ -500,6 +520,8 @@
         work = _Work(request.request_id)
         number = object()
         self._works[number] = work
+        self._started.set()
+        self._started = trio.Event()
         self._count_start(request)
         remaining = request.deadline - self.wall_clock()
         is_done = False
@@ -605,7 +627,9 @@
         """Run one `TargetRequest`; see `TargetClient.exchange`."""
         remaining = request.deadline - self.target.wall_clock()
         code = "deadline_passed"
-        with trio.move_on_after(max(remaining, 0)):
+        if remaining <= 0:
+            return TargetAnswer(code)
+        with trio.move_on_after(remaining):
             async with self._permits:
                 if self.target.is_unreachable:
                     return TargetAnswer("connect_failed")
--- a/tarragonchute/vmlist.py
+++ b/tarragonchute/vmlist.py
@@ -1,6 +1,7 @@
 """The platform's list of VMs: interface, in-memory twin and HTTP client."""
 
 import enum
+import math
 from typing import Protocol
 
 import trio
@@ -35,6 +36,8 @@
 
     Parameters
     ----------
+    domains : dict of str to str
+        vm_id to failure domain of the VMs that are live from the start.
     clock : callable or None
         Returns monotonic seconds; by default trio's clock.
 
@@ -44,18 +47,21 @@
         Age in seconds of what `fetch` returns.
     is_unavailable : bool
         `fetch` raises `StoreUnavailableError`.
+    calls : int
+        Number of calls of `fetch`.
     """
 
-    def __init__(self, clock=None):
+    def __init__(self, domains=None, clock=None):
         self._clock = clock or trio.current_time
-        self._history = []
-        self.domains = {}
+        self.domains = dict(domains or {})
+        self._history = [(-math.inf, dict.fromkeys(self.domains, VmState.LIVE))]
+        self.calls = 0
         self.lag_s = 0.0
         self.is_unavailable = False
 
     def set_state(self, vm_id, state, domain=None):
         """Change a VM to a `VmState`, or remove it from the list with None."""
-        states = dict(self._history[-1][1]) if self._history else {}
+        states = dict(self._history[-1][1])
         states.pop(vm_id, None)
         if state is not None:
             states[vm_id] = VmState(state)
@@ -65,14 +71,11 @@
 
     async def fetch(self):
         """Return a dict of vm_id to `VmState`, as it was `lag_s` ago."""
+        self.calls += 1
         if self.is_unavailable:
             raise StoreUnavailableError("the VM list refuses calls")
-        if not self._history:
-            return {}
         horizon = self._clock() - self.lag_s
-        # The first state is never too young: the list does not start empty.
-        known = [states for at, states in self._history if at <= horizon]
-        return dict(known[-1] if known else self._history[0][1])
+        return dict([states for at, states in self._history if at <= horizon][-1])
 
 
 class HttpVmList:
--- /dev/null
+++ b/tests/test_httpio.py
@@ -0,0 +1,300 @@
+"""Tests of HTTP over trio, on real loopback sockets."""
+
+import contextlib
+
+import testtools
+import trio
+
+from tarragonchute.errors import (
+    BadRequestError,
+    OverloadedError,
+    PortInUseError,
+    ProtocolError,
+)
+from tarragonchute.httpio import (
+    ConnectionPool,
+    HttpConnection,
+    HttpResponse,
+    ServerOptions,
+    bind_listeners,
+    get_address,
+    serve_http,
+    split_address,
+)
+
+TEST_TIMEOUT_S = 10
+
+
+@contextlib.asynccontextmanager
+async def start_server(handler, options=None, shutdown=None):
+    """Serve on a free port and yield its address."""
+    listeners = await bind_listeners("127.0.0.1:0")
+    with trio.fail_after(TEST_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_http, handler, listeners, options, shutdown)
+            yield get_address(listeners)
+            if shutdown is None:
+                nursery.cancel_scope.cancel()
+
+
+async def answer_echo(request):
+    return HttpResponse.from_json([request.method, request.path, request.query])
+
+
+async def send_raw(address, data):
+    """Send bytes and return all that comes back until the server closes."""
+    stream = await trio.open_tcp_stream(*split_address(address))
+    async with stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(data)
+        return b"".join([part async for part in stream])
+
+
+async def answer_raw(data, stream, ends):
+    """Answer the first request with fixed bytes, and end the stream if told to."""
+    await stream.receive_some(65536)
+    await stream.send_all(data)
+    if ends:
+        await stream.send_eof()
+    await stream.receive_some(65536)
+
+
+class ServerTests(testtools.TestCase):
+    """Limits, errors, disconnects and shutdown of the server."""
+
+    def check_refused(self, data, status, text, **options):
+        async def main():
+            async with start_server(answer_echo, ServerOptions(**options)) as address:
+                return await send_raw(address, data)
+
+        answer = trio.run(main)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 %d" % status), answer)
+        self.assertIn(text, answer)
+        self.assertIn(b"Connection: close", answer)
+
+    def test_broken_http_gets_400_and_a_closed_connection(self):
+        """Guards against a connection that stays open out of step."""
+        self.check_refused(b"no http\r\n\r\n", 400, b"breaks HTTP")
+
+    def test_large_headers_get_431(self):
+        """Guards against headers that fill the memory, in one read or several."""
+        head = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 3000
+        limit = {"max_header_bytes": 2000}
+        self.check_refused(head, 431, b"2000 bytes", **limit)
+        self.check_refused(head + b"\r\n\r\n", 431, b"2000 bytes", **limit)
+
+    def test_large_body_gets_413(self):
+        """Guards against bodies that fill the memory, announced or chunked."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\n"
+        announced = head + b"Content-Length: 11\r\n\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunked += b"b\r\n" + b"x" * 11 + b"\r\n"
+        for data in (announced, announced + b"x" * 11, chunked):
+            self.check_refused(data, 413, b"10 bytes", max_body_bytes=10)
+
+    def test_unfinished_request_gets_408(self):
+        """Guards against connections held open by a client that sends slowly."""
+        self.check_refused(
+            b"GET / HTTP/1.1\r\n", 408, b"in time", request_timeout_s=0.02
+        )
+
+    def test_errors_of_the_handler(self):
+        """Guards against lost codes, and against a fault that ends the server."""
+
+        async def handle(request):
+            if request.path == "/busy":
+                raise OverloadedError("too much")
+            raise ZeroDivisionError("secret detail")
+
+        async def main():
+            async with start_server(handle) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                refused = await connection.exchange("GET", "/busy")
+                failed = await connection.exchange("GET", "/fault")
+                connection.close()
+                return refused, failed
+
+        refused, failed = trio.run(main)
+        self.assertEqual(503, refused.status)
+        self.assertEqual("overloaded", refused.parse_json()["code"])
+        self.assertEqual("not_run", refused.parse_json()["outcome"])
+        self.assertEqual(500, failed.status)
+        self.assertEqual("unknown", failed.parse_json()["outcome"])
+        self.assertNotIn(b"secret", failed.body)
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against a request lost between two others, also while watched."""
+        data = b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+        data += b"GET /2?a=%20&b= HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+        async def main(watches):
+            options = ServerOptions(cancel_on_disconnect=watches)
+            async with start_server(answer_echo, options) as address:
+                return await send_raw(address, data)
+
+        for watches in (False, True):
+            first, second = trio.run(main, watches).split(b"HTTP/1.1 200")[1:]
+            self.assertIn(b'["GET","/1",{}]', first)
+            self.assertIn(b'["GET","/2",{"a":" ","b":""}]', second)
+
+    def test_disconnect_cancels_the_handler(self):
+        """Guards against work for a caller that has left."""
+        started = trio.Event()
+        cancelled = trio.Event()
+
+        async def handle(request):
+            started.set()
+            try:
+                await trio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        async def main():
+            options = ServerOptions(cancel_on_disconnect=True)
+            async with start_server(handle, options) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                await connection.send_request("GET", "/")
+                await started.wait()
+                connection.close()
+                await cancelled.wait()
+
+        trio.run(main)
+
+    def test_shutdown_finishes_what_is_in_flight(self):
+        """Guards against requests cut by a shutdown, and idle clients that block it."""
+        started = trio.Event()
+        release = trio.Event()
+        shutdown = trio.Event()
+
+        async def handle(request):
+            if request.path == "/slow":
+                started.set()
+                await release.wait()
+            return HttpResponse(200, b"whole")
+
+        async def main():
+            options = ServerOptions(idle_grace_s=0.05)
+            async with start_server(handle, options, shutdown) as address:
+                slow, late, idle = [
+                    await HttpConnection.open(address, 1.0) for _ in range(3)
+                ]
+                await idle.exchange("GET", "/")
+                await slow.send_request("GET", "/slow")
+                await started.wait()
+                shutdown.set()
+                late_answer = await late.exchange("GET", "/")
+                with testtools.ExpectedException(ConnectionResetError):
+                    await idle.receive_response()
+                with testtools.ExpectedException(ConnectionRefusedError):
+                    await HttpConnection.open(address, 1.0)
+                release.set()
+                return await slow.receive_response(), late_answer
+
+        slow_answer, late_answer = trio.run(main)
+        self.assertEqual(b"whole", late_answer.body)
+        self.assertEqual(b"whole", slow_answer.body)
+        self.assertEqual("close", slow_answer.headers["connection"])
+
+    def test_port_in_use(self):
+        """Guards against a start that fails without a clear text."""
+
+        async def main():
+            (listener,) = await bind_listeners("127.0.0.1:0")
+            async with listener:
+                await bind_listeners(get_address([listener]))
+
+        error = self.assertRaises(PortInUseError, trio.run, main)
+        self.assertIn("the port is in use", str(error))
+
+    def test_malformed_address(self):
+        """Guards against an address that is only half understood."""
+        for text in ("host", ":1", "host:", "host:x", "host:70000"):
+            self.assertRaises(ValueError, split_address, text)
+        self.assertEqual(("::1", 80), split_address("[::1]:80"))
+
+
+class ConnectionTests(testtools.TestCase):
+    """Reuse and failures of client connections."""
+
+    def run_against(self, data, check, ends=True):
+        async def main():
+            (listener,) = await bind_listeners("127.0.0.1:0")
+
+            async def answer(stream):
+                await answer_raw(data, stream, ends)
+
+            with trio.fail_after(TEST_TIMEOUT_S):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(trio.serve_listeners, answer, [listener])
+                    connection = await HttpConnection.open(get_address([listener]), 1)
+                    await check(connection)
+                    connection.close()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_second_answer_makes_the_connection_unusable(self):
+        """Guards against a duplicate taken for the answer to the next request."""
+
+        async def check(connection):
+            response = await connection.exchange("GET", "/")
+            self.assertEqual(b"a", response.body)
+            self.assertFalse(connection.is_reusable)
+
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" * 2
+        self.run_against(data, check, ends=False)
+
+    def test_half_an_answer_is_an_error(self):
+        """Guards against part of an answer taken for the whole."""
+
+        async def check(connection):
+            with testtools.ExpectedException(ConnectionResetError):
+                await connection.exchange("POST", "/")
+            self.assertFalse(connection.is_reusable)
+
+        self.run_against(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na", check)
+
+    def test_broken_answer_is_an_error(self):
+        """Guards against an answer that is not HTTP."""
+
+        async def check(connection):
+            with testtools.ExpectedException(ProtocolError):
+                await connection.exchange("GET", "/")
+
+        self.run_against(b"SSH-2.0 no http\r\n\r\n", check)
+
+    def test_header_that_cannot_be_sent(self):
+        """Guards against a header value that would start another request."""
+
+        async def check(connection):
+            for value in ("a\r\nX: b", "\u00e9"):
+                with testtools.ExpectedException(BadRequestError):
+                    await connection.send_request("GET", "/", [("X-Id", value)])
+
+        self.run_against(b"", check)
+
+    def test_pool_reuses_and_bounds_its_connections(self):
+        """Guards against more connections than a target accepts."""
+
+        async def main():
+            async with start_server(answer_echo) as address:
+                pool = ConnectionPool(address, 2, 1.0)
+                for _ in range(2):
+                    await pool.reserve()
+                self.assertFalse(pool.try_reserve())
+                first = await pool.connect()
+                await first.exchange("GET", "/")
+                pool.release(first)
+                self.assertTrue(pool.try_reserve())
+                self.assertIs(first, await pool.connect())
+                await first.send_request("GET", "/")
+                pool.release(first)
+                self.assertEqual(0, pool.connections)
+                second = await pool.connect()
+                await second.exchange("GET", "/")
+                pool.release(second)
+                self.assertEqual(1, pool.connections)
+                pool.close()
+                self.assertEqual(0, pool.connections)
+
+        trio.run(main)
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,300 @@
+"""Tests of the exchanges with a target: the twin, and the client over HTTP."""
+
+import contextlib
+import time
+
+import testtools
+import trio
+from trio.testing import MockClock
+
+from standins.target import TargetServer
+from tarragonchute.errors import BadRequestError
+from tarragonchute.httpio import bind_listeners, get_address
+from tarragonchute.messages import BOOKING
+from tarragonchute.targets import (
+    HttpTargetClient,
+    MemoryTarget,
+    MemoryTargetClient,
+    TargetRequest,
+)
+
+
+def make_request(clock, request_id="r1", shard="s0", version="1", ttl_s=5.0, key=None):
+    operation = BOOKING if key else "search"
+    return TargetRequest(
+        request_id, shard, version, "query", clock() + ttl_s, operation, key
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_memory_client(target, max_connections):
+    yield MemoryTargetClient(target, max_connections, delay_s=0.001)
+
+
+@contextlib.asynccontextmanager
+async def open_http_client(target, max_connections):
+    """Yield a client of the stand-in inside this process."""
+    listeners = await bind_listeners("127.0.0.1:0")
+    with trio.fail_after(10):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(TargetServer(target).run, listeners)
+            client = HttpTargetClient("t1", get_address(listeners), max_connections)
+            yield client
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+
+class ExchangeTests:
+    """What both implementations must do."""
+
+    def run_test(self, test, max_connections=4, **options):
+        async def main():
+            target = MemoryTarget(
+                "t1", ["s0"], ["1", "2"], wall_clock=self.wall_clock, **options
+            )
+            async with self.open_client(target, max_connections) as client:
+                await test(target, client)
+
+        trio.run(main, clock=self.make_clock())
+
+    def request(self, *args, **kwargs):
+        return make_request(self.wall_clock, *args, **kwargs)
+
+    def test_answer_and_reuse(self):
+        """Guards against lost parts of an answer, and a new connection for each."""
+
+        async def test(target, client):
+            for _ in range(3):
+                answer = await client.exchange(self.request(version="2"))
+            self.assertEqual("ok", answer.code)
+            self.assertEqual("2", answer.result["version"])
+            self.assertEqual("warm", answer.state)
+            self.assertEqual(target.boot_id, answer.boot_id)
+            self.assertEqual(1, client.connections)
+            self.assertEqual(1, target.counters.connections_peak)
+
+        self.run_test(test)
+
+    def test_refusals(self):
+        """Guards against a refusal whose code or versions are lost."""
+
+        async def check(client, code, **fields):
+            answer = await client.exchange(self.request(**fields))
+            self.assertEqual(code, answer.code)
+            self.assertTrue(answer.is_provably_not_run)
+            return answer
+
+        async def test(target, client):
+            answer = await check(client, "version_missing", version="3")
+            self.assertEqual(["1", "2"], answer.versions)
+            await check(client, "shard_unknown", shard="s/9")
+            await check(client, "deadline_passed", ttl_s=-1.0)
+            target.is_shedding = True
+            await check(client, "shedding", key="k1")
+            target.is_draining = True
+            answer = await check(client, "draining", key="k1")
+            self.assertEqual("draining", answer.state)
+            self.assertEqual("draining", await client.fetch_status())
+            target.reported_state = "warm"
+            self.assertEqual("warm", await client.fetch_status())
+            self.assertEqual({}, target.counters.runs)
+
+        self.run_test(test)
+
+    def test_failures_that_may_have_run(self):
+        """Guards against a booking that ran and is reported as not run."""
+
+        async def check(client, code, key, ttl_s=5.0):
+            answer = await client.exchange(self.request(key=key, ttl_s=ttl_s))
+            self.assertEqual(code, answer.code)
+            self.assertFalse(answer.is_provably_not_run)
+
+        async def test(target, client):
+            target.lose_answers = 1
+            await check(client, "connection_lost", "k1")
+            target.wrong_ids = 1
+            await check(client, "wrong_answer", "k2")
+            self.assertEqual(0, client.connections)
+            target.service_s = 60.0
+            await check(client, "timed_out", "k3", ttl_s=0.2)
+            self.assertEqual({"k1": 1, "k2": 1, "k3": 1}, target.counters.runs)
+
+        self.run_test(test)
+
+    def test_cancel_stops_the_work(self):
+        """Guards against a slot that is counted as free while the target works."""
+
+        async def test(target, client):
+            with trio.move_on_after(0.05) as scope:
+                await client.exchange(self.request())
+            self.assertTrue(scope.cancelled_caught)
+            self.assertEqual(0, target.work)
+            self.assertEqual(1, target.counters.cancelled)
+
+        self.run_test(test, service_s=60.0)
+
+    def test_unreachable(self):
+        """Guards against a failed connection that blocks a later one."""
+
+        async def test(target, client):
+            target.is_unreachable = True
+            answer = await client.exchange(self.request())
+            self.assertNotEqual("ok", answer.code)
+            self.assertIsNone(await client.fetch_status())
+            target.is_unreachable = False
+            self.assertEqual("ok", (await client.exchange(self.request())).code)
+
+        self.run_test(test, max_connections=1)
+
+    def test_connection_limits(self):
+        """Guards against more connections than the client or the target allows."""
+
+        async def test(target, client):
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    request = self.request(f"r{number}")
+                    nursery.start_soon(client.exchange, request)
+            self.assertEqual(2, target.counters.connections_peak)
+            self.assertEqual(6, target.counters.finished)
+            await client.aclose()
+            target.max_connections = 0
+            answer = await client.exchange(self.request())
+            self.assertEqual("connection_lost", answer.code)
+
+        self.run_test(test, max_connections=2)
+
+    def test_restart_loses_running_requests(self):
+        """Guards against a lost request that is taken for one that did not run."""
+
+        async def test(target, client):
+            answers = []
+
+            async def exchange():
+                answers.append(await client.exchange(self.request(key="k1")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(exchange)
+                await target.wait_work()
+                boot_id = target.boot_id
+                target.restart()
+            self.assertEqual("connection_lost", answers[0].code)
+            self.assertEqual(0, client.connections)
+            target.service_s = 0.0
+            answer = await client.exchange(self.request())
+            self.assertEqual("cold", answer.state)
+            self.assertNotEqual(boot_id, answer.boot_id)
+
+        self.run_test(test, service_s=60.0)
+
+
+class MemoryTargetClientTests(ExchangeTests, testtools.TestCase):
+    """The in-memory twin, in virtual time."""
+
+    open_client = staticmethod(open_memory_client)
+    wall_clock = staticmethod(trio.current_time)
+
+    def make_clock(self):
+        return MockClock(autojump_threshold=0)
+
+
+class HttpTargetClientTests(ExchangeTests, testtools.TestCase):
+    """The HTTP client against the stand-in in this process."""
+
+    open_client = staticmethod(open_http_client)
+    wall_clock = staticmethod(time.time)
+
+    def make_clock(self):
+        return None
+
+    def test_duplicate_answer(self):
+        """Guards against a duplicate that answers the next request."""
+
+        async def test(target, client):
+            target.duplicate_answers = 1
+            first = await client.exchange(self.request("r1", version="1"))
+            second = await client.exchange(self.request("r2", version="2"))
+            self.assertEqual(["1", "2"], [a.result["version"] for a in (first, second)])
+            self.assertEqual(2, target.counters.finished)
+
+        self.run_test(test)
+
+    def test_cancel_without_a_spare_connection(self):
+        """Guards against giving up a connection while the target still works."""
+
+        async def test(target, client):
+            with trio.move_on_after(0.02):
+                await client.exchange(self.request(ttl_s=0.2))
+            self.assertEqual(0, target.work)
+            self.assertEqual(0, client.connections)
+            self.assertEqual(1, target.counters.connections_peak)
+
+        self.run_test(test, max_connections=1, service_s=60.0)
+
+    def test_key_that_is_no_header(self):
+        """Guards against a caller's key that adds headers to the request."""
+
+        async def test(target, client):
+            with testtools.ExpectedException(BadRequestError):
+                await client.exchange(self.request(key="k\r\nX-Snapshot: 2"))
+            self.assertEqual("ok", (await client.exchange(self.request())).code)
+
+        self.run_test(test, max_connections=1)
+
+    def test_nobody_listens(self):
+        """Guards against an unsent request that is taken for one that may have run."""
+
+        async def main():
+            (listener,) = await bind_listeners("127.0.0.1:0")
+            client = HttpTargetClient("t1", get_address([listener]), 1)
+            await listener.aclose()
+            return await client.exchange(self.request())
+
+        self.assertEqual("connect_failed", trio.run(main).code)
+
+
+class MemoryTargetTests(testtools.TestCase):
+    """The model of a target, in virtual time."""
+
+    def run_requests(self, target, count):
+        async def main():
+            started_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for number in range(count):
+                    request = make_request(trio.current_time, f"r{number}")
+                    nursery.start_soon(target.handle, request)
+            return trio.current_time() - started_at
+
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def make_target(self, **options):
+        return MemoryTarget("t1", ["s0"], wall_clock=trio.current_time, **options)
+
+    def test_work_above_the_slots_is_counted(self):
+        """Guards against tests that cannot see a breach of the slots."""
+        target = self.make_target(slots=2)
+        self.run_requests(target, 5)
+        self.assertEqual(4, target.counters.greatest_work)
+        self.assertEqual(2, target.counters.slot_breaches)
+        self.assertEqual({"shedding": 1}, target.counters.refused)
+
+    def test_cold_target(self):
+        """Guards against tests that cannot see a breach of the cold limit."""
+        target = self.make_target(state="cold", service_s=0.01)
+        target.warm_after = 2
+        self.assertAlmostEqual(0.05, self.run_requests(target, 1))
+        self.assertAlmostEqual(0.2, self.run_requests(target, 2))
+        self.assertEqual(1, target.counters.cold_breaches)
+        self.assertEqual(2, target.counters.greatest_cold_work)
+        self.assertEqual("warm", target.state)
+        self.assertAlmostEqual(0.01, self.run_requests(target, 1))
+
+    def test_cancel_overtakes_its_request(self):
+        """Guards against work that starts after its cancel was acknowledged."""
+        target = self.make_target()
+
+        async def main():
+            await target.cancel("r1")
+            return await target.handle(make_request(trio.current_time))
+
+        self.assertEqual("cancelled", trio.run(main).code)
+        self.assertEqual(0, target.counters.greatest_work)
--- /dev/null
+++ b/tests/test_vmlist.py
@@ -0,0 +1,83 @@
+"""Tests of the VM list: the twin, and the client against the stand-in."""
+
+import testtools
+import trio
+from trio.testing import MockClock
+
+from standins.vmlist import VmListServer
+from tarragonchute.errors import StoreUnavailableError
+from tarragonchute.httpio import (
+    HttpResponse,
+    bind_listeners,
+    get_address,
+    serve_http,
+)
+from tarragonchute.vmlist import HttpVmList, MemoryVmList, VmState
+
+
+class MemoryVmListTests(testtools.TestCase):
+    """The in-memory twin, in virtual time."""
+
+    def test_lag(self):
+        """Guards against tests that see a change sooner than the platform shows it."""
+
+        async def main():
+            vm_list = MemoryVmList({"vm-1": "a"})
+            vm_list.lag_s = 5.0
+            await trio.sleep(10.0)
+            vm_list.set_state("vm-1", VmState.GONE)
+            await trio.sleep(4.0)
+            before = await vm_list.fetch()
+            await trio.sleep(1.0)
+            return before, await vm_list.fetch()
+
+        before, after = trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual({"vm-1": VmState.LIVE}, before)
+        self.assertEqual({"vm-1": VmState.GONE}, after)
+
+
+class HttpVmListTests(testtools.TestCase):
+    """The client on a loopback socket."""
+
+    def run_test(self, handler, test):
+        async def main():
+            listeners = await bind_listeners("127.0.0.1:0")
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(serve_http, handler, listeners)
+                    vm_list = HttpVmList(get_address(listeners))
+                    await test(vm_list)
+                    vm_list.close()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_states_and_outage(self):
+        """Guards against a list that cannot be read and is taken for an empty one."""
+        server = VmListServer({"vm-1": "a", "vm-2": "b"})
+
+        async def test(vm_list):
+            server.vm_list.set_state("vm-2", VmState.LEAVING)
+            expected = {"vm-1": VmState.LIVE, "vm-2": VmState.LEAVING}
+            self.assertEqual(expected, await vm_list.fetch())
+            server.vm_list.is_unavailable = True
+            with testtools.ExpectedException(StoreUnavailableError):
+                await vm_list.fetch()
+            server.vm_list.is_unavailable = False
+            self.assertEqual(expected, await vm_list.fetch())
+
+        self.run_test(server.handle, test)
+
+    def test_malformed_list(self):
+        """Guards against a crash, and against an unknown state taken as gone."""
+        bodies = [b"{}", b"[]", b"x", b'{"vms": [{"vm_id": "a", "state": "odd"}]}']
+
+        async def handle(request):
+            return HttpResponse(200, bodies.pop())
+
+        async def test(vm_list):
+            while bodies:
+                with testtools.ExpectedException(StoreUnavailableError):
+                    await vm_list.fetch()
+
+        self.run_test(handle, test)
