Add the fault matrix, and release by tenure

Tried: kill, pause, suspend, partition and restart of three VMs, duplicated, reordered and delayed messages, store outages and lost answers, at three times of join, leave, expel and hand-over, the move coming once or twice, against an oracle that knows only which process may send when.

Found by the matrix: a VM that lost a target and gained it again at once reported the later epoch released while a request of its first tenure was still in flight, so the holder in between started to send. `HeldTargets.is_clear` now counts a request by the epoch at which its target had been gained when it was admitted.

Also new: a gone report counts only for a process known for 5 s and silent, so that a late report does not bury a restarted VM; a VM grants leases only after it read the settings since it joined or since a member was removed.

`may_serve` is called for each shard request: the end of the lease is now computed when a grant or view arrives and not at each call.

--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -27,6 +27,16 @@
 EXPEL_AFTER_S = LEASE_S + SKEW_S
 PROPOSER_STEP_S = 0.5
 
+GONE_REPORT_S = 3.0
+"""A report of the VM list counts for this long, so it must be read more often."""
+
+GONE_CONFIRM_S = 5.0
+"""A process must be known for this long, and silent, before its VM counts as gone.
+
+A VM that restarts joins only once the VM list shows it as live. An older report that it
+is gone has expired by the time that it could be mistaken for one on the new process.
+"""
+
 _GUEST_MEMORY_S = 3.0
 _MAX_GUESTS = 16
 _MAX_ROWS = 64
@@ -261,6 +271,8 @@
         The adopted view.
     is_continuous : bool
         Whether the last adopted view followed directly on the one before.
+    is_member, is_active : bool
+        Whether this process is a member, and whether it may hold targets.
     released_epoch : int
         Highest epoch for which this VM has finished its requests to targets that
         it does not hold.
@@ -273,8 +285,11 @@
         self.incarnation = incarnation
         self.address = address
         self.domain = domain
+        self._me = (vm_id, incarnation)
         self.view = None
         self.is_continuous = False
+        self.is_member = False
+        self.is_active = False
         self.released_epoch = 0
         self.settings_digest = ""
         self.store_revision = 0
@@ -282,13 +297,17 @@
         self._sent = []
         self._send_offset = _make_send_offset(incarnation)
         self._carried_until = -math.inf
+        self._lease_end = None
         self._handovers = []
         self._activated_epoch = 0
         self._settled_epoch = 0
         self._gone = frozenset()
+        self._gone_at = -math.inf
+        self._fresh_epoch = 0
+        self._required_epoch = 0
         self._usable_digests = {}
         self._adopted_at = -math.inf
-        self._member_since = {}
+        self._known_since = {}
         self._lease_since = -math.inf
         self._lease_seen_until = -math.inf
 
@@ -299,16 +318,6 @@
         """Epoch of the adopted view; 0 if there is none."""
         return 0 if self.view is None else self.view.epoch
 
-    @property
-    def is_member(self):
-        """Whether this process is a member, active or leaving."""
-        return self.view is not None and self.view.has_process(*self._me)
-
-    @property
-    def is_active(self):
-        """Whether this process may hold targets."""
-        return self.view is not None and self.view.is_active(*self._me)
-
     @property
     def is_activated(self):
         """Whether a majority has left every superseded view."""
@@ -320,8 +329,14 @@
         return self.view is not None and self._settled_epoch >= self.epoch
 
     @property
-    def _me(self):
-        return self.vm_id, self.incarnation
+    def grants_leases(self):
+        """Whether this VM's settings are recent enough to grant leases.
+
+        A version that a majority had acknowledged may be known to few of the
+        members that remain after others left or joined. They read the settings
+        again before they grant.
+        """
+        return self._fresh_epoch >= self._required_epoch
 
     # Heartbeats.
 
@@ -393,7 +408,7 @@
             epoch=self.epoch,
             released_epoch=self.released_epoch,
             sent_at=sent_at,
-            echo=None if newest is None else newest.sent_at,
+            echo=newest.sent_at if newest and self.grants_leases else None,
             settings_digest=self.settings_digest,
             store_revision=self.store_revision,
         )
@@ -435,12 +450,9 @@
         different sets need not overlap. A majority of dead members is replaced by
         a view change (`plan_removal_of_gone`), which the store puts in order.
         """
-        if self.view is None:
-            return -math.inf
-        ends = self._list_grants(now)
-        needed = self._quorum(len(self.view.members))
-        until = ends[needed - 1] if len(ends) >= needed else -math.inf
-        return max(until, self._carried_until)
+        if self._lease_end is None:
+            self._lease_end = self._compute_lease_end()
+        return min(self._lease_end, now + LEASE_S)
 
     def has_lease(self, now):
         """Whether this VM may work at `now`."""
@@ -459,7 +471,8 @@
         """
         if not self.is_active or not self.has_lease(now):
             return False
-        self._settle(now)
+        if self._settled_epoch < gained_epoch:
+            self._settle(now)
         return self._settled_epoch >= gained_epoch
 
     def forget_grants(self):
@@ -469,20 +482,33 @@
         before it sends again.
         """
         self._carried_until = -math.inf
+        self._lease_end = None
         self._sent = []
         for row in self._rows:
             row.echoed = None
             row.granted_until = None
 
-    def _list_grants(self, now):
+    def _compute_lease_end(self):
+        """Return the end of the lease; infinity if this VM's own grant suffices.
+
+        The own grant counts as `LEASE_S` from any time on, so it is always the
+        latest, and the result holds until the next grant or view.
+        """
+        if self.view is None:
+            return -math.inf
+        ends = self._list_grants()
+        needed = self._quorum(len(self.view.members))
+        until = ends[needed - 1] if len(ends) >= needed else -math.inf
+        return max(until, self._carried_until)
+
+    def _list_grants(self):
         """Return the ends of the members' grants, latest first."""
         ends = []
-        for vm_id, incarnation in self.view.incarnations().items():
-            if (vm_id, incarnation) == self._me:
-                ends.append(now + LEASE_S)
-                continue
-            row = self._find_process(vm_id, incarnation)
-            if row is not None and row.granted_until is not None:
+        for pair in self.view.incarnations().items():
+            row = self._find_process(*pair)
+            if pair == self._me and self.grants_leases:
+                ends.append(math.inf)
+            elif row is not None and row.granted_until is not None:
                 ends.append(row.granted_until)
         return sorted(ends, reverse=True)
 
@@ -501,6 +527,7 @@
         until = row.echoed + LEASE_S
         if row.granted_until is None or until > row.granted_until:
             row.granted_until = until
+            self._lease_end = None
 
     def _has_usable_settings(self, row):
         """Whether the peer is known to have no newer settings than this VM."""
@@ -550,6 +577,25 @@
         for row in self._rows:
             self._credit(row)
 
+    def note_settings_read(self, epoch):
+        """Report that all settings were read from the store and applied.
+
+        Parameters
+        ----------
+        epoch : int
+            `epoch` at the time when the reading began.
+        """
+        self._fresh_epoch = max(self._fresh_epoch, epoch)
+        self._lease_end = None
+
+    def _require_settings(self, view):
+        """Ask for a new reading if this VM joins, or if any process was removed."""
+        old = {} if self.view is None else self.view.incarnations()
+        new = view.incarnations()
+        joins = view.has_process(*self._me) and not self.is_member
+        if joins or not old.items() <= new.items():
+            self._required_epoch = view.epoch
+
     def list_unknown_settings(self):
         """Return the ids of the VMs whose settings must be compared or pulled."""
         rows = [row for row in self._rows if not self._has_usable_settings(row)]
@@ -574,16 +620,18 @@
             return False
         carried = self.lease_until(now)
         self.is_continuous = view.epoch == self.epoch + 1 and self.view is not None
+        self._require_settings(view)
         self.view = view
+        self.is_member = view.has_process(*self._me)
+        self.is_active = view.is_active(*self._me)
+        self._lease_end = None
         self._adopted_at = now
-        self._member_since = {
-            pair: self._member_since.get(pair, now)
-            for pair in view.incarnations().items()
-        }
         self._carried_until = carried if self.is_active else -math.inf
         self._handovers.append(_Handover(view))
         # A later hand-over that ends also ends the earlier ones.
         del self._handovers[:-_MAX_HANDOVERS]
+        known = set().union(*(h.processes for h in self._handovers))
+        self._known_since = {k: self._known_since.get(k, now) for k in known}
         for row in self._rows:
             self._credit(row)
         self._note_lease(now)
@@ -603,14 +651,19 @@
         self._settle(now)
 
     def set_gone(self, vm_ids, now):
-        """Take the ids of the VMs that the VM list reports gone."""
+        """Take the ids of the VMs that the VM list reports gone.
+
+        Call this after each reading of the VM list, at least every
+        `GONE_REPORT_S`.
+        """
         self._gone = frozenset(vm_ids)
+        self._gone_at = now
         self._settle(now)
 
     def _settle(self, now):
         """Note which hand-overs are activated and which have ended."""
         for handover in self._handovers:
-            if handover.activated_at is None and self._is_superseding(handover):
+            if handover.activated_at is None and self._is_superseding(handover, now):
                 handover.activated_at = now
                 self._activated_epoch = max(self._activated_epoch, handover.epoch)
             if self._is_released(handover) or self._is_waited_out(handover, now):
@@ -619,34 +672,43 @@
         unsettled = [h for h in self._handovers if h.epoch > self._settled_epoch]
         self._handovers = unsettled
 
-    def _is_superseding(self, handover):
+    def _is_superseding(self, handover, now):
         """Whether majorities of all sets grant no lease for older views."""
         current, *previous = handover.sets
         heard = [self._has_epoch(pair, handover.epoch) for pair in current.items()]
         if sum(heard) < self._quorum(len(current)):
             return False
-        return all(self._has_stopped(one, handover.epoch) for one in previous)
+        return all(self._has_stopped(one, handover.epoch, now) for one in previous)
 
-    def _has_stopped(self, processes, epoch):
+    def _has_stopped(self, processes, epoch, now):
         """Whether a majority of a superseded set grants for it no longer."""
         stopped = [
-            self._has_epoch(pair, epoch) or self._is_dead(pair)
+            self._has_epoch(pair, epoch) or self._is_dead(pair, now)
             for pair in processes.items()
         ]
         return sum(stopped) >= self._quorum(len(processes))
 
-    def _is_dead(self, pair):
+    def _is_dead(self, pair, now):
         """Whether a process is known to have ended.
 
         The VM list reports its VM gone, or another process of the VM has joined,
         which has bound the address of the old one.
         """
         vm_id, incarnation = pair
-        if vm_id in self._gone or pair in self.view.dead:
+        if pair in self.view.dead or self._is_gone(pair, now):
             return True
         member = self.view.members.get(vm_id)
         return member is not None and member.incarnation != incarnation
 
+    def _is_gone(self, pair, now):
+        """Whether the VM list vouches that a process has ended."""
+        if pair[0] not in self._gone or now - self._gone_at > GONE_REPORT_S:
+            return False
+        row = self._find_process(*pair)
+        heard_at = -math.inf if row is None else row.heard_at
+        since = max(heard_at, self._known_since.get(pair, now))
+        return now - since >= GONE_CONFIRM_S
+
     def _has_epoch(self, pair, epoch):
         if pair == self._me:
             return self.epoch >= epoch
@@ -734,7 +796,8 @@
         """
         if not self.is_member or self.has_lease(now):
             return None
-        gone = [k for k in self.view.members if k in self._gone and k != self.vm_id]
+        pairs = [p for p in self.view.incarnations().items() if p != self._me]
+        gone = [pair[0] for pair in pairs if self._is_gone(pair, now)]
         return remove_from_view(self.view, gone) if gone else None
 
     def plan_groups(self, groups, now):
@@ -809,7 +872,7 @@
         for pair in self.view.incarnations().items():
             row = self._find_process(*pair)
             heard_at = -math.inf if row is None else row.heard_at
-            since = max(heard_at, self._member_since[pair], self._lease_since)
+            since = max(heard_at, self._known_since[pair], self._lease_since)
             if pair[0] != self.vm_id and now - since > limit:
                 silent.append(pair[0])
         return silent
--- a/tarragonchute/placement.py
+++ b/tarragonchute/placement.py
@@ -115,3 +115,18 @@
         kept = before if is_continuous else {}
         self.gained = {target: kept.get(target, epoch) for target in held}
         return set(before) - set(self.gained)
+
+    def is_clear(self, in_flight):
+        """Whether this VM may report `Membership.note_released` for the epoch.
+
+        A request that was sent before the target was lost counts against it even
+        if the target has been gained again: the holder in between may still be
+        waiting for the release.
+
+        Parameters
+        ----------
+        in_flight : iterable of (str, int)
+            Target, and `gained` of the target when the request was admitted, of
+            each request that is not finished.
+        """
+        return all(self.gained.get(target) == epoch for target, epoch in in_flight)
--- /dev/null
+++ b/tests/test_handover_faults.py
@@ -0,0 +1,712 @@
+"""Faults at every step of a move: never two senders to one target.
+
+The simulation runs whole VMs (membership, settings, held targets) on one virtual
+clock. `SendOracle` is written from the requirement: it knows nothing of epochs or
+leases, only which process may send to which target at which time.
+"""
+
+import itertools
+import logging
+import random
+import sys
+
+import testtools
+
+from tarragonchute import configuration
+from tarragonchute.configuration import Configuration, SubtreeValue, digest_vector
+from tarragonchute.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from tarragonchute.links import MemoryNetwork
+from tarragonchute.membership import (
+    HEARTBEAT_PERIOD_S,
+    MAX_SHARD_TIME_S,
+    Member,
+    Membership,
+    MemberState,
+    View,
+)
+from tarragonchute.messages import Heartbeat
+from tarragonchute.placement import HeldTargets, assign_holders
+from tarragonchute.store import Entry
+
+TICK_S = 0.1
+STORE_PERIOD_S = 0.2
+VM_LIST_PERIOD_S = 1.0
+VM_LIST_LAG_S = 2.0
+IN_FORCE_S = 6.0
+MAX_RATE_ERROR = 0.01
+VIEW_KEY = "members/cell"
+SETTINGS_KEY = "settings/fleet"
+SUBTREE = "fleet"
+GROUPS = [(f"t{n}a", f"t{n}b") for n in range(6)]
+TARGETS = sorted(itertools.chain(*GROUPS))
+
+
+class SendOracle:
+    """Checks that no two processes may send to one target at the same time.
+
+    Attributes
+    ----------
+    violations : list of str
+    """
+
+    def __init__(self):
+        self.violations = []
+        self._intervals = {}
+
+    def permit(self, target, process, start, end):
+        """Note that a process may send from `start` on, and its work ends at `end`."""
+        intervals = self._intervals.setdefault(target, {})
+        for other, (other_start, other_end) in intervals.items():
+            if other != process and start < other_end and other_start < end:
+                text = f"{target}: {process} at {start:.2f}, {other} to {other_end:.2f}"
+                self.violations.append(text)
+        known = intervals.get(process)
+        if known is not None and known[1] >= start:
+            start, end = known[0], max(known[1], end)
+        intervals[process] = (start, end)
+
+    def finish(self, target, process, now):
+        """Note that the process knows of no unfinished request to the target."""
+        intervals = self._intervals.get(target, {})
+        if process in intervals:
+            start, end = intervals[process]
+            intervals[process] = (start, min(end, now))
+
+
+class SettingsOracle:
+    """Checks that an accepted version stays, and is in force in time.
+
+    Attributes
+    ----------
+    violations : list of str
+    """
+
+    def __init__(self):
+        self.violations = []
+        self.accepted = []
+        self._highest = {}
+
+    def accept(self, version, now):
+        self.accepted.append((version, now))
+
+    def observe(self, process, version, may_work, now):
+        """Take the version that a process has in force."""
+        if version < self._highest.get(process, 0):
+            self.violations.append(f"{process} went back to {version} at {now:.2f}")
+        self._highest[process] = max(version, self._highest.get(process, 0))
+        due = [v for v, at in self.accepted if now > at + IN_FORCE_S]
+        if may_work and due and version < max(due):
+            text = f"{process} works with {version} at {now:.2f}, accepted {max(due)}"
+            self.violations.append(text)
+
+
+class FakeStore:
+    """Compare-and-swap with outages and lost answers."""
+
+    def __init__(self):
+        self.entries = {}
+        self.revision = 0
+        self.is_down = False
+        self.lost_answers = 0
+
+    def get(self, key):
+        if self.is_down:
+            raise StoreUnavailableError
+        return self.entries.get(key)
+
+    def put(self, key, value, expect):
+        """Return whether the compare-and-swap took effect."""
+        if self.is_down:
+            raise StoreUnavailableError
+        entry = self.entries.get(key)
+        is_swapped = (entry.revision if entry else 0) == expect
+        if is_swapped:
+            self.revision += 1
+            self.entries[key] = Entry(key, value, self.revision)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise StoreOutcomeUnknownError
+        return is_swapped
+
+
+class Vm:
+    """One process of a VM.
+
+    Parameters
+    ----------
+    world : World
+    vm_id, incarnation : str
+    membership : Membership
+    settings : Configuration
+    """
+
+    def __init__(self, world, vm_id, incarnation, membership, settings):
+        self.world = world
+        self.vm_id = vm_id
+        self.process = f"{vm_id}/{incarnation}"
+        self.membership = membership
+        self.settings = settings
+        self.held = HeldTargets(vm_id)
+        self.link = world.network.connect(vm_id, self._receive)
+        source = world.random
+        self.clock_offset = source.uniform(0, 1000)
+        self.clock_rate = 1 + source.uniform(-MAX_RATE_ERROR, MAX_RATE_ERROR)
+        self.request_time = source.uniform(0.05, 0.5)
+        self.wall_lag = 0.0
+        self.is_paused = False
+        self.paused_at = None
+        self.is_suspended = False
+        self.is_draining = False
+        self.is_out = False
+        self.has_left = False
+        self.inbox = []
+        self.in_flight = {}
+        self.pending_write = None
+        self.proposal = None
+        phase = source.uniform(0, HEARTBEAT_PERIOD_S)
+        self.next_heartbeat = world.now + phase
+        self.next_store = world.now
+        self.next_vm_list = world.now + source.uniform(0, VM_LIST_PERIOD_S)
+
+    @property
+    def clock(self):
+        """Seconds of the local monotonic clock."""
+        return self.clock_offset + self.clock_rate * self.world.now
+
+    # Faults.
+
+    def pause(self, is_suspended=False):
+        """Stop the process; suspended, its clocks stand still as well."""
+        if not self.is_paused:
+            self.is_paused = True
+            self.is_suspended = is_suspended
+            self.paused_at = self.world.now
+
+    def resume(self):
+        if not self.is_paused:
+            return
+        self.is_paused = False
+        if self.is_suspended:
+            lag = self.world.now - self.paused_at
+            self.wall_lag = lag
+            self.clock_offset -= self.clock_rate * lag
+
+    # One tick.
+
+    def step(self):
+        if self.is_paused or self.has_left:
+            return
+        # The first step after a suspension runs with wall clock and lease of before.
+        # The check of the clocks is in time for the next.
+        self._check_permissions()
+        if self.wall_lag:
+            self.wall_lag = 0.0
+            self.membership.forget_grants()
+        inbox, self.inbox = self.inbox, []
+        for envelope in inbox:
+            self._handle(envelope)
+        self._read_vm_list()
+        self._use_store()
+        self._finish_requests()
+        self._send_heartbeats()
+        self._check_permissions()
+
+    def _check_permissions(self):
+        now, clock = self.world.now, self.clock
+        member = self.membership
+        step = min(TICK_S, (member.lease_until(clock) - clock) / self.clock_rate)
+        for target, gained in self.held.gained.items():
+            if not member.may_serve(gained, clock):
+                continue
+            end = now + max(step, 0) + MAX_SHARD_TIME_S - self.wall_lag
+            if end > now:
+                self.world.oracle.permit(target, self.process, now, end)
+                over = now + max(step, 0) + self.request_time
+                self.in_flight[target, gained] = over
+                self.world.served[target] = (self.process, now)
+
+    def _finish_requests(self):
+        now = self.world.now
+        for (target, gained), over in list(self.in_flight.items()):
+            if over > now or self.held.gained.get(target) == gained:
+                continue
+            del self.in_flight[target, gained]
+            if all(target != other for other, _ in self.in_flight):
+                self.world.oracle.finish(target, self.process, now)
+        if self.held.is_clear(self.in_flight):
+            self.membership.note_released(self.membership.epoch, self.clock)
+
+    def _send_heartbeats(self):
+        if self.world.now < self.next_heartbeat:
+            return
+        self.next_heartbeat = self.world.now + HEARTBEAT_PERIOD_S
+        self.membership.set_settings(self.settings.digest())
+        for vm_id, heartbeat in self.membership.build_heartbeats(self.clock):
+            self.link.send(vm_id, Heartbeat.KIND, heartbeat.to_body())
+        newer = self.membership.needs_view()
+        if newer is not None:
+            self.link.send(newer, "view_pull", None)
+        for vm_id in self.membership.list_unknown_settings():
+            self.link.send(vm_id, "settings_pull", self.settings.version_vector())
+
+    # Messages.
+
+    def _receive(self, envelope):
+        if self.has_left:
+            return
+        if self.is_paused:
+            self.inbox.append(envelope)
+        else:
+            self._handle(envelope)
+
+    def _handle(self, envelope):
+        handle = getattr(self, f"_on_{envelope.kind}")
+        handle(envelope.sender, envelope.body)
+
+    def _on_heartbeat(self, sender, body):
+        heartbeat = Heartbeat.from_body(body)
+        self.membership.handle_heartbeat(sender, heartbeat, self.clock)
+
+    def _on_view_pull(self, sender, body):
+        if self.membership.view is not None:
+            self.link.send(sender, "view", self.membership.view.to_body())
+
+    def _on_view(self, sender, body):
+        self._adopt(View.from_body(body))
+
+    def _on_settings_pull(self, sender, body):
+        newer = self.settings.list_newer_than(body)
+        values = {name: value.to_body() for name, value in newer.items()}
+        answer = [self.settings.version_vector(), values]
+        self.link.send(sender, "settings", answer)
+
+    def _on_settings(self, sender, body):
+        vector, values = body
+        for name, value in values.items():
+            self._apply(name, SubtreeValue.from_body(value))
+        has_newer = self.settings.is_missing_from(vector)
+        self.membership.note_settings(digest_vector(vector), has_newer)
+
+    def _on_settings_ack(self, sender, body):
+        self.settings.acknowledge(sender, body)
+
+    def _apply(self, name, value):
+        if self.settings.apply(name, value):
+            self.membership.set_settings(self.settings.digest())
+            vector = self.settings.version_vector()
+            self.settings.acknowledge(self.vm_id, vector)
+            for vm_id in self.membership.view.members if self.membership.view else ():
+                if vm_id != self.vm_id:
+                    self.link.send(vm_id, "settings_ack", vector)
+
+    # Store and VM list.
+
+    def _read_vm_list(self):
+        if self.world.now >= self.next_vm_list and not self._is_cut_off():
+            self.next_vm_list = self.world.now + VM_LIST_PERIOD_S
+            self.membership.set_gone(self.world.list_gone(), self.clock)
+
+    def _is_cut_off(self):
+        return self.vm_id in self.world.cut_off
+
+    def _use_store(self):
+        if self._is_cut_off():
+            return
+        try:
+            self._write_pending()
+            if self.world.now >= self.next_store:
+                self.next_store = self.world.now + STORE_PERIOD_S
+                self._read_settings()
+                self._follow_proposal()
+                self._read_view()
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            pass
+
+    def _read_settings(self):
+        epoch = self.membership.epoch
+        entry = self.world.store.get(SETTINGS_KEY)
+        value = entry and SubtreeValue.from_value(entry.value)
+        older = self.settings.check_store(SUBTREE, value)
+        if value is not None:
+            self._apply(SUBTREE, value)
+        self.membership.note_settings_read(epoch)
+        if older is not None and self.membership.is_first(self.clock):
+            expect = entry.revision if entry else 0
+            self.world.store.put(SETTINGS_KEY, older.to_value(), expect)
+
+    def _follow_proposal(self):
+        if self.proposal is None:
+            return
+        entry = self.world.store.get(VIEW_KEY)
+        if entry is None:
+            return
+        view = View.from_value(entry.value)
+        sets = [set(view.members), *(set(one) for one in view.previous)]
+        if self.settings.is_accepted(SUBTREE, self.proposal, sets):
+            self.world.settings_oracle.accept(self.proposal, self.world.now)
+            self.proposal = None
+
+    def propose(self):
+        """Write a change as an operator's call to this VM does."""
+        if self._is_cut_off() or self.is_paused or self.has_left:
+            return
+        try:
+            entry = self.world.store.get(SETTINGS_KEY)
+            value = entry and SubtreeValue.from_value(entry.value)
+            stored = value.version if value else 0
+            if stored < self.settings.version_of(SUBTREE):
+                return
+            new = SubtreeValue(stored + 1, f"[a]\nb = {self.world.now}\n")
+            expect = entry.revision if entry else 0
+            if self.world.store.put(SETTINGS_KEY, new.to_value(), expect):
+                self.proposal = new.version
+                self._apply(SUBTREE, new)
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            pass
+
+    def _read_view(self):
+        entry = self.world.store.get(VIEW_KEY)
+        stored = None if entry is None else View.from_value(entry.value)
+        if stored is not None:
+            self._adopt(stored)
+            if stored.epoch != self.membership.epoch:
+                return
+        plan = self._plan(stored)
+        if plan is not None:
+            self.pending_write = (plan, entry.revision if entry else 0)
+
+    def _write_pending(self):
+        if self.pending_write is None:
+            return
+        plan, expect = self.pending_write
+        self.pending_write = None
+        if self.world.store.put(VIEW_KEY, plan.to_value(), expect):
+            self._adopt(plan)
+            self.has_left = self.is_draining and self.vm_id not in plan.members
+
+    def _plan(self, stored):
+        member, now = self.membership, self.clock
+        if not member.is_member:
+            if self.is_draining:
+                self.has_left = True
+                return None
+            state = MemberState.LEAVING if self.is_out else MemberState.ACTIVE
+            return member.plan_join(stored, now, state)
+        if self.is_draining or self.is_out:
+            plan = member.plan_mark_leaving(now)
+            if plan is not None:
+                return plan
+            return member.plan_leave(now) if self.is_draining else None
+        return (
+            member.plan_mark_active(now)
+            or member.plan_expulsion(now)
+            or member.plan_removal_of_gone(now)
+            or member.plan_compaction(now)
+        )
+
+    def _adopt(self, view):
+        if not self.membership.adopt_view(view, self.clock):
+            return
+        holders = assign_holders(view.groups, view.list_active())
+        self.held.update(holders, view.epoch, self.membership.is_continuous)
+
+
+class World:
+    """Several VMs, their network, the store and the VM list.
+
+    Parameters
+    ----------
+    seed : int
+    membership_class, settings_class : type
+        Subclasses with a mechanism switched off.
+    """
+
+    def __init__(self, seed, membership_class=Membership, settings_class=Configuration):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.membership_class = membership_class
+        self.settings_class = settings_class
+        self.network = MemoryNetwork(self.random)
+        self.store = FakeStore()
+        self.oracle = SendOracle()
+        self.settings_oracle = SettingsOracle()
+        self.vms = {}
+        self.dead_since = {}
+        self.cut_off = set()
+        self.is_delayed = False
+        self.served = {}
+        self._incarnations = itertools.count(1)
+
+    def begin(self, vm_ids):
+        """Start VMs as the members of the first view."""
+        for vm_id in vm_ids:
+            self.start(vm_id)
+        members = {k: self._make_member(vm) for k, vm in self.vms.items()}
+        view = View(1, members, groups=GROUPS)
+        self.store.put(VIEW_KEY, view.to_value(), 0)
+
+    def _make_member(self, vm):
+        return Member(vm.membership.incarnation, f"{vm.vm_id}:1", "north")
+
+    def start(self, vm_id):
+        """Start a process, after the one that the VM had has ended."""
+        incarnation = f"p{next(self._incarnations)}"
+        self.dead_since.pop(vm_id, None)
+        membership = self.membership_class(vm_id, incarnation, f"{vm_id}:1", "north")
+        settings = self.settings_class()
+        self.vms[vm_id] = Vm(self, vm_id, incarnation, membership, settings)
+
+    def kill(self, vm_id):
+        if self.vms.pop(vm_id, None) is not None:
+            self.network.disconnect(vm_id)
+            self.dead_since[vm_id] = self.now
+
+    def restart(self, vm_id):
+        self.kill(vm_id)
+        self.start(vm_id)
+
+    def cut(self, vm_id):
+        """Cut a VM off from all others and from the platform."""
+        self.cut_off.add(vm_id)
+        for other in [*self.vms, *self.dead_since]:
+            if other != vm_id:
+                self.network.cut(vm_id, other)
+
+    def heal(self):
+        """End every fault except that dead processes stay dead."""
+        self.network.heal()
+        self.cut_off.clear()
+        self.network.duplicates = self.network.reorders = False
+        self.is_delayed = False
+        self.store.is_down = False
+        self.store.lost_answers = 0
+        for vm in self.vms.values():
+            vm.resume()
+
+    def list_gone(self):
+        lag = VM_LIST_LAG_S
+        return [k for k, since in self.dead_since.items() if self.now - since > lag]
+
+    def run(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            vms = list(self.vms.values())
+            self.random.shuffle(vms)
+            for vm in vms:
+                vm.step()
+            if not self.is_delayed or self.random.random() < 0.1:
+                self.network.deliver()
+            self._observe_settings()
+
+    def _observe_settings(self):
+        for vm in self.vms.values():
+            if vm.is_paused or vm.has_left or vm.wall_lag:
+                continue
+            version = vm.settings.version_of(SUBTREE)
+            may_work = vm.membership.has_lease(vm.clock)
+            self.settings_oracle.observe(vm.process, version, may_work, self.now)
+
+    def list_unserved(self):
+        """Return the targets that nobody was permitted to send to lately."""
+        recent = self.now - 0.5
+        return [
+            t for t in TARGETS if t not in self.served or self.served[t][1] < recent
+        ]
+
+
+# The matrix: every fault at every step.
+
+VICTIM_FAULTS = {
+    "kill": lambda world, vm_id: world.kill(vm_id),
+    "pause": lambda world, vm_id: world.vms[vm_id].pause(),
+    "suspend": lambda world, vm_id: world.vms[vm_id].pause(is_suspended=True),
+    "partition": lambda world, vm_id: world.cut(vm_id),
+    "restart": lambda world, vm_id: world.restart(vm_id),
+}
+
+
+def _garble(world):
+    world.network.duplicates = world.network.reorders = True
+
+
+def _delay(world):
+    _garble(world)
+    world.is_delayed = True
+
+
+def _lose_answers(world):
+    world.store.lost_answers = 3
+
+
+def _stop_store(world):
+    world.store.is_down = True
+
+
+WORLD_FAULTS = {
+    "duplicate and reorder": _garble,
+    "delay": _delay,
+    "store outage": _stop_store,
+    "lost answer": _lose_answers,
+}
+
+
+def _expel(world, vm_id):
+    world.cut(vm_id)
+
+
+def _drain(world, vm_id):
+    world.vms[vm_id].is_draining = True
+
+
+def _take_out(world, vm_id):
+    world.vms[vm_id].is_out = True
+
+
+def _bring_back(world, vm_id):
+    if vm_id in world.vms:
+        world.vms[vm_id].is_out = False
+
+
+class Step:
+    """A move of targets.
+
+    Parameters
+    ----------
+    name : str
+    first, second : callable of (World, str)
+        The move, and the move that comes after it when it comes twice.
+    """
+
+    def __init__(self, name, first, second):
+        self.name = name
+        self.first = first
+        self.second = second
+
+
+STEPS = [
+    Step("join", lambda w, v: w.start("e"), lambda w, v: w.start("f")),
+    Step("leave", _drain, lambda w, v: w.start("e")),
+    Step("expel", _expel, lambda w, v: _drain(w, "b")),
+    Step("hand-over", _take_out, _bring_back),
+]
+MOVER = "c"
+VICTIMS = ["a", MOVER, "e"]
+DELAYS_S = [0.0, 0.5, 1.5]
+"""From the step to the fault: before the view is written, while it spreads, and
+while the new holders wait."""
+
+FAULT_LENGTHS_S = [1.2, 4.0]
+"""Shorter than a lease with the requests under it, and longer than the wait-out."""
+
+SECOND_MOVE_S = 0.7
+
+RECOVERY_STEPS = 10
+"""Seconds in which all targets must be in service again after the last fault."""
+
+
+def list_scenarios():
+    """Return all combinations of the lists above."""
+    victims = itertools.product(VICTIM_FAULTS, VICTIMS)
+    faults = [*victims, *((name, None) for name in WORLD_FAULTS)]
+    return list(
+        itertools.product(STEPS, faults, (False, True), DELAYS_S, FAULT_LENGTHS_S)
+    )
+
+
+def list_short_matrix():
+    """Return the numbered scenarios with two of the six delays and lengths each."""
+    times = len(DELAYS_S) * len(FAULT_LENGTHS_S)
+    return [
+        (number, scenario)
+        for number, scenario in enumerate(list_scenarios())
+        if number % times % 3 == number // times % 3
+    ]
+
+
+def apply_fault(world, fault, victim):
+    if victim is None:
+        WORLD_FAULTS[fault](world)
+    elif victim in world.vms:
+        VICTIM_FAULTS[fault](world, victim)
+
+
+def play(scenario, seed, **classes):
+    """Run one scenario and return its `World`."""
+    step, (fault, victim), is_twice, delay, length = scenario
+    world = World(seed, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    step.first(world, MOVER)
+    events = [(delay, lambda: apply_fault(world, fault, victim))]
+    if is_twice:
+        events.append((SECOND_MOVE_S, lambda: step.second(world, MOVER)))
+    elapsed = 0.0
+    for when, act in sorted(events, key=lambda event: event[0]):
+        world.run(when - elapsed)
+        elapsed = when
+        act()
+    world.run(length)
+    world.heal()
+    return world
+
+
+class SimulationTestCase(testtools.TestCase):
+    """Keeps the expected warnings of regressed stores out of the output."""
+
+    def setUp(self):
+        super().setUp()
+        configuration.logger.setLevel(logging.ERROR)
+        self.addCleanup(configuration.logger.setLevel, logging.NOTSET)
+
+
+class FaultMatrixTests(SimulationTestCase):
+    """Every fault at every step, the move coming once or twice."""
+
+    def test_never_two_senders_and_service_returns(self):
+        """Guards against two senders to one target, and against a lasting stop.
+
+        Each combination of step, fault and repetition is played with two of the
+        six delays and lengths; ``python -m tests.test_handover_faults 0 1`` plays
+        all.
+        """
+        for number, scenario in list_short_matrix():
+            violations, unserved = try_scenario(scenario, number)
+            self.assertEqual([], violations, scenario)
+            self.assertEqual([], unserved, scenario)
+
+
+def try_scenario(scenario, seed, **classes):
+    """Play a scenario, heal all faults, and return what both oracles found.
+
+    Returns
+    -------
+    (list of str, list of str)
+        Violations, and targets that are still without a sender.
+    """
+    world = play(scenario, seed, **classes)
+    violations = world.oracle.violations + world.settings_oracle.violations
+    for _ in range(RECOVERY_STEPS):
+        world.run(1.0)
+        if not world.list_unserved():
+            break
+    violations += world.oracle.violations + world.settings_oracle.violations
+    return sorted(set(violations)), world.list_unserved()
+
+
+def main():
+    """Play all scenarios with several seeds and print what was found."""
+    configuration.logger.setLevel(logging.ERROR)
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    scenarios = list_scenarios()
+    found = 0
+    for seed, number in itertools.product(range(first, last), range(len(scenarios))):
+        result = try_scenario(scenarios[number], seed * len(scenarios) + number)
+        if any(result):
+            found += 1
+            print(seed, number, *scenarios[number][1:], *result)
+    print(f"{found} of {(last - first) * len(scenarios)} runs failed")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -116,3 +116,13 @@
         held.update({"a": "me"}, 1, is_continuous=False)
         held.update({"a": "me"}, 3, is_continuous=False)
         self.assertEqual({"a": 3}, held.gained)
+
+    def test_requests_of_an_earlier_tenure_block_the_release(self):
+        """Guards against two senders when a target moves away and back at once."""
+        held = HeldTargets("me")
+        held.update({"a": "me"}, 1, is_continuous=False)
+        held.update({"a": "you"}, 2, is_continuous=True)
+        held.update({"a": "me"}, 3, is_continuous=True)
+        self.assertFalse(held.is_clear([("a", 1)]))
+        self.assertTrue(held.is_clear([("a", 3)]))
+        self.assertTrue(held.is_clear([]))
