Add the fault matrix and the state machine of the holder

Ruled out: an oracle that reads the holder's state; it lives in the target stand-in and in the record of answers. After: 19 faults x 5 steps x 2 operations, a random machine, and 11 mechanisms each switched off once; the oracle sees each missing.

--- /dev/null
+++ b/tests/test_holder_faults.py
@@ -0,0 +1,779 @@
+"""Fault matrix of the holder: every fault at every step, judged by an oracle.
+
+The oracle is written from section 1.2 of the design page. It lives in the target
+stand-in, which counts its own work, and in the record of answers; it reads no state
+of the holder.
+"""
+
+import heapq
+import itertools
+import random
+from unittest import mock
+
+import testtools
+
+from tarragonchute import health, holders, limits
+from tarragonchute.errors import NoLeaseError, NotHolderError
+from tarragonchute.holders import Abort, Answer, Dispatch, HolderCore, Probe
+from tarragonchute.messages import (
+    BOOKING,
+    SEARCH,
+    ShardCancel,
+    ShardGroup,
+    ShardItem,
+)
+from tarragonchute.settings import TargetSettings
+from tarragonchute.targets import TargetAnswer
+
+# Written again from the design page, so that a wrong constant in the code shows.
+LEASE_S = 1.5
+LONGEST_SHARD_TIME_S = 1.0
+SKEW_S = 0.25
+LEAVING_NOTICE_S = 3.0
+
+CLOCK_OFFSET_S = 0.24  # the targets' clocks are nearly as late as is allowed
+SERVICE_S = 0.02
+NETWORK_S = 0.0005
+COLD_ANSWERS = 6  # requests after which a cold target has warmed up
+TICK_S = 0.01
+LOAD_PERIOD_S = 0.015
+LOAD_REMAINING_MS = 300
+SUBJECT_REMAINING_MS = {SEARCH: 300, BOOKING: 8000}
+SETTLE_S = 12.0
+DOMAIN = "d1"
+
+
+class FakeTarget:
+    """A target that counts its own work.
+
+    Work whose connection was lost goes on until the deadline on the target's clock.
+    """
+
+    def __init__(self, sim, target_id, slots=2):
+        self.sim = sim
+        self.target_id = target_id
+        self.slots = slots
+        self.boot = 1
+        self.is_cold = True
+        self.served = 0
+        self.informed = {"A", "B"}
+        self.draining_since = None
+        self.refuses_until = 0.0
+        self.faults = []
+        self.active = set()
+
+    def settings(self):
+        return TargetSettings(self.target_id, "x:1", DOMAIN, self.slots, 25)
+
+    def turn_cold(self):
+        self.is_cold = True
+        self.served = 0
+        # A holder cannot know before an answer or a failure tells it.
+        self.informed = set()
+
+    def restart(self):
+        self.boot += 1
+        self.turn_cold()
+        for exchange in list(self.active):
+            self.active.discard(exchange)
+            exchange.end("connection_lost")
+
+    def receive(self, exchange):
+        """Return a refusal code, or None after taking the work."""
+        sim, dispatch = self.sim, exchange.dispatch
+        if sim.now < self.refuses_until:
+            return "connect_failed"
+        if sim.now - CLOCK_OFFSET_S >= dispatch.deadline:
+            return "deadline_passed"
+        if self.draining_since is not None:
+            if sim.now > self.draining_since + LEAVING_NOTICE_S:
+                sim.report("leaving", "new work 3 s after the target began to leave")
+            return "draining"
+        if exchange.fault in ("shedding", "version_missing"):
+            return exchange.fault
+        self._run(exchange)
+        return None
+
+    def _run(self, exchange):
+        sim = self.sim
+        self.active.add(exchange)
+        sim.note_run(exchange.dispatch)
+        count = len(self.active)
+        if count > self.slots:
+            sim.report("slots", f"{count} requests in {self.slots} slots")
+        if self.is_cold and count > 1 and exchange.core.name in self.informed:
+            sim.report("cold", f"{count} requests at a target known to be cold")
+
+    def leave_work(self, exchange):
+        """Go on with work whose connection is gone, until its deadline."""
+        end = exchange.dispatch.deadline + CLOCK_OFFSET_S
+        self.sim.at(end, self.active.discard, exchange)
+
+    def finish(self, exchange):
+        """End the work and return whether it was still known here."""
+        if exchange not in self.active:
+            return False
+        self.active.discard(exchange)
+        self.served += 1
+        if self.served >= COLD_ANSWERS:
+            self.is_cold = False
+        return True
+
+    def build_answer(self, code, result=None):
+        state = "cold" if self.is_cold else "warm"
+        if self.draining_since is not None:
+            state = "draining"
+        return TargetAnswer(code, result, state, f"boot{self.boot}", ["v0"])
+
+    def read_status(self):
+        """Return a misleading status: a cold target calls itself warm."""
+        if self.sim.now < self.refuses_until:
+            return None
+        return "draining" if self.draining_since is not None else "warm"
+
+
+class Exchange:
+    """One dispatch on its way to a target and back."""
+
+    def __init__(self, sim, core, dispatch):
+        self.sim = sim
+        self.core = core
+        self.dispatch = dispatch
+        self.target = sim.targets[dispatch.target_id]
+        self.fault = None
+        self.is_ended = False
+        sim.on_core(core, sim.now, self.send)
+
+    def send(self):
+        sim = self.sim
+        if self.is_ended:
+            return
+        if self.target.faults:
+            self.fault = self.target.faults.pop(0)
+        code = self.target.receive(self)
+        if code is not None:
+            self.end(code)
+            return
+        sim.at(sim.now + SERVICE_S, self.finish)
+        sim.at(max(sim.now, self.dispatch.deadline), self.time_out)
+        sim.note_step("in flight", self.dispatch)
+
+    def finish(self):
+        fault = self.fault
+        if fault in ("late", "connection_lost", "wrong_answer"):
+            self.target.leave_work(self)
+            if fault == "late":
+                self.sim.at(self.dispatch.deadline + 0.01, self._complete, "ok")
+            else:
+                self.end(fault)
+        elif self.target.finish(self):
+            self.end("ok")
+            if fault == "doubled":
+                self._complete("ok")
+
+    def time_out(self):
+        if not self.is_ended:
+            self.target.leave_work(self)
+            self.end("timed_out")
+
+    def cancel(self):
+        """Cancel at the target; without an acknowledgement the work goes on."""
+        if self.is_ended:
+            return
+        if self.fault == "cancel_lost":
+            self.target.leave_work(self)
+            self.is_ended = True
+            self.sim.at(self.dispatch.deadline, self._complete, "timed_out")
+        else:
+            self.target.active.discard(self)
+            self.end("cancelled")
+
+    def end(self, code):
+        if not self.is_ended:
+            self.is_ended = True
+            self._complete(code)
+
+    def _complete(self, code):
+        sim, target = self.sim, self.target
+        result = self.dispatch.attempt if code == "ok" else None
+        answer = target.build_answer(code, result)
+        if code in ("connection_lost", "timed_out", "connect_failed", "cancelled"):
+            answer = TargetAnswer(code)
+        tells_cold = answer.state == "cold" or code == "connection_lost"
+        sim.on_core(
+            self.core,
+            sim.now + NETWORK_S,
+            self._deliver,
+            answer,
+            target.boot if tells_cold and target.is_cold else None,
+        )
+
+    def _deliver(self, answer, cold_boot):
+        sim = self.sim
+        actions = self.core.complete(self.dispatch, answer, sim.now)
+        # Informed before the actions, which may already send the next request.
+        if cold_boot == self.target.boot:
+            self.target.informed.add(self.core.name)
+        sim.perform(self.core, actions)
+
+
+class FakePermission:
+    """Lease and placement as the simulation has them."""
+
+    def __init__(self, sim, name):
+        self.sim = sim
+        self.name = name
+
+    def check_target(self, target_id, now):
+        if now >= self.sim.lease_until[self.name]:
+            raise NoLeaseError
+        if self.sim.holder != self.name:
+            raise NotHolderError
+
+
+class Simulation:
+    """Two holders and their targets in virtual time, with the oracle's records."""
+
+    def __init__(self, target_ids=("t1",), seed=1):
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.violations = []
+        self.targets = {name: FakeTarget(self, name) for name in target_ids}
+        self.lease_until = {"A": float("inf"), "B": float("inf")}
+        self.holder = "A"
+        self.route = "A"
+        self.epoch = 1
+        self.told_out = set()
+        self.paused_until = {"A": 0.0, "B": 0.0}
+        self.submitted = {}
+        self.answers = {}
+        self.runs = {}
+        self.key_runs = {}
+        self.steps = {}
+        self.exchanges = {}
+        self.has_load = False
+        self._events = []
+        self._sequence = itertools.count()
+        self._numbers = itertools.count(1)
+        self.cores = {name: self._build_core(name) for name in "AB"}
+        self._set_targets("A", self._list_settings())
+        self.at(self.now, self._tick)
+
+    def _build_core(self, name):
+        core = HolderCore(FakePermission(self, name), self.random)
+        core.name = name
+        return core
+
+    def _list_settings(self):
+        return [target.settings() for target in self.targets.values()]
+
+    # Time.
+
+    def at(self, time, call, *arguments):
+        heapq.heappush(self._events, (time, next(self._sequence), call, arguments))
+
+    def on_core(self, core, time, call, *arguments):
+        """Call at a time, or when a paused holder goes on."""
+        self.at(time, self._call_on_core, core, call, arguments)
+
+    def _call_on_core(self, core, call, arguments):
+        until = self.paused_until[core.name]
+        if self.now < until:
+            self.at(until, self._call_on_core, core, call, arguments)
+        else:
+            call(*arguments)
+
+    def run_until(self, time):
+        while self._events and self._events[0][0] <= time:
+            due, _, call, arguments = heapq.heappop(self._events)
+            self.now = max(self.now, due)
+            call(*arguments)
+        self.now = time
+
+    def _tick(self):
+        for core in self.cores.values():
+            if self.now >= self.paused_until[core.name]:
+                self.perform(core, core.advance(self.now))
+        self.at(self.now + TICK_S, self._tick)
+
+    # Requests.
+
+    def submit(self, attempts, operation=SEARCH, team="a", remaining_ms=300, to=None):
+        """Send a group to the present holder and return its arguments."""
+        number = next(self._numbers)
+        target_ids = list(self.targets)
+        items = [
+            ShardItem(n, f"s{n}", target_ids[n % len(target_ids)]) for n in attempts
+        ]
+        key = f"key{number}" if operation == BOOKING else None
+        group = ShardGroup(
+            f"r{number}", team, "ds", "v1", {}, remaining_ms, items, operation, key
+        )
+        name = to or self.holder or self.route
+        for item in items:
+            self.submitted[number, item.attempt] = name
+        self.deliver(name, number, group)
+        return name, number, group
+
+    def deliver(self, name, number, group):
+        core = self.cores[name]
+        self.on_core(core, self.now, self._submit, core, number, group)
+
+    def _submit(self, core, number, group):
+        self.perform(core, core.submit("e1", number, group, self.now))
+
+    def cancel(self, name, number, group):
+        core = self.cores[name]
+        cancel = ShardCancel(group.request_id, [i.attempt for i in group.items])
+        self.on_core(core, self.now, self._cancel, core, number, cancel)
+
+    def _cancel(self, core, number, cancel):
+        self.perform(core, core.cancel("e1", number, cancel, self.now))
+
+    def perform(self, core, actions):
+        for action in actions:
+            if type(action) is Dispatch:
+                self._dispatch(core, action)
+            elif type(action) is Answer:
+                self._note_answer(action)
+            elif type(action) is Abort:
+                self.exchanges[action.dispatch].cancel()
+            elif type(action) is Probe:
+                self.on_core(core, self.now + NETWORK_S, self._probe, core, action)
+
+    def _probe(self, core, probe):
+        state = self.targets[probe.target_id].read_status()
+        self.perform(core, core.handle_status(probe.target_id, state, self.now))
+
+    def _dispatch(self, core, dispatch):
+        if self.holder != core.name or self.now >= self.lease_until[core.name]:
+            self.report("permission", "sent without permission")
+        if core.name in self.told_out:
+            self.report("domain", "sent to a failure domain that is out")
+        self.note_step("between check and dispatch", dispatch)
+        self.exchanges[dispatch] = Exchange(self, core, dispatch)
+
+    # Load.
+
+    def start_load(self):
+        self.has_load = True
+        self._load()
+
+    def _load(self):
+        if self.has_load:
+            operation = self.random.choice((SEARCH, BOOKING))
+            attempts = (1,) if operation == BOOKING else (1, 2)
+            self.submit(attempts, operation, remaining_ms=LOAD_REMAINING_MS)
+            self.at(self.now + LOAD_PERIOD_S, self._load)
+
+    # Faults of the fleet.
+
+    def pause(self, name, seconds):
+        """Stop a holder; its lease ends as the others no longer hear it."""
+        self.paused_until[name] = max(self.paused_until[name], self.now + seconds)
+        if seconds > LEASE_S:
+            self.lapse(name, self.now + LEASE_S)
+
+    def lapse(self, name, time):
+        """End a lease; the other holder takes over after the wait-out."""
+        self.lease_until[name] = min(time, self.lease_until[name])
+        wait_out = time + LONGEST_SHARD_TIME_S + SKEW_S
+        if self.holder == name:
+            self.at(wait_out, self._take_over, name, self.epoch)
+
+    def _take_over(self, name, epoch):
+        if self.epoch == epoch:
+            self._give(self._other(name))
+            core = self.cores[name]
+            self.on_core(core, self.now, self._set_targets, name, [])
+
+    def move(self):
+        """Move all targets to the other holder, which waits for the release."""
+        name, self.holder = self.holder, None
+        self.epoch += 1
+        core = self.cores[name]
+        self.on_core(core, self.now, self._set_targets, name, [])
+        self._await_release(name)
+
+    def _await_release(self, name):
+        if self.holder is not None:
+            return
+        if self.cores[name].released_epoch >= self.epoch:
+            self._give(self._other(name))
+        else:
+            self.at(self.now + TICK_S, self._await_release, name)
+
+    def _give(self, name):
+        self.epoch += self.holder is not None
+        self.holder = self.route = name
+        self.lease_until[name] = float("inf")
+        for target in self.targets.values():
+            target.informed.add(name)
+        core = self.cores[name]
+        settings = self._list_settings()
+        self.on_core(core, self.now, self._set_targets, name, settings)
+
+    def _set_targets(self, name, settings):
+        core = self.cores[name]
+        self.perform(core, core.set_targets(settings, self.epoch, self.now))
+
+    def _other(self, name):
+        return "B" if name == "A" else "A"
+
+    def take_domain_out(self, seconds):
+        for core in self.cores.values():
+            self.on_core(core, self.now, self._tell_out, core)
+            self.on_core(core, self.now + seconds, self._tell_in, core)
+
+    def _tell_out(self, core):
+        self.told_out.add(core.name)
+        self.perform(core, core.set_domain_out(DOMAIN, self.now))
+
+    def _tell_in(self, core):
+        self.told_out.discard(core.name)
+        self.perform(core, core.set_domain_in(DOMAIN, self.now))
+        for target in self.targets.values():
+            target.informed.add(core.name)
+
+    # Oracle.
+
+    def report(self, kind, text):
+        self.violations.append((kind, f"{self.now - 100:.3f} s: {text}"))
+
+    def note_run(self, dispatch):
+        attempt = dispatch.origin.number, dispatch.attempt
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        if self.runs[attempt] > 1:
+            self.report("twice", f"attempt {attempt} ran twice")
+        key = dispatch.group.idempotency_key
+        if key is not None:
+            self.key_runs[key] = self.key_runs.get(key, 0) + 1
+            if self.key_runs[key] > 1:
+                self.report("twice", f"{key} ran twice")
+
+    def note_step(self, step, dispatch):
+        hook = self.steps.pop((step, dispatch.origin.number), None)
+        if hook is not None:
+            hook()
+
+    def _note_answer(self, action):
+        number, answer = action.origin.number, action.answer
+        self.answers.setdefault((number, answer.attempt), []).append(answer)
+        hook = self.steps.pop(("after answer", number), None)
+        if hook is not None:
+            # Not at once: the holder's decisions of this instant come first.
+            self.at(self.now, hook)
+
+    def settle(self):
+        """Let all work end, then check what can only be known at the end."""
+        self.has_load = False
+        self.run_until(self.now + SETTLE_S)
+        for target in self.targets.values():
+            target.faults = []
+        self._check_service()
+        for attempt in self.submitted:
+            self._check_attempt(attempt)
+        if any(core.breaches for core in self.cores.values()):
+            self.report("breach", "a holder found an impossible state")
+        return self.violations
+
+    def _check_service(self):
+        """Each target must serve again after the faults."""
+        number = self.submit(range(len(self.targets)))[1]
+        self.run_until(self.now + 1.0)
+        for attempt in range(len(self.targets)):
+            codes = [answer.code for answer in self.answers.get((number, attempt), [])]
+            if codes != ["ok"]:
+                self.report("service", f"no service after the faults: {codes}")
+
+    def _check_attempt(self, attempt):
+        answers = self.answers.get(attempt, [])
+        if len(answers) != 1:
+            codes = [answer.code for answer in answers]
+            self.report("answers", f"attempt {attempt} got answers {codes}")
+        runs = self.runs.get(attempt, 0)
+        for answer in answers:
+            if answer.outcome == "not_run" and runs:
+                self.report("not_run", f"{attempt} ran, told not run: {answer.code}")
+            if answer.outcome == "done" and not runs:
+                self.report("done", f"{attempt} did not run")
+            if answer.outcome == "done" and answer.result != attempt[1]:
+                self.report("done", f"{attempt} got the answer of another")
+
+
+class Subject:
+    """The group at which a fault is aimed."""
+
+    def __init__(self, sim, operation):
+        self.sim = sim
+        self.operation = operation
+        self.sent = None
+
+    def submit(self):
+        self.sent = self.sim.submit(
+            (1,), self.operation, "b", SUBJECT_REMAINING_MS[self.operation]
+        )
+        return self.sent
+
+    def repeat(self):
+        if self.sent is not None:
+            self.sim.deliver(*self.sent)
+            self.sim.deliver(*self.sent)
+
+    def cancel(self):
+        sim = self.sim
+        if self.sent is not None:
+            sim.cancel(*self.sent)
+
+
+def _set_exchange_fault(kind):
+    def apply(sim, subject):
+        for target in sim.targets.values():
+            for exchange in target.active:
+                exchange.fault = kind
+            target.faults = [kind] * 4
+
+    return apply
+
+
+def _drain(sim, subject):
+    for target in sim.targets.values():
+        target.draining_since = sim.now
+    sim.at(sim.now + 3.6, _end_drain, sim)
+
+
+def _end_drain(sim):
+    for target in sim.targets.values():
+        target.draining_since = None
+        target.restart()
+
+
+def _refuse_connections(sim, subject):
+    for target in sim.targets.values():
+        target.refuses_until = sim.now + 0.5
+
+
+def _restart(sim, subject):
+    for target in sim.targets.values():
+        target.restart()
+
+
+def _turn_cold(sim, subject):
+    for target in sim.targets.values():
+        target.turn_cold()
+
+
+def _cancel_without_acknowledgement(sim, subject):
+    _set_exchange_fault("cancel_lost")(sim, subject)
+    subject.cancel()
+
+
+def _remove_and_regain(sim, subject):
+    sim.move()
+    sim.at(sim.now + 0.015, _move_back, sim)
+
+
+def _move_back(sim):
+    if sim.holder is not None:
+        sim.move()
+
+
+FAULTS = {
+    "answer late": _set_exchange_fault("late"),
+    "answer lost": _set_exchange_fault("connection_lost"),
+    "answer doubled": _set_exchange_fault("doubled"),
+    "answer with a wrong id": _set_exchange_fault("wrong_answer"),
+    "shed": _set_exchange_fault("shedding"),
+    "draining": _drain,
+    "version missing": _set_exchange_fault("version_missing"),
+    "connection refused": _refuse_connections,
+    "restart to cold": _restart,
+    "cold without a restart": _turn_cold,
+    "short pause": lambda sim, subject: sim.pause(sim.holder or "A", 0.7),
+    "long pause": lambda sim, subject: sim.pause(sim.holder or "A", 4.0),
+    "group delivered twice": lambda sim, subject: subject.repeat(),
+    "cancel": lambda sim, subject: subject.cancel(),
+    "cancel not acknowledged": _cancel_without_acknowledgement,
+    "target removed": lambda sim, subject: sim.holder and sim.move(),
+    "target removed and regained": lambda sim, subject: (
+        sim.holder and _remove_and_regain(sim, subject)
+    ),
+    "domain out": lambda sim, subject: sim.take_domain_out(1.0),
+    "lease lapsed": lambda sim, subject: sim.lapse(sim.holder or "A", sim.now),
+}
+STEPS = (
+    "before submit",
+    "queued",
+    "between check and dispatch",
+    "in flight",
+    "after answer",
+)
+
+
+def run_scenario(fault, step, operation):
+    """Apply a fault at a step of one request under load; return the violations."""
+    sim = Simulation()
+    sim.start_load()
+    sim.run_until(sim.now + 0.8)
+    subject = Subject(sim, operation)
+    reached = []
+
+    def apply():
+        reached.append(sim.now)
+        FAULTS[fault](sim, subject)
+
+    if step == "before submit":
+        if fault in ("group delivered twice", "cancel", "cancel not acknowledged"):
+            # The copy or the cancel overtakes the group itself.
+            subject.sent = ("A", 10**6, _build_late_group(operation))
+            sim.submitted[10**6, 1] = "A"
+        apply()
+        if subject.sent is None:
+            subject.submit()
+        else:
+            sim.deliver(*subject.sent)
+    elif step == "queued":
+        number = subject.submit()[1]
+        sim.run_until(sim.now)
+        if sim.cores["A"].count_queued() and (number, 1) not in sim.runs:
+            apply()
+    else:
+        number = next(sim._numbers)
+        sim._numbers = itertools.count(number)
+        sim.steps[step, number] = apply
+        subject.submit()
+    sim.run_until(sim.now + 4.5)
+    if not reached:
+        sim.report("scenario", f"step {step!r} was not reached")
+    return sim.settle()
+
+
+def _build_late_group(operation):
+    items = [ShardItem(1, "s1", "t1")]
+    key = "late" if operation == BOOKING else None
+    remaining_ms = SUBJECT_REMAINING_MS[operation]
+    return ShardGroup("late", "b", "ds", "v1", {}, remaining_ms, items, operation, key)
+
+
+def _check_everywhere_but_before_dispatch():
+    """Leave out the check of permission only in the step before a dispatch."""
+    start = HolderCore._start
+
+    def start_unchecked(core, dispatch, now, actions):
+        check = mock.patch.object(core, "_check_permission", lambda *_: None)
+        with check:
+            start(core, dispatch, now, actions)
+
+    return mock.patch.object(HolderCore, "_start", start_unchecked)
+
+
+def _build_new_origin(core, sender, number, request_id, now):
+    return holders.Origin(sender, number, request_id)
+
+
+def _release_at_once(core):
+    core._released_epoch = core._epoch
+
+
+_ALL_CODES = frozenset(
+    {*holders._FINISHED_CODES, "connection_lost", "timed_out", "wrong_answer"}
+)
+
+MECHANISMS = [
+    # mechanism, the patch that switches it off, the violation, faults that show it
+    (
+        "cold limit",
+        lambda: mock.patch.object(limits, "COLD_LIMIT", 2),
+        "cold",
+        ("restart to cold", "cold without a restart"),
+    ),
+    (
+        "cold after a lost connection or a cold answer",
+        lambda: mock.patch.object(limits.TargetLimiter, "restart", lambda *_: None),
+        "cold",
+        ("restart to cold", "cold without a restart"),
+    ),
+    (
+        "slot counted until the deadline",
+        lambda: mock.patch.object(holders, "_FINISHED_CODES", _ALL_CODES),
+        "slots",
+        ("answer lost", "answer late", "answer with a wrong id"),
+    ),
+    (
+        "slot counted for the skew of the clocks",
+        lambda: mock.patch.object(holders, "SKEW_S", 0.0),
+        "slots",
+        ("answer lost", "answer late", "answer with a wrong id"),
+    ),
+    (
+        "duplicate check",
+        lambda: mock.patch.object(HolderCore, "_get_origin", _build_new_origin),
+        "twice",
+        ("group delivered twice",),
+    ),
+    (
+        "permission check before dispatch",
+        _check_everywhere_but_before_dispatch,
+        "permission",
+        ("lease lapsed", "long pause"),
+    ),
+    (
+        "not-run proof",
+        lambda: mock.patch.object(TargetAnswer, "is_provably_not_run", True),
+        "not_run",
+        ("answer lost", "answer late", "answer with a wrong id"),
+    ),
+    (
+        "longest deadline of a dispatch",
+        lambda: mock.patch.object(holders, "MAX_SHARD_TIME_S", 60.0),
+        "slots",
+        ("long pause",),
+    ),
+    (
+        "release only when nothing is in flight",
+        lambda: mock.patch.object(HolderCore, "_note_release", _release_at_once),
+        "slots",
+        ("target removed", "target removed and regained"),
+    ),
+    (
+        "draining stops new work",
+        lambda: mock.patch.object(health.TargetHealth, "_handle_draining"),
+        "leaving",
+        ("draining",),
+    ),
+    (
+        "domain out stops new work",
+        lambda: mock.patch.object(HolderCore, "set_domain_out", lambda *_: []),
+        "domain",
+        ("domain out",),
+    ),
+]
+
+
+class MatrixTests(testtools.TestCase):
+    """Every fault at every step, for searches and bookings."""
+
+    def test_matrix(self):
+        """Guards the promises of section 1.2 that the holder keeps."""
+        failed = {}
+        for case in itertools.product(FAULTS, STEPS, (SEARCH, BOOKING)):
+            violations = run_scenario(*case)
+            if violations:
+                failed[case] = violations[:3]
+        self.assertEqual({}, failed)
+
+    def test_oracle_sees_each_mechanism_missing(self):
+        """Guards against an oracle or a matrix that would pass anything."""
+        for name, switch_off, kind, faults in MECHANISMS:
+            with switch_off():
+                found = find_violation(kind, faults)
+            self.assertIsNotNone(found, f"{name}: no {kind!r} violation seen")
+
+
+def find_violation(kind, faults):
+    """Return the first scenario of these faults with a violation of a kind."""
+    for case in itertools.product(faults, STEPS, (SEARCH, BOOKING)):
+        for violation in run_scenario(*case):
+            if violation[0] == kind:
+                return case, violation
+    return None
--- /dev/null
+++ b/tests/test_holder_machine.py
@@ -0,0 +1,119 @@
+"""Random sequences of faults at the holder, judged by the oracle of the matrix."""
+
+import testtools
+from hypothesis import HealthCheck, Phase, seed as set_seed, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tarragonchute.messages import BOOKING, SEARCH
+
+from .test_holder_faults import FAULTS, Simulation
+
+MAX_EXAMPLES = 40
+STEPS = 40
+
+
+class _Sent:
+    """An earlier group as the subject of a fault."""
+
+    def __init__(self, sim, sent):
+        self.sim = sim
+        self.sent = sent
+
+    def repeat(self):
+        self.sim.deliver(*self.sent)
+
+    def cancel(self):
+        self.sim.cancel(*self.sent)
+
+
+class HolderMachine(RuleBasedStateMachine):
+    """Two holders, two targets, and any fault at any time."""
+
+    def __init__(self):
+        super().__init__()
+        self.sim = Simulation(("t1", "t2"))
+        self.sent = []
+
+    @rule(
+        count=st.integers(1, 6),
+        operation=st.sampled_from((SEARCH, BOOKING)),
+        team=st.sampled_from("abc"),
+        remaining_ms=st.sampled_from((30, 150, 600, 3000)),
+        to=st.sampled_from((None, "A", "B")),
+    )
+    def submit(self, count, operation, team, remaining_ms, to):
+        if operation == BOOKING:
+            count = 1
+        attempts = range(1, count + 1)
+        sent = self.sim.submit(attempts, operation, team, remaining_ms, to)
+        self.sent.append(sent)
+
+    @precondition(lambda self: self.sent)
+    @rule(fault=st.sampled_from(sorted(FAULTS)), data=st.data())
+    def cause_fault(self, fault, data):
+        index = data.draw(st.integers(0, min(5, len(self.sent) - 1)))
+        FAULTS[fault](self.sim, _Sent(self.sim, self.sent[-1 - index]))
+
+    @rule(milliseconds=st.sampled_from((1, 5, 20, 100, 400)))
+    def wait(self, milliseconds):
+        self.sim.run_until(self.sim.now + milliseconds / 1000)
+
+    @rule()
+    def start_load(self):
+        if not self.sim.has_load:
+            self.sim.start_load()
+
+    @invariant()
+    def no_violation(self):
+        assert not self.sim.violations, self.sim.violations[:3]
+
+    def teardown(self):
+        violations = self.sim.settle()
+        assert not violations, violations[:3]
+
+
+def run_machine(seed, steps, examples=MAX_EXAMPLES):
+    """Run random sequences of faults.
+
+    Parameters
+    ----------
+    seed : int or None
+        None runs the same sequences each time.
+    steps : int
+        Longest sequence.
+    examples : int
+
+    Raises
+    ------
+    AssertionError
+        If the oracle found a violation; hypothesis prints the shortest sequence.
+    """
+    machine = type("SeededHolderMachine", (HolderMachine,), {})
+    if seed is not None:
+        machine = set_seed(seed)(machine)
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=seed is None,
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            database=None,
+            phases=(Phase.generate, Phase.shrink),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class MachineTests(testtools.TestCase):
+    """The machine with fixed sequences."""
+
+    def test_any_fault_at_any_time(self):
+        """Guards the promises of section 1.2 against faults that come together."""
+        run_machine(seed=None, steps=STEPS)
