Carry the assignment of targets in the view, and read settings after a change

The rendezvous assignment alone moved the second replica of 17% of the shards, since it had to make room, so both replicas waited out the hand-over at once. Ruled out: the retry budget (refusals before the run do not spend it). The view now carries the assignment and a change moves only what has to move.

Also: settings are compared again after each view change, with the store or with a majority of each previous member set, and release is reported by tenure.

--- a/tarragonchute/distribution.py
+++ b/tarragonchute/distribution.py
@@ -12,6 +12,7 @@
     StoreConflictError,
     TarragonchuteError,
 )
+from .membership import majority
 from .settings import Tree, parse_subtree, replace_subtree
 
 logger = logging.getLogger(__name__)
@@ -71,11 +72,30 @@
         self._known_revision = known_revision
         self._received_at = {}
         self._pulled_at = {}
+        self._compared_epochs = {}
+        self._watch_scope = None
+        self._has_to_read = True
 
     def list_ages(self, now):
         """Return a dict of subtree to seconds since this VM got its version."""
         return {name: now - at for name, at in self._received_at.items()}
 
+    def refresh(self, now):
+        """Compare all settings again, after a new view was adopted.
+
+        The members of the new view may have missed a version that a majority of
+        the old one acknowledged. Reading the store, or comparing with a majority
+        of each previous set, finds it.
+        """
+        self._has_to_read = True
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+        view = self._membership.view
+        known = set(view.members).union(*view.previous)
+        for vm_id in known - {self._membership.vm_id}:
+            self._send_pull(vm_id)
+        self._note_compared(self._membership.vm_id)
+
     # Messages.
 
     def pull(self, now):
@@ -125,6 +145,22 @@
         self._configuration.acknowledge(vm_id, vector)
         has_newer = self._configuration.is_missing_from(vector)
         self._membership.note_settings(digest_vector(vector), has_newer)
+        if not has_newer:
+            self._note_compared(vm_id)
+
+    def _note_compared(self, vm_id):
+        """Note that a VM had nothing newer in the adopted view."""
+        epoch = self._membership.epoch
+        self._compared_epochs[vm_id] = epoch
+        view = self._membership.view
+        if view is None or not self.is_loaded:
+            return
+        if all(self._has_compared(one, epoch) for one in view.previous):
+            self._membership.note_settings_read(epoch)
+
+    def _has_compared(self, vm_ids, epoch):
+        compared = [k for k in vm_ids if self._compared_epochs.get(k) == epoch]
+        return len(compared) >= majority(len(vm_ids))
 
     def _push(self, subtree, value):
         view = self._membership.view
@@ -212,27 +248,42 @@
         after = 0
         while True:
             try:
-                after = await self._follow(after)
+                if self._has_to_read:
+                    after = await self._read_all()
+                else:
+                    after = await self._watch(after)
             except TarragonchuteError as error:
                 logger.debug("cannot follow the settings: %s", error)
+                self._has_to_read = True
                 await trio.sleep(RETRY_DELAY_S)
 
-    async def _follow(self, after):
+    async def _read_all(self):
+        """Read every subtree and return the store's revision."""
+        self._has_to_read = False
         asked = self._known_revision()
-        if after == 0:
-            entries, revision = await self._store.list(KEY_PREFIX)
-        else:
-            entries, revision = await self._store.watch(KEY_PREFIX, after, WATCH_WAIT_S)
+        epoch = self._membership.epoch
+        entries, revision = await self._store.list(KEY_PREFIX)
         self._observe_revision(revision, asked)
         values = _read_entries(entries)
         self.apply(values, trio.current_time())
         # A store that was read and found empty says that there are no settings.
         self.is_loaded = True
-        if after == 0:
-            await self._check_store(entries, values)
-        # A lower revision than before means a store restored from a backup: the
-        # whole tree has to be compared again.
-        return 0 if revision < after else revision
+        self._membership.note_settings_read(epoch)
+        await self._check_store(entries, values)
+        return revision
+
+    async def _watch(self, after):
+        """Wait for a change and return the store's revision."""
+        asked = self._known_revision()
+        with trio.CancelScope() as self._watch_scope:
+            entries, revision = await self._store.watch(KEY_PREFIX, after, WATCH_WAIT_S)
+            self._observe_revision(revision, asked)
+            self.apply(_read_entries(entries), trio.current_time())
+            # A lower revision than before means a store restored from a backup:
+            # the whole tree has to be compared again.
+            self._has_to_read |= revision < after
+            return revision
+        return after
 
     async def _check_store(self, entries, values):
         """Write newer subtrees back over older ones."""
--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -104,6 +104,8 @@
         Latest time at which the target may take the request; set at dispatch.
     started_at : float or None
         Time of the check of permission that allowed the dispatch.
+    gained_epoch : int
+        `TargetRow.gained_epoch` at dispatch.
     wall_deadline : float or None
         `deadline` as Unix time in seconds; set by `Holder`.
     worker : object or None
@@ -119,6 +121,7 @@
         "expires_at",
         "deadline",
         "started_at",
+        "gained_epoch",
         "wall_deadline",
         "worker",
         "row",
@@ -137,6 +140,7 @@
         self.expires_at = expires_at
         self.deadline = None
         self.started_at = None
+        self.gained_epoch = 0
         self.wall_deadline = None
         self.worker = None
         self.row = None
@@ -540,6 +544,10 @@
         """Return the number of requests that wait."""
         return sum(row.queue.waiting for row in self._targets)
 
+    def list_in_flight(self):
+        """Return target and `Dispatch.gained_epoch` of what is not surely over."""
+        return [(one.target_id, one.gained_epoch) for one in self._occupied]
+
     def get_row(self, target_id):
         """Return the `TargetRow` of a held target, or None."""
         return self._targets.get(target_id)
@@ -631,6 +639,7 @@
             return
         dispatch.state = _RUNNING
         dispatch.started_at = now
+        dispatch.gained_epoch = row.gained_epoch
         dispatch.deadline = min(dispatch.expires_at, now + MAX_SHARD_TIME_S)
         dispatch.sequence = row.sequence
         dispatch.is_alone = row.in_flight == 1
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -12,6 +12,7 @@
 
 from .errors import ProtocolError
 from .messages import Heartbeat
+from .placement import update_holders
 from .tables import MemberRow, Table
 
 HEARTBEAT_PERIOD_S = 0.3
@@ -104,16 +105,20 @@
     dead : iterable of (str, str)
         Processes (vm_id and incarnation) in `previous` that the VM list or an
         operator vouched to have ended.
+    holders : dict of str to str
+        Target to the active member that holds it, in the view before. The view
+        carries the assignment so that a change moves as few targets as possible.
     """
 
-    __slots__ = ("epoch", "members", "previous", "groups", "dead")
+    __slots__ = ("epoch", "members", "previous", "groups", "dead", "holders")
 
-    def __init__(self, epoch, members, previous=(), groups=(), dead=()):
+    def __init__(self, epoch, members, previous=(), groups=(), dead=(), holders=None):
         self.epoch = epoch
         self.members = dict(members)
         self.previous = [dict(one) for one in previous]
         self.groups = normalize_groups(groups)
         self.dead = {(vm_id, incarnation) for vm_id, incarnation in dead}
+        self.holders = update_holders(self.groups, self.list_active(), holders or {})
 
     def list_active(self):
         """Return the sorted ids of the members that may hold targets."""
@@ -148,6 +153,7 @@
             "previous": self.previous,
             "groups": self.groups,
             "dead": sorted(self.dead),
+            "holders": self.holders,
         }
 
     def to_value(self):
@@ -167,7 +173,8 @@
             members = {k: Member(**m) for k, m in body["members"].items()}
             epoch = int(body["epoch"])
             groups, dead = body.get("groups", ()), body.get("dead", ())
-            return cls(epoch, members, body["previous"], groups, dead)
+            holders = body.get("holders")
+            return cls(epoch, members, body["previous"], groups, dead, holders)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ProtocolError(f"malformed view: {error!r}") from error
 
@@ -210,7 +217,8 @@
         return View(1, {vm_id: member})
     members = {**view.members, vm_id: member}
     previous = _carry_over(view)
-    return View(view.epoch + 1, members, previous, view.groups, view.dead)
+    groups, holders = view.groups, view.holders
+    return View(view.epoch + 1, members, previous, groups, view.dead, holders)
 
 
 def remove_from_view(view, vm_ids):
@@ -229,7 +237,8 @@
     previous = _carry_over(view)
     processes = {pair for one in previous for pair in one.items()}
     dead = view.dead | {pair for pair in processes if pair[0] in removed}
-    return View(view.epoch + 1, members, previous, view.groups, dead)
+    groups, holders = view.groups, view.holders
+    return View(view.epoch + 1, members, previous, groups, dead, holders)
 
 
 def _carry_over(view):
@@ -838,7 +847,8 @@
         groups = self.view.groups if groups is None else groups
         previous = self._list_previous(members)
         dead = () if self.is_settled else self.view.dead
-        return View(self.epoch + 1, members, previous, groups, dead)
+        holders = self.view.holders
+        return View(self.epoch + 1, members, previous, groups, dead, holders)
 
     def _list_previous(self, members):
         """Return the previous sets of the next view.
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -32,7 +32,7 @@
 from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
 from .metrics import Metrics
-from .placement import HeldTargets, assign_holders
+from .placement import HeldTargets
 from .routing import Router
 from .searches import Searcher, split_deadline
 from .snapshots import SnapshotChooser
@@ -225,13 +225,13 @@
     def _apply_view(self, now):
         membership = self.membership
         view = membership.view
-        holders = assign_holders(view.groups, view.list_active())
         self.holders_by_target.clear()
-        self.holders_by_target.update(holders)
-        self.held.update(holders, view.epoch, membership.is_continuous)
+        self.holders_by_target.update(view.holders)
+        self.held.update(view.holders, view.epoch, membership.is_continuous)
         if not membership.is_active:
             self.held.gained.clear()
         self._apply_targets()
+        self.distribution.refresh(now)
         # The new holders wait for this VM's word that its requests have ended.
         self.send_heartbeats(now)
 
@@ -239,6 +239,8 @@
         targets = self.distribution.tree.list_targets()
         held = [targets[name] for name in self.held.gained if name in targets]
         self.holder.set_targets(held, self.membership.epoch)
+        for row in self.holder.core.list_rows():
+            row.gained_epoch = self.held.gained[row.target_id]
 
     def _list_groups(self):
         datasets = self.distribution.tree.datasets.values()
@@ -300,9 +302,10 @@
         self._clock_offset = offset
 
     def _keep_up(self, now):
-        before = self.membership.released_epoch
-        self.membership.note_released(self.holder.core.released_epoch, now)
-        if self.membership.released_epoch > before:
+        membership = self.membership
+        is_clear = self.held.is_clear(self.holder.core.list_in_flight())
+        if is_clear and membership.released_epoch < membership.epoch:
+            membership.note_released(membership.epoch, now)
             self.send_heartbeats(now)
         self.distribution.pull(now)
         self.views.pull()
--- a/tarragonchute/placement.py
+++ b/tarragonchute/placement.py
@@ -49,11 +49,65 @@
     holders = {}
     siblings = _find_siblings(layout_groups)
     for target_id in sorted(siblings):
-        taken = [holders[other] for other in siblings[target_id] if other in holders]
+        taken = _list_taken(target_id, siblings, holders)
         holders[target_id] = _choose(target_id, members, taken)
     return holders
 
 
+def update_holders(layout_groups, vm_ids, current):
+    """Assign each target to one VM, and move as few as possible.
+
+    A target stays where it is while its holder is a member and holds no other
+    replica of the same shards. A member that holds nothing yet gains the targets
+    for which it ranks first. With `assign_holders` alone, the crash of one of
+    three VMs moved both replicas of 17% of the shards, because the second one had
+    to make room; both are unserved during a hand-over.
+
+    Parameters
+    ----------
+    layout_groups, vm_ids : see `assign_holders`
+    current : dict of str to str
+        The assignment of the view before.
+
+    Returns
+    -------
+    dict of str to str
+        Target id to vm_id. Given back as `current` it stays the same.
+    """
+    members = sorted(set(vm_ids))
+    siblings = _find_siblings(layout_groups) if members else {}
+    newcomers = set(members) - set(current.values())
+    holders = {}
+    for target_id in sorted(siblings):
+        taken = _list_taken(target_id, siblings, holders)
+        first = _find_first(target_id, members) if newcomers else None
+        wanted = [first] if first in newcomers else []
+        for vm_id in [*wanted, current.get(target_id)]:
+            if vm_id in members and vm_id not in taken:
+                holders[target_id] = vm_id
+                break
+    for target_id in sorted(siblings.keys() - holders.keys()):
+        taken = _list_taken(target_id, siblings, holders)
+        holders[target_id] = _choose_again(target_id, members, taken, current)
+    return holders
+
+
+def _find_first(target_id, members):
+    return max(members, key=lambda vm_id: score(target_id, vm_id))
+
+
+def _list_taken(target_id, siblings, holders):
+    return [holders[other] for other in siblings[target_id] if other in holders]
+
+
+def _choose_again(target_id, members, taken, current):
+    """Choose among members; with too few for all replicas, keep the holder."""
+    vm_id = current.get(target_id)
+    if vm_id in members and all(other in taken for other in members):
+        return vm_id
+    return _choose(target_id, members, taken)
+
+
 def _find_siblings(layout_groups):
     """Map each target to the others with which it shares a group."""
     siblings = {}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from tarragonchute.placement import HeldTargets, assign_holders, rank
+from tarragonchute.placement import HeldTargets, assign_holders, rank, update_holders
 
 MEMBERS = [f"vm-{n}" for n in range(9)]
 
@@ -126,3 +126,49 @@
         self.assertFalse(held.is_clear([("a", 1)]))
         self.assertTrue(held.is_clear([("a", 3)]))
         self.assertTrue(held.is_clear([]))
+
+
+class UpdateHoldersTests(testtools.TestCase):
+    """The assignment that a view carries from the one before."""
+
+    def test_leave_moves_only_the_targets_of_the_leaver(self):
+        """Guards against a shard whose replicas are all unserved after a crash."""
+        groups = make_pairs(300)
+        for size in (3, 4, 9):
+            members = MEMBERS[:size]
+            before = update_holders(groups, members, {})
+            for dead in members:
+                rest = [vm_id for vm_id in members if vm_id != dead]
+                after = update_holders(groups, rest, before)
+                moved = {before[t] for t in after if after[t] != before[t]}
+                self.assertEqual({dead}, moved)
+                self.assertEqual(after, update_holders(groups, rest, after))
+                for one, other in groups:
+                    self.assertNotEqual(after[one], after[other])
+
+    def test_join_moves_only_to_the_joiner_and_gives_it_a_fair_share(self):
+        """Guards against a joiner that holds nothing, or moves all targets."""
+        groups = make_pairs(300)
+        before = update_holders(groups, MEMBERS[:5], {})
+        after = update_holders(groups, MEMBERS[:6], before)
+        moved = [t for t in after if after[t] != before[t]]
+        self.assertEqual({MEMBERS[5]}, {after[t] for t in moved})
+        self.assertTrue(60 <= len(moved) <= 140, len(moved))
+
+    def test_random_changes_keep_replicas_apart_and_shares_fair(self):
+        """Guards against drift into uneven shares over many changes."""
+        groups = make_pairs(300)
+        source = random.Random(5)
+        members, holders = list(MEMBERS[:6]), {}
+        for _ in range(200):
+            if len(members) > 4 and source.random() < 0.5:
+                members.remove(source.choice(members))
+            elif len(members) < len(MEMBERS):
+                spare = [vm_id for vm_id in MEMBERS if vm_id not in members]
+                members.append(source.choice(spare))
+            holders = update_holders(groups, members, holders)
+            self.assertEqual(set(members), set(holders.values()))
+            for one, other in groups:
+                self.assertNotEqual(holders[one], holders[other])
+        counts = [list(holders.values()).count(vm_id) for vm_id in members]
+        self.assertTrue(max(counts) <= 2.5 * min(counts), counts)
