Show that the oracles see each missing mechanism

A test that cannot fail proves nothing, so each of 11 mechanisms is switched off by a subclass in a scenario that needs it: no violation with it, at least one without.

Ruled out: taking scenarios of the matrix for all; previous sets, newer epochs, skipped views, tenure and the settings rules need a sequence of their own.

Before: the matrix alone showed wait-out, majority, incarnation and settled sets. After: all 11 fail when switched off.

--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -146,7 +146,7 @@
         self.process = f"{vm_id}/{incarnation}"
         self.membership = membership
         self.settings = settings
-        self.held = HeldTargets(vm_id)
+        self.held = world.held_class(vm_id)
         self.link = world.network.connect(vm_id, self._receive)
         source = world.random
         self.clock_offset = source.uniform(0, 1000)
@@ -417,15 +417,22 @@
     Parameters
     ----------
     seed : int
-    membership_class, settings_class : type
+    membership_class, settings_class, held_class : type
         Subclasses with a mechanism switched off.
     """
 
-    def __init__(self, seed, membership_class=Membership, settings_class=Configuration):
+    def __init__(
+        self,
+        seed,
+        membership_class=Membership,
+        settings_class=Configuration,
+        held_class=HeldTargets,
+    ):
         self.random = random.Random(seed)
         self.now = 0.0
         self.membership_class = membership_class
         self.settings_class = settings_class
+        self.held_class = held_class
         self.network = MemoryNetwork(self.random)
         self.store = FakeStore()
         self.oracle = SendOracle()
@@ -467,10 +474,14 @@
 
     def cut(self, vm_id):
         """Cut a VM off from all others and from the platform."""
-        self.cut_off.add(vm_id)
-        for other in [*self.vms, *self.dead_since]:
-            if other != vm_id:
-                self.network.cut(vm_id, other)
+        self.split([vm_id])
+
+    def split(self, side):
+        """Cut some VMs off from all others and from the store."""
+        self.cut_off |= set(side)
+        for one, other in itertools.product(side, [*self.vms, *self.dead_since]):
+            if other not in side:
+                self.network.cut(one, other)
 
     def heal(self):
         """End every fault except that dead processes stay dead."""
@@ -675,6 +686,248 @@
             self.assertEqual([], unserved, scenario)
 
 
+class NoWaitOut(Membership):
+    """Serves gained targets as soon as the view is activated."""
+
+    def _is_waited_out(self, handover, now):
+        return handover.activated_at is not None
+
+
+class NoMajority(Membership):
+    """Takes one grant for a lease."""
+
+    def _quorum(self, size):
+        return 1
+
+
+class NoPreviousSets(Membership):
+    """Activates a view without the members of the views before."""
+
+    def _has_stopped(self, processes, epoch, now):
+        return True
+
+
+class GrantsForOlderViews(Membership):
+    """Counts the grants of peers with a newer epoch."""
+
+    def _credit(self, row):
+        epoch, row.epoch = row.epoch, 0
+        super()._credit(row)
+        row.epoch = epoch
+
+
+class NoSettingsVeto(Membership):
+    """Counts the grants of peers with newer settings."""
+
+    def _has_usable_settings(self, row):
+        return True
+
+
+class NoSettingsReading(Membership):
+    """Grants leases before it read the settings."""
+
+    @property
+    def grants_leases(self):
+        return True
+
+
+class NoIncarnationCheck(Membership):
+    """Takes the release of any process of a VM."""
+
+    def _has_released(self, pair, epoch):
+        if pair[0] == self.vm_id:
+            return self.released_epoch >= epoch
+        rows = [row for row in self._rows if row.vm_id == pair[0]]
+        return any(row.released_epoch >= epoch for row in rows)
+
+
+class DropsActivatedSets(Membership):
+    """Drops the previous sets once the view is activated, before it settled."""
+
+    @property
+    def is_settled(self):
+        return self.is_activated
+
+
+class KeepsOverSkippedViews(HeldTargets):
+    """Takes a target for kept although views were skipped."""
+
+    def update(self, holders, epoch, is_continuous):
+        return super().update(holders, epoch, True)
+
+
+class NoTenure(HeldTargets):
+    """Reports release while requests of an earlier tenure are in flight."""
+
+    def is_clear(self, in_flight):
+        return all(target in self.gained for target, _ in in_flight)
+
+
+class LowersVersions(Configuration):
+    """Takes any version."""
+
+    def apply(self, subtree, value):
+        self._values[subtree] = value
+        return True
+
+
+def split_with_joiners(**classes):
+    """Play a split whose minority side is joined by as many new VMs."""
+    world = World(1, **classes)
+    world.begin("abcde")
+    world.run(1.5)
+    world.split("abc")
+    for vm_id in "fgh":
+        world.start(vm_id)
+        world.split("abc")
+    world.run(6.0)
+    return world
+
+
+def follow_no_view(**classes):
+    """Play a join that one VM does not learn of, while its heartbeats pass."""
+    world = World(2, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.cut_off.add("c")
+    world.vms["c"]._on_view = lambda sender, body: None
+    world.start("e")
+    world.run(5.0)
+    return world
+
+
+def skip_a_view(**classes):
+    """Play a target that moves away and back while its first holder gets no view."""
+    world = World(3, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.cut_off.add("c")
+    world.vms["c"]._on_view = lambda sender, body: None
+    world.start("e")
+    world.run(4.5)
+    world.split("e")
+    while "e" in View.from_value(world.store.get(VIEW_KEY).value).members:
+        world.run(TICK_S)
+    world.cut_off.discard("c")
+    world.run(3.0)
+    return world
+
+
+def move_there_and_back(**classes):
+    """Play a move and its reversal, of which one VM learns only the first."""
+    world = World(7, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.vms["c"].request_time = 0.9
+    _take_out(world, "c")
+    while any(vm.membership.epoch < 2 for vm in world.vms.values()):
+        world.run(TICK_S)
+    _bring_back(world, "c")
+    for vm_id in "abd":
+        world.cut_off.add(vm_id)
+        world.vms[vm_id]._on_view = lambda sender, body: None
+    world.run(3.0)
+    return world
+
+
+def follow_no_settings(**classes):
+    """Play an accepted change that one VM does not learn of."""
+    world = World(4, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.cut_off.add("c")
+    world.vms["c"]._on_settings = lambda sender, body: None
+    world.vms["a"].propose()
+    world.run(IN_FORCE_S + 2.0)
+    return world
+
+
+def join_without_settings(**classes):
+    """Play two VMs that join after a change and do not read the settings."""
+    world = World(5, **classes)
+    world.begin("a")
+    world.run(1.5)
+    world.vms["a"].propose()
+    world.run(1.5)
+    for vm_id in "bc":
+        world.start(vm_id)
+        world.network.cut("a", vm_id)
+        world.vms[vm_id]._read_settings = lambda: None
+    world.run(IN_FORCE_S + 2.0)
+    return world
+
+
+def regress_store(**classes):
+    """Play a store that returns the settings of before an accepted change."""
+    world = World(6, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.vms["a"].propose()
+    world.run(1.0)
+    older = world.store.entries[SETTINGS_KEY]
+    world.vms["a"].propose()
+    world.run(1.0)
+    world.store.entries[SETTINGS_KEY] = older
+    world.run(2.0)
+    return world
+
+
+def play_matrix(step, fault, victim, is_twice, delay, length):
+    """Return a function that plays one scenario of the matrix."""
+    wanted = (step, (fault, victim), is_twice, delay, length)
+    found = [(one[0].name, *one[1:]) for one in list_scenarios()]
+    number = found.index(wanted)
+    return lambda **classes: play(list_scenarios()[number], number, **classes)
+
+
+MECHANISMS = [
+    (
+        "wait-out",
+        {"membership_class": NoWaitOut},
+        play_matrix("join", "kill", "a", False, 0.0, 1.2),
+    ),
+    (
+        "majority",
+        {"membership_class": NoMajority},
+        play_matrix("join", "partition", MOVER, False, 0.0, 4.0),
+    ),
+    ("previous sets", {"membership_class": NoPreviousSets}, split_with_joiners),
+    ("newer epoch", {"membership_class": GrantsForOlderViews}, follow_no_view),
+    ("newer settings", {"membership_class": NoSettingsVeto}, follow_no_settings),
+    ("settings read", {"membership_class": NoSettingsReading}, join_without_settings),
+    (
+        "incarnation",
+        {"membership_class": NoIncarnationCheck},
+        play_matrix("join", "restart", "a", False, 0.0, 1.2),
+    ),
+    (
+        "settled sets",
+        {"membership_class": DropsActivatedSets},
+        play_matrix("leave", "restart", "a", False, 0.5, 1.2),
+    ),
+    ("skipped view", {"held_class": KeepsOverSkippedViews}, skip_a_view),
+    ("tenure", {"held_class": NoTenure}, move_there_and_back),
+    ("never lower", {"settings_class": LowersVersions}, regress_store),
+]
+"""Each mechanism, the class in which it is switched off, and where that shows."""
+
+
+class MechanismTests(SimulationTestCase):
+    """The oracles see when a mechanism is missing."""
+
+    def test_oracle_sees_each_missing_mechanism(self):
+        """Guards against oracles and scenarios that cannot fail."""
+        for name, classes, run in MECHANISMS:
+            self.assertEqual([], list_violations(run()), name)
+            self.assertNotEqual([], list_violations(run(**classes)), name)
+
+
+def list_violations(world):
+    """Return what both oracles found, each once."""
+    violations = world.oracle.violations + world.settings_oracle.violations
+    return sorted(set(violations))
+
+
 def try_scenario(scenario, seed, **classes):
     """Play a scenario, heal all faults, and return what both oracles found.
 
@@ -684,13 +937,11 @@
         Violations, and targets that are still without a sender.
     """
     world = play(scenario, seed, **classes)
-    violations = world.oracle.violations + world.settings_oracle.violations
     for _ in range(RECOVERY_STEPS):
         world.run(1.0)
         if not world.list_unserved():
             break
-    violations += world.oracle.violations + world.settings_oracle.violations
-    return sorted(set(violations)), world.list_unserved()
+    return list_violations(world), world.list_unserved()
 
 
 def main():
