Build one file to ship with shiv

C extensions rule out a plain zipapp, and the usual frozen one-file builds start a child process. Compiled modules are in the archive.

The libraries are copied from the environment that make fills from the locked requirements, so a build needs no network. The build runs every command of the file, and fails if one leaves a file behind.

--- /dev/null
+++ b/tools/build_dist.py
@@ -0,0 +1,218 @@
+"""Build dist/tarragonchute, one file that runs with Python 3.11 and nothing else.
+
+The runtime libraries are copied from the environment that runs this tool, which
+``make`` fills from the locked requirements, so building needs no network.
+"""
+
+import argparse
+import compileall
+import datetime
+import importlib.metadata
+import pathlib
+import py_compile
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+import zipfile
+
+from packaging.requirements import Requirement
+from shiv import __version__ as shiv_version, builder
+from shiv.bootstrap.environment import Environment
+from shiv.constants import BUILD_AT_TIMESTAMP_FORMAT
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+OUTPUT = ROOT / "dist" / "tarragonchute"
+LAUNCHER = ROOT / "tools" / "dist_launcher.py"
+DISTRIBUTION = "tarragonchute"
+INTERPRETER = "/usr/bin/env python3.11"
+ENTRY_POINT = "tarragonchute.cli:main"
+
+BUILD_TIME = datetime.datetime(1980, 1, 1)
+"""Earliest time of a zip entry; the same sources give the same file."""
+
+SKIPPED_SUFFIXES = {".pyc", ".pyx", ".pxd", ".h", ".cpp", ".tmpl"}
+"""Only needed to compile extensions."""
+
+SKIPPED_FOLDERS = {"_tests", "tests"}
+"""Unpacking takes most of the start, and its time grows with the number of files."""
+
+START_RUNS = 5
+
+VERBS = (
+    ("run",),
+    ("settings", "check"),
+    ("settings", "show"),
+    ("settings", "propose"),
+    ("settings", "load"),
+    ("domain", "out"),
+    ("domain", "in"),
+    ("audit",),
+    ("status",),
+    ("explain",),
+    ("members", "remove"),
+    ("search",),
+    ("book",),
+)
+
+IMPORT_CHECK = """
+import importlib, pathlib, pkgutil, sys, tarragonchute
+folder = pathlib.Path(tarragonchute.__file__).parent
+assert "tarragonchute-dist-" in str(folder), folder
+for module in pkgutil.iter_modules([str(folder)]):
+    importlib.import_module(f"tarragonchute.{module.name}")
+import capnp, orjson, trio
+for module in (capnp, orjson, trio):
+    assert "tarragonchute-dist-" in module.__file__, module.__file__
+status = pathlib.Path("/proc/self/status").read_text()
+print(next(line for line in status.splitlines() if line.startswith("VmRSS")))
+"""
+
+
+def list_distributions(name=DISTRIBUTION):
+    """Return the names of the runtime libraries, each once."""
+    found, queue = [], [name]
+    while queue:
+        for text in importlib.metadata.requires(queue.pop()) or ():
+            requirement = Requirement(text)
+            marker = requirement.marker
+            if marker is not None and not marker.evaluate({"extra": ""}):
+                continue
+            if requirement.name not in found:
+                found.append(requirement.name)
+                queue.append(requirement.name)
+    return sorted(found)
+
+
+def copy_libraries(target):
+    """Copy the files of the runtime libraries below a folder."""
+    for name in list_distributions():
+        for file in importlib.metadata.distribution(name).files:
+            if _is_needed(file):
+                destination = target / file
+                destination.parent.mkdir(parents=True, exist_ok=True)
+                shutil.copy(file.locate(), destination)
+
+
+def _is_needed(file):
+    # Scripts stand outside of the library folder.
+    is_inside = ".." not in file.parts
+    is_skipped = file.suffix in SKIPPED_SUFFIXES or SKIPPED_FOLDERS & set(file.parts)
+    return is_inside and not is_skipped
+
+
+def copy_package(target):
+    """Copy this project's package below a folder."""
+    ignore = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / DISTRIBUTION, target / DISTRIBUTION, ignore=ignore)
+
+
+def build(output=OUTPUT):
+    """Write the file.
+
+    Parameters
+    ----------
+    output : pathlib.Path
+    """
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        stage = pathlib.Path(folder)
+        copy_libraries(stage)
+        copy_package(stage)
+        builder.create_archive(
+            [stage],
+            output,
+            interpreter=INTERPRETER,
+            main="_launch:start",
+            env=_describe_environment(),
+            compressed=True,
+        )
+        _append_compiled(stage, output)
+
+
+def _describe_environment():
+    return Environment(
+        built_at=BUILD_TIME.strftime(BUILD_AT_TIMESTAMP_FORMAT),
+        shiv_version=shiv_version,
+        entry_point=ENTRY_POINT,
+        compile_pyc=False,
+        reproducible=True,
+    )
+
+
+def _append_compiled(stage, output):
+    """Add the launcher and the compiled modules, which shiv leaves out."""
+    compileall.compile_dir(
+        stage,
+        quiet=2,
+        stripdir=str(stage),
+        # Without a check against the source's time, which unpacking changes.
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+    with zipfile.ZipFile(output, "a", zipfile.ZIP_DEFLATED) as archive:
+        _append(archive, LAUNCHER, "_launch.py")
+        for path in sorted(stage.rglob("*.pyc")):
+            _append(archive, path, f"site-packages/{path.relative_to(stage)}")
+
+
+def _append(archive, path, name):
+    info = zipfile.ZipInfo(name, date_time=BUILD_TIME.timetuple()[:6])
+    info.compress_type = zipfile.ZIP_DEFLATED
+    info.external_attr = 0o100644 << 16
+    archive.writestr(info, path.read_bytes())
+
+
+def check(output=OUTPUT):
+    """Run every command of the file, and import every module from it."""
+    for verb in VERBS:
+        text = _run(output, *verb, "--help")
+        assert f"example:\n  tarragonchute {' '.join(verb)}" in text, text
+    for example in sorted((ROOT / "examples").iterdir()):
+        _run(output, "settings", "check", str(example))
+    memory = _run(output, "-c", IMPORT_CHECK, SHIV_INTERPRETER="1")
+    return " ".join(memory.split())
+
+
+def measure_start(output=OUTPUT):
+    """Return the shortest and longest time in seconds of ``--version``."""
+    times = []
+    for _ in range(START_RUNS):
+        started = time.monotonic()
+        _run(output, "--version")
+        times.append(time.monotonic() - started)
+    return min(times), max(times)
+
+
+def _run(output, *arguments, **variables):
+    """Run the file with an empty environment and return what it printed."""
+    with tempfile.TemporaryDirectory() as folder:
+        done = subprocess.run(
+            [sys.executable, "-I", str(output), *arguments],
+            env={"TMPDIR": folder, **variables},
+            cwd=folder if variables else ROOT,
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        left = list(pathlib.Path(folder).iterdir())
+        assert not left, left
+    return done.stdout
+
+
+def main():
+    """Build, check and measure; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--output", type=pathlib.Path, default=OUTPUT)
+    output = parser.parse_args().output.resolve()
+    build(output)
+    memory = check(output)
+    shortest, longest = measure_start(output)
+    print(f"{output.name}: {output.stat().st_size / 1e6:.1f} MB")
+    print(f"start: {shortest:.2f} to {longest:.2f} s in {START_RUNS} runs")
+    print(f"with every module loaded: {memory}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
