--- a/tarragonchute/schema.py
+++ b/tarragonchute/schema.py
@@ -154,7 +154,7 @@
 
 VM_SCHEMA = FileSchema(
     "VM file",
-    "vm.ini or vm.NAME.ini",
+    "vm.ini` or `vm.NAME.ini",
     "One file for each VM, read once when the process starts.",
     [
         Section(
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,13 +1,18 @@
 """Tests of the example settings and of the generated pages."""
 
+import os
 import pathlib
+import re
 import tempfile
 
 import testtools
 
 from tarragonchute.commands import check_files
+from tarragonchute.metrics import METRIC_SPECS
 from tarragonchute.settings import load_tree_files
+from tools.dist_launcher import create_folder, remove_folder, remove_stale_folders
 from tools.generate_examples import EXAMPLES, write_examples
+from tools.generate_settings_doc import PAGE, render_page
 
 
 class ExampleTests(testtools.TestCase):
@@ -37,3 +42,33 @@
                         places = {dataset.targets[one].domain for one in ids}
                         # One failure domain must never hold a whole shard.
                         self.assertEqual(len(ids), len(places), shard)
+
+
+class PageTests(testtools.TestCase):
+    """Pages that repeat what the code says."""
+
+    def test_settings_page_is_the_generated_one(self):
+        """Guards against a page that describes other options than the parser."""
+        self.assertEqual(render_page(), PAGE.read_text())
+
+    def test_operators_page_lists_every_metric(self):
+        """Guards against alerts on metrics that do not exist."""
+        text = (PAGE.parent / "OPERATORS.md").read_text()
+        listed = set(re.findall(r"`(tarragonchute_\w+)`", text))
+        self.assertEqual({spec.name for spec in METRIC_SPECS}, listed)
+
+
+class LauncherTests(testtools.TestCase):
+    """Temporary folders of the shipped file."""
+
+    def test_only_folders_of_ended_processes_are_removed(self):
+        """Guards against a start that deletes the modules of a running VM."""
+        with tempfile.TemporaryDirectory() as parent:
+            parent = pathlib.Path(parent)
+            live, live_lock = create_folder(parent)
+            killed, killed_lock = create_folder(parent)
+            os.close(killed_lock)
+            remove_stale_folders(parent)
+            self.assertEqual((True, False), (live.exists(), killed.exists()))
+            remove_folder(live, live_lock)
+            self.assertEqual([], list(parent.iterdir()))
