--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -25,7 +25,7 @@
     View,
 )
 from tarragonchute.messages import Heartbeat
-from tarragonchute.placement import HeldTargets, assign_holders
+from tarragonchute.placement import HeldTargets
 from tarragonchute.store import Entry
 
 TICK_S = 0.1
@@ -407,7 +407,7 @@
     def _adopt(self, view):
         if not self.membership.adopt_view(view, self.clock):
             return
-        holders = assign_holders(view.groups, view.list_active())
+        holders = view.holders
         self.held.update(holders, view.epoch, self.membership.is_continuous)
 
 
