Spend less on each shard of a search

Cause: a sent item was kept twice, as an attempt and as a message item, and each latency sample went through two look-ups. Ruled out: caching estimates between choices, which would ignore this VM's own outstanding attempts.

--- a/tarragonchute/routing.py
+++ b/tarragonchute/routing.py
@@ -191,29 +191,27 @@
         if code in SKIP_S:
             load.skip_until = now + SKIP_S[code]
 
-    def record_latency(self, dataset, seconds):
-        """Add the time of one shard attempt."""
-        tracker = self._latencies.get(dataset)
-        if tracker is None:
-            tracker = self._latencies[dataset] = LatencyTracker()
-        tracker.record(seconds)
+    def find_latencies(self, dataset):
+        """Return the `LatencyTracker` of a dataset's shard attempts."""
+        return self._find_tracker(self._latencies, dataset)
 
     def record_query(self, dataset, seconds):
         """Add the time of one whole query."""
-        tracker = self._queries.get(dataset)
-        if tracker is None:
-            tracker = self._queries[dataset] = LatencyTracker()
-        tracker.record(seconds)
+        self._find_tracker(self._queries, dataset).record(seconds)
 
     def shard_latency(self, dataset, fraction):
         """Return a quantile of shard attempts in seconds, or None if unknown."""
-        tracker = self._latencies.get(dataset)
-        return tracker and tracker.quantile(fraction)
+        return self.find_latencies(dataset).quantile(fraction)
 
     def query_latency(self, dataset, fraction):
         """Return a quantile of whole queries in seconds, or None if unknown."""
-        tracker = self._queries.get(dataset)
-        return tracker and tracker.quantile(fraction)
+        return self._find_tracker(self._queries, dataset).quantile(fraction)
+
+    def _find_tracker(self, trackers, dataset):
+        tracker = trackers.get(dataset)
+        if tracker is None:
+            tracker = trackers[dataset] = LatencyTracker()
+        return tracker
 
     def _add(self, target):
         load = self._loads[target] = _TargetLoad()
--- a/tarragonchute/searches.py
+++ b/tarragonchute/searches.py
@@ -142,13 +142,16 @@
         self.message = message
 
 
-class _Attempt:
-    __slots__ = ("number", "shard", "target", "vm_id", "layout", "sent_at")
+class _Attempt(ShardItem):
+    """A sent item; `state` is the `_Shard` that it belongs to."""
 
-    def __init__(self, number, shard, target, vm_id, layout, sent_at):
-        self.number = number
-        self.shard = shard
+    __slots__ = ("state", "vm_id", "layout", "sent_at")
+
+    def __init__(self, attempt, target, state, vm_id, layout, sent_at):
+        self.attempt = attempt
+        self.shard = state.name
         self.target = target
+        self.state = state
         self.vm_id = vm_id
         self.layout = layout
         self.sent_at = sent_at
@@ -210,6 +213,7 @@
         "_chooser",
         "_router",
         "_budget",
+        "_record_latency",
         "_numbers",
         "_layout",
         "_shards",
@@ -253,6 +257,7 @@
         self._chooser = chooser
         self._router = router
         self._budget = budget
+        self._record_latency = router.find_latencies(dataset).record
         self._numbers = itertools.count(1)
         self._layout = None
         self._shards = []
@@ -408,18 +413,17 @@
             return False
         target, vm_id = choice
         number = next(self._numbers)
-        attempt = _Attempt(number, shard, target, vm_id, self._layout, now)
+        attempt = _Attempt(number, target, shard, vm_id, self._layout, now)
         self._attempts[number] = attempt
         self._open += 1
         shard.open.append(attempt)
         shard.tried.append(target)
         self._router.note_sent(target)
-        item = ShardItem(number, shard.name, target)
         group = self._sends.get(vm_id)
         if group is None:
-            self._sends[vm_id] = [item]
+            self._sends[vm_id] = [attempt]
         else:
-            group.append(item)
+            group.append(attempt)
         return True
 
     def _take_attempt(self, number, vm_id):
@@ -447,16 +451,16 @@
 
     def _close(self, attempt, answer, now):
         self._router.note_answer(attempt.target, answer.code, answer.load, now)
-        attempt.shard.open.remove(attempt)
+        attempt.state.open.remove(attempt)
         if attempt.layout is self._layout:
             self._open -= 1
 
     def _accept(self, attempt, result, now):
-        shard = attempt.shard
+        shard = attempt.state
         shard.is_answered = True
         shard.result = result
         self._unanswered -= 1
-        self._router.record_latency(self._dataset, now - attempt.sent_at)
+        self._record_latency(now - attempt.sent_at)
         if shard.open:
             self._cancel_losers(shard, now)
         if not self._unanswered or not self._open:
@@ -467,17 +471,17 @@
             self._abandon(attempt)
             # The loser took at least this long; leaving it out would lower the
             # hedge delay with each hedge.
-            self._router.record_latency(self._dataset, now - attempt.sent_at)
+            self._record_latency(now - attempt.sent_at)
 
     def _abandon(self, attempt):
         """Close an attempt that nobody waits for, and have it cancelled."""
-        del self._attempts[attempt.number]
+        del self._attempts[attempt.attempt]
         self._may_have_run = True
         self._router.note_cancelled(attempt.target)
-        attempt.shard.open.remove(attempt)
+        attempt.state.open.remove(attempt)
         if attempt.layout is self._layout:
             self._open -= 1
-        self._cancels.setdefault(attempt.vm_id, []).append(attempt.number)
+        self._cancels.setdefault(attempt.vm_id, []).append(attempt.attempt)
 
     # Failures
 
@@ -488,7 +492,7 @@
                 self._handle(attempt, failure, now)
 
     def _handle_failure(self, attempt, answer, now):
-        shard = attempt.shard
+        shard = attempt.state
         self._refusal = answer.code
         if answer.code == VERSION_MISSING:
             shard.lacking = (*shard.lacking, attempt.target)
@@ -557,7 +561,7 @@
         self._has_restarted = True
         self._sends.clear()
         for attempt in self._attempts.values():
-            self._cancels.setdefault(attempt.vm_id, []).append(attempt.number)
+            self._cancels.setdefault(attempt.vm_id, []).append(attempt.attempt)
         self.extra_attempts += len(layout.shards)
         self._begin(layout, now)
 
--- a/tests/test_search_faults.py
+++ b/tests/test_search_faults.py
@@ -359,7 +359,7 @@
         taken[id(self), number] = self, attempt
     elif (id(self), number) in taken:
         attempt = taken[id(self), number][1]
-        attempt.shard.open.append(attempt)
+        attempt.state.open.append(attempt)
         self._open += 1
     return attempt
 
--- a/tests/test_searches.py
+++ b/tests/test_searches.py
@@ -115,7 +115,7 @@
         """Guards against a straggler that decides the latency of a query."""
         runs = Runs()
         for sample in range(128):
-            runs.router.record_latency("books", sample / 10_000)
+            runs.router.find_latencies("books").record(sample / 10_000)
         slow, due, hedges = self.hedge(runs, 1.0)
         self.assertAlmostEqual(1.0 + 0.0121, due)
         (hedge,) = hedges
