--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,368 @@
+"""Tests with real processes: kills, freezes, drains and cut-off platforms."""
+
+import json
+import signal
+import tempfile
+
+import orjson
+import testtools
+import trio
+
+from tarragonchute import commands
+from tarragonchute.errors import TarragonchuteError
+from tools.deployment import TOKEN, DatasetPlan, Deployment
+from tools.load import Balancer, Callers, PhaseReport
+
+DOMAINS = ["d1", "d2", "d3"]
+DATASETS = [
+    DatasetPlan("catalogue", "hollowmere", 6, 2, 2, 25),
+    DatasetPlan("schedules", "hollowmere", 1, 3, 4, 100),
+]
+WAIT_S = 30.0
+POLL_S = 0.05
+
+
+class ProcessTestCase(testtools.TestCase):
+    """Starts three entry VMs over stand-ins for each test."""
+
+    def run_scenario(self, scenario, log_level="info"):
+        """Run ``await scenario(deployment, balancer)`` with loaded settings."""
+        trio.run(self._run, scenario, log_level)
+
+    async def _run(self, scenario, log_level):
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = Deployment(folder, DOMAINS, DATASETS, 3, log_level)
+            async with deployment, trio.open_nursery() as nursery:
+                balancer = Balancer(deployment.callers)
+                nursery.start_soon(balancer.run)
+                await self._load(deployment)
+                await balancer.wait_healthy(3, WAIT_S)
+                await self._wait_covered(balancer, deployment)
+                await scenario(deployment, balancer)
+                await self._check_targets(deployment)
+                nursery.cancel_scope.cancel()
+
+    async def _load(self, deployment):
+        with trio.fail_after(WAIT_S):
+            while True:
+                try:
+                    results = await deployment.load_settings("vm-1")
+                    if all(result.error is None for result in results):
+                        return
+                except TarragonchuteError:
+                    pass
+                await trio.sleep(POLL_S)
+
+    async def _wait_covered(self, balancer, deployment):
+        """Wait until every VM answers with full coverage."""
+        with trio.fail_after(WAIT_S):
+            for vm_id in deployment.vm_ids:
+                while (await self.search(balancer, vm_id))[1].get("code", "ok") != "ok":
+                    await trio.sleep(POLL_S)
+
+    async def _check_targets(self, deployment):
+        """Check what the targets counted by themselves."""
+        counters = await deployment.read_target_counters()
+        for target, one in counters.items():
+            self.assertEqual(0, one["slot_breaches"], target)
+            self.assertEqual(0, one["cold_breaches"], target)
+            self.assertEqual(0, one["connection_breaches"], target)
+            for key, runs in one["runs"].items():
+                self.assertEqual(1, runs, key)
+
+    async def search(self, balancer, vm_id, least_coverage=1.0):
+        """Return status and answer of one search through a VM."""
+        fields = {
+            "team": "hollowmere",
+            "dataset": "catalogue",
+            "query": {"text": "lantern"},
+            "deadline_ms": 2000,
+            "least_coverage": least_coverage,
+        }
+        body = orjson.dumps(fields)
+        response = await balancer.exchange(vm_id, "POST", "/v1/search", body)
+        if response is None:
+            return None, {"code": "connection"}
+        return response.status, orjson.loads(response.body)
+
+    async def book(self, balancer, vm_id, key, order=1):
+        """Return the outcome of one booking through a VM."""
+        fields = {
+            "team": "hollowmere",
+            "dataset": "schedules",
+            "shard": "s0",
+            "order": {"guide": order},
+            "deadline_ms": 2000,
+        }
+        headers = {"idempotency-key": key}
+        response = await balancer.exchange(
+            vm_id, "POST", "/v1/bookings", orjson.dumps(fields), headers
+        )
+        if response is None:
+            return "connection"
+        return orjson.loads(response.body)["outcome"]
+
+    async def wait_for(self, condition):
+        """Wait until the async condition is true."""
+        with trio.fail_after(WAIT_S):
+            while not await condition():
+                await trio.sleep(POLL_S)
+
+    async def read_runs(self, deployment):
+        """Return a dict of idempotency key to runs over all targets."""
+        counters = await deployment.control_targets("schedules")
+        runs = {}
+        for one in counters.values():
+            for key, count in one["runs"].items():
+                runs[key] = runs.get(key, 0) + count
+        return runs
+
+
+class WholePathTests(ProcessTestCase):
+    """Searches and bookings through separate processes."""
+
+    def test_search_leaves_a_trace_in_two_vms(self):
+        """Guards against a request that cannot be followed across VMs."""
+        self.run_scenario(self._trace_search, log_level="debug")
+
+    async def _trace_search(self, deployment, balancer):
+        status, answer = await self.search(balancer, "vm-2")
+        self.assertEqual(200, status)
+        coverage = {"answered": 6, "total": 6, "missing": []}
+        self.assertEqual(coverage, answer["coverage"])
+        self.assertEqual("1", answer["snapshot"])
+        found = [
+            vm_id
+            for vm_id in deployment.vm_ids
+            if answer["request_id"] in deployment.processes[vm_id].read_log()
+        ]
+        self.assertIn("vm-2", found)
+        self.assertGreaterEqual(len(found), 2)
+        explained = await trio.to_thread.run_sync(
+            commands.explain_request,
+            deployment.admins["vm-3"],
+            TOKEN,
+            answer["request_id"],
+        )
+        traced = [one.vm_id for one in explained if one.trace]
+        self.assertGreaterEqual(len(traced), 2)
+
+    def test_same_key_through_all_vms_at_once_runs_once(self):
+        """Guards against a doubled booking when a caller's request is repeated."""
+        self.run_scenario(self._book_everywhere)
+
+    async def _book_everywhere(self, deployment, balancer):
+        outcomes = []
+
+        async def book(vm_id):
+            outcomes.append(await self.book(balancer, vm_id, "k-1"))
+
+        async with trio.open_nursery() as nursery:
+            for vm_id in deployment.vm_ids:
+                nursery.start_soon(book, vm_id)
+        self.assertEqual(["done"] * 3, outcomes)
+        self.assertEqual({"k-1": 1}, await self.read_runs(deployment))
+
+
+class KillTests(ProcessTestCase):
+    """An entry VM that ends without notice."""
+
+    def test_bookings_of_a_killed_vm_run_at_most_once(self):
+        """Guards against a second run after the VM that dispatched has died."""
+        self.run_scenario(self._kill_while_booking)
+
+    async def _kill_while_booking(self, deployment, balancer):
+        await deployment.control_targets("schedules", service_ms=300)
+        keys = [f"k-{number}" for number in range(8)]
+        async with trio.open_nursery() as nursery:
+            for key in keys:
+                nursery.start_soon(self.book, balancer, "vm-1", key)
+
+            async def has_runs():
+                return len(await self.read_runs(deployment)) >= 2
+
+            await self.wait_for(has_runs)
+            deployment.kill_vm("vm-1")
+        await deployment.control_targets("schedules", service_ms=4)
+        for key in keys:
+            await self._resend(deployment, balancer, key)
+        runs = await self.read_runs(deployment)
+        self.assertEqual({1}, set(runs.values()))
+
+    async def _resend(self, deployment, balancer, key):
+        async def is_settled():
+            return await self.book(balancer, "vm-2", key) in ("done", "unknown")
+
+        await self.wait_for(is_settled)
+
+    def test_targets_of_a_killed_vm_are_served_again(self):
+        """Guards against targets that nobody holds after a crash."""
+        self.run_scenario(self._kill_and_recover)
+
+    async def _kill_and_recover(self, deployment, balancer):
+        deployment.kill_vm("vm-3")
+
+        async def has_moved():
+            status = await self._read_status(deployment)
+            holders = {target.holder for target in status.targets}
+            return holders == {"vm-1", "vm-2"}
+
+        await self.wait_for(has_moved)
+
+        async def is_covered():
+            status, _ = await self.search(balancer, "vm-1")
+            return status == 200
+
+        await self.wait_for(is_covered)
+
+    async def _read_status(self, deployment):
+        return await trio.to_thread.run_sync(
+            commands.read_status, deployment.admins["vm-1"], TOKEN
+        )
+
+
+class PauseTests(ProcessTestCase):
+    """A holder that is stopped and unaware of it."""
+
+    def test_paused_holder_never_exceeds_a_target_after_it_wakes(self):
+        """Guards against two holders of one target around a pause."""
+        self.run_scenario(self._pause_under_load)
+
+    async def _pause_under_load(self, deployment, balancer):
+        callers = Callers(balancer, "hollowmere", "catalogue", "schedules", ["s0"])
+        report = PhaseReport("pause")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(callers.run, report, 150, 0.05)
+            deployment.pause_vm("vm-2")
+
+            async def is_expelled():
+                return "vm-2" not in await self._read_members(deployment)
+
+            await self.wait_for(is_expelled)
+            deployment.resume_vm("vm-2")
+
+            async def is_back():
+                return "vm-2" in await self._read_members(deployment)
+
+            await self.wait_for(is_back)
+        self.assertNotIn("unsent", report.bookings.values())
+
+    async def _read_members(self, deployment):
+        status = await trio.to_thread.run_sync(
+            commands.read_status, deployment.admins["vm-1"], TOKEN
+        )
+        return {member.vm_id for member in status.members}
+
+
+class DrainTests(ProcessTestCase):
+    """Graceful shutdown."""
+
+    def test_drain_cuts_nothing_in_flight_and_exits_0(self):
+        """Guards against requests cut off when a VM is replaced."""
+        self.run_scenario(self._drain_under_load)
+
+    async def _drain_under_load(self, deployment, balancer):
+        await deployment.control_targets("catalogue", service_ms=200)
+        answers = []
+
+        async def search():
+            answers.append((await self.search(balancer, "vm-1", 0.0))[0])
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(search)
+
+            async def is_working():
+                counters = await deployment.control_targets("catalogue")
+                return any(one["work"] for one in counters.values())
+
+            await self.wait_for(is_working)
+            code = await deployment.drain_vm("vm-1")
+        self.assertEqual(0, code)
+        self.assertEqual([200] * 5, answers)
+
+
+class PlatformOutageTests(ProcessTestCase):
+    """The store is down for all VMs."""
+
+    def test_searches_go_on_and_bookings_are_refused_as_not_run(self):
+        """Guards against a store outage that stops the service."""
+        self.run_scenario(self._lose_store)
+
+    async def _lose_store(self, deployment, balancer):
+        await deployment.control_store(outage="refuse")
+        for vm_id in deployment.vm_ids:
+            status, _ = await self.search(balancer, vm_id)
+            self.assertEqual(200, status)
+            self.assertEqual("not_run", await self.book(balancer, vm_id, "k-9"))
+        await deployment.control_store(outage="")
+
+        async def is_booked():
+            return await self.book(balancer, "vm-1", "k-9") == "done"
+
+        await self.wait_for(is_booked)
+        self.assertEqual({"k-9": 1}, await self.read_runs(deployment))
+
+
+class DomainTests(ProcessTestCase):
+    """A failure domain is taken out by its operators."""
+
+    def test_domain_gets_no_new_work_on_any_vm(self):
+        """Guards against a VM that keeps sending to a failure domain."""
+        self.run_scenario(self._take_out)
+
+    async def _take_out(self, deployment, balancer):
+        # The VM in that domain learns of it from its peers alone.
+        change = await deployment.set_domain_state("vm-1", "d2", "out")
+        self.assertEqual("accepted", change.proposal.state)
+        out = [t for t, domain in deployment.list_targets().items() if domain == "d2"]
+
+        async def is_known():
+            healthy = {await self._check_health(balancer, k) for k in ("vm-1", "vm-3")}
+            return (
+                healthy == {200} and await self._check_health(balancer, "vm-2") == 503
+            )
+
+        await self.wait_for(is_known)
+        before = await self._count_received(deployment, out)
+        for _ in range(10):
+            for vm_id in ("vm-1", "vm-3"):
+                status, _ = await self.search(balancer, vm_id)
+                self.assertEqual(200, status)
+        self.assertEqual(before, await self._count_received(deployment, out))
+
+    async def _check_health(self, balancer, vm_id):
+        response = await balancer.exchange(vm_id, "GET", "/healthz")
+        return response.status if response else None
+
+    async def _count_received(self, deployment, targets):
+        counters = await deployment.read_target_counters()
+        return sum(counters[target]["received"] for target in targets)
+
+
+class StartTests(ProcessTestCase):
+    """Start of a VM process."""
+
+    def test_port_in_use_is_a_clear_error(self):
+        """Guards against a VM that seems to start but serves nobody."""
+        self.run_scenario(self._start_twice)
+
+    async def _start_twice(self, deployment, balancer):
+        first = deployment.processes["vm-1"]
+        deployment.processes["vm-1-first"] = first
+        deployment.processes.pop("vm-1")
+        deployment.start_vm("vm-1")
+        second = deployment.processes["vm-1"]
+        self.assertEqual(1, await second.wait())
+        self.assertIn("port_in_use", second.read_log())
+        first.send_signal(signal.SIGTERM)
+        self.assertEqual(0, await first.wait())
+
+    def test_log_is_one_json_object_a_line(self):
+        """Guards against log lines that a collector cannot parse."""
+        self.run_scenario(self._read_log)
+
+    async def _read_log(self, deployment, balancer):
+        lines = deployment.processes["vm-1"].read_log().splitlines()
+        records = [json.loads(line) for line in lines]
+        self.assertTrue(records)
