--- a/tarragonchute/cli.py
+++ b/tarragonchute/cli.py
@@ -480,7 +480,8 @@
         noun = "finding" if count == 1 else "findings"
         print(f"{error}\n{count} {noun}", file=sys.stderr)
     else:
-        print(f"tarragonchute: {error.code}: {error}", file=sys.stderr)
+        code = _describe_error(error)["code"]
+        print(f"tarragonchute: {code}: {error}", file=sys.stderr)
     return _find_error_exit(error)
 
 
