--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,439 @@
+"""Measure the slopes behind docs/CAPACITY.md and extrapolate to the target size.
+
+Everything runs in one process, on the real modules, without sockets. Each figure is
+the least of several repetitions, because other work on the machine only adds time.
+"""
+
+import argparse
+import gc
+import random
+import sys
+import time
+import tracemalloc
+
+from tarragonchute import wire
+from tarragonchute.budgets import Budgets
+from tarragonchute.configuration import Configuration, SubtreeValue
+from tarragonchute.holders import Dispatch, HolderCore
+from tarragonchute.limits import WARM
+from tarragonchute.membership import (
+    HEARTBEAT_PERIOD_S,
+    Member,
+    Membership,
+    View,
+    add_to_view,
+)
+from tarragonchute.messages import (
+    Heartbeat,
+    LoadEstimate,
+    ShardAnswer,
+    ShardAnswers,
+    ShardGroup,
+    ShardItem,
+)
+from tarragonchute.placement import update_holders
+from tarragonchute.routing import Router
+from tarragonchute.searches import SearchRun, SendGroup
+from tarragonchute.settings import (
+    DatasetSettings,
+    FleetSettings,
+    TargetSettings,
+    TeamSettings,
+    Tree,
+    parse_subtree,
+)
+from tarragonchute.snapshots import SnapshotChooser
+from tarragonchute.targets import TargetAnswer
+
+NODES = 1600
+TARGETS = 12_000
+QUERIES_PER_S = 260_000
+SHARDS = 110
+CELL_SIZE = 10
+CELLS = NODES // CELL_SIZE
+CHANGES_PER_DAY = 4600
+RESTARTS_PER_DAY = 760
+FAILURES_PER_DAY = 19
+DAY_S = 86_400
+TCP_IP_BYTES = 66
+"""Ethernet, IP and TCP headers of one segment with timestamps."""
+
+CPU_BUDGET = 0.045
+MEMORY_BUDGET_MB = 128
+TRAFFIC_BUDGET_KB = 5
+REPETITIONS = 5
+
+
+class Fit:
+    """A straight line through measured points.
+
+    Parameters
+    ----------
+    points : list of (float, float)
+        Size and measured value.
+    """
+
+    __slots__ = ("points", "slope", "start")
+
+    def __init__(self, points):
+        self.points = points
+        count = len(points)
+        mean_x = sum(x for x, _ in points) / count
+        mean_y = sum(y for _, y in points) / count
+        spread = sum((x - mean_x) ** 2 for x, _ in points)
+        covered = sum((x - mean_x) * (y - mean_y) for x, y in points)
+        self.slope = covered / spread
+        self.start = mean_y - self.slope * mean_x
+
+    def at(self, size):
+        """Return the extrapolated value."""
+        return self.start + self.slope * size
+
+
+def measure_seconds(action, repeat=1):
+    """Return the least time in seconds of one call of `action`."""
+    best = float("inf")
+    for _ in range(REPETITIONS):
+        started_at = time.perf_counter()
+        for _ in range(repeat):
+            action()
+        best = min(best, (time.perf_counter() - started_at) / repeat)
+    return best
+
+
+def measure_memory(build):
+    """Return the bytes that the result of `build` occupies."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+# Members.
+
+
+def build_cell(size):
+    """Return two members of a cell of `size`, which share a view."""
+    view = None
+    memberships = []
+    for number in range(size):
+        vm_id = f"vm-{number:04}"
+        member = Member(f"{number:016x}", f"10.0.0.1:{number}", f"d{number % 8}")
+        view = add_to_view(view, vm_id, member)
+        if number < 2:
+            memberships.append(Membership(vm_id, member.incarnation, "", "d0"))
+    view = View(view.epoch, view.members)
+    for membership in memberships:
+        membership.adopt_view(view, 0.0)
+        membership.note_settings_read(view.epoch)
+        membership.set_settings("d" * 24)
+    return memberships
+
+
+def measure_heartbeat(size):
+    """Return seconds to build, encode, decode and take one heartbeat, and bytes."""
+    one, other = build_cell(size)
+    clock = [0.0]
+
+    def send_all():
+        clock[0] += HEARTBEAT_PERIOD_S
+        for _, heartbeat in one.build_heartbeats(clock[0]):
+            wire.encode_envelope(Heartbeat.KIND, one.vm_id, 0, heartbeat.to_body())
+
+    def receive():
+        clock[0] += HEARTBEAT_PERIOD_S / size
+        envelope = wire.decode_envelope(frame[4:])
+        heartbeat = Heartbeat.from_body(envelope.body)
+        other.handle_heartbeat(envelope.sender, heartbeat, clock[0])
+
+    heartbeat = one.build_heartbeats(clock[0])[0][1]
+    frame = wire.encode_envelope(Heartbeat.KIND, one.vm_id, 0, heartbeat.to_body())
+    sending = measure_seconds(send_all, 3) / (size - 1)
+    receiving = measure_seconds(receive, 50)
+    return sending + receiving, len(frame) + TCP_IP_BYTES
+
+
+def make_groups(targets):
+    """Return pairs of replicas."""
+    return [(f"t{n:05}-a", f"t{n:05}-b") for n in range(targets // 2)]
+
+
+def measure_view_change(members, targets):
+    """Return seconds to move one VM's targets, to adopt the view, and its bytes."""
+    groups = make_groups(targets)
+    vm_ids = [f"vm-{number:04}" for number in range(members)]
+    current = update_holders(groups, vm_ids, {})
+    seconds = measure_seconds(lambda: update_holders(groups, vm_ids[1:], current))
+    rows = {k: Member("0" * 16, "10.0.0.1:7000", "d1") for k in vm_ids}
+    view = View(2, rows, [], groups, (), current)
+    text = view.to_value()
+    parsing = measure_seconds(lambda: View.from_value(text))
+    return seconds, parsing, len(text)
+
+
+# Settings.
+
+
+def build_tree(targets, per_dataset=220):
+    """Return settings with `targets` targets in datasets of `per_dataset`."""
+    datasets, teams = {}, {}
+    for start in range(0, targets, per_dataset):
+        name = f"dataset-{start}"
+        rows, layout = {}, {}
+        for number in range(start, min(start + per_dataset, targets), 2):
+            pair = [f"t{number}-a", f"t{number}-b"]
+            for target in pair:
+                rows[target] = TargetSettings(target, "10.0.0.1:80", "d1", 2, 25)
+            layout[f"s{number}"] = pair
+        datasets[name] = DatasetSettings(name, rows, {"1": layout, "2": dict(layout)})
+        teams[name] = TeamSettings(name, 1, 1.0, 150, 5000, [name])
+    return Tree(FleetSettings({"d1": True}, {}, 256), teams, datasets)
+
+
+def measure_settings_change(targets, per_dataset=220):
+    """Return seconds to apply one changed dataset in a tree of this size."""
+    tree = build_tree(targets)
+    chooser, router = SnapshotChooser(), Router(lambda target: None, random.Random(1))
+    configuration = Configuration()
+    for name in tree.datasets:
+        configuration.apply(f"dataset/{name}", SubtreeValue(1, "", []))
+    lines = []
+    for number in range(per_dataset):
+        lines += [f"[target t{number}]", f"address = 10.0.0.1:{80 + number}"]
+        lines += ["domain = d1", "slots = 2", "max_connections = 25"]
+    lines.append("[layout 1]")
+    for number in range(0, per_dataset, 2):
+        lines.append(f"s{number} = t{number} t{number + 1}")
+    text = "\n".join(lines)
+    version = [1]
+
+    def apply():
+        version[0] += 1
+        value = SubtreeValue(version[0], text, [])
+        configuration.apply("dataset/dataset-0", value)
+        configuration.digest()
+        parse_subtree("dataset/dataset-0", text, "bench")
+        chooser.set_tree(tree)
+        router.set_tree(tree)
+
+    return measure_seconds(apply), len(text)
+
+
+# Shard requests.
+
+
+class _Allowed:
+    """Lets the holder send to every target."""
+
+    def check_target(self, target_id, now):
+        """Allow it."""
+
+
+def measure_holder(items=11):
+    """Return seconds of the holder's own code for one shard request."""
+    core = HolderCore(_Allowed())
+    targets = [
+        TargetSettings(f"t{n}", "10.0.0.1:80", "d1", 2, 25) for n in range(items)
+    ]
+    core.set_targets(targets, 1, 0.0)
+    for row in core.list_rows():
+        row.state = WARM
+        row.limit = 2
+    state = [0, 0.0]
+    answer = TargetAnswer("ok", {"hits": []}, "warm", "boot-1")
+
+    def run():
+        state[0] += 1
+        state[1] += 0.01
+        number, now = state
+        group = ShardGroup(f"{number:032x}", "team", "ds", "1", {"q": 1}, 100.0, [])
+        group.items = [ShardItem(n, f"s{n}", f"t{n}") for n in range(items)]
+        for action in core.submit("vm-1", number, group, now):
+            if type(action) is Dispatch:
+                core.complete(action, answer, now + 0.004)
+        core.advance(now + 0.005)
+
+    return measure_seconds(run, 200) / items
+
+
+def measure_entry():
+    """Return seconds of the entry's own code for one shard of a 110-shard query."""
+    tree = build_tree(2 * SHARDS)
+    chooser = SnapshotChooser()
+    chooser.set_tree(tree)
+    holders = {t: f"vm-{n % CELL_SIZE}" for n, t in enumerate(tree.list_targets())}
+    router = Router(holders.get, random.Random(1))
+    router.set_tree(tree)
+    budgets = Budgets()
+    load = LoadEstimate(2, 0, 4.0)
+    clock = [0.0]
+
+    def run():
+        clock[0] += 0.1
+        now = clock[0]
+        budget = budgets.find("dataset-0", now)
+        search = SearchRun(
+            "0" * 32, "team", "dataset-0", {}, 0.15, 1.0, chooser, router, budget
+        )
+        for action in search.start(now):
+            if type(action) is SendGroup:
+                answers = [
+                    ShardAnswer(i.attempt, "ok", "done", {"hits": []}, load)
+                    for i in action.message.items
+                ]
+                search.handle_answers(answers, now + 0.01, action.vm_id)
+        search.result()
+
+    return measure_seconds(run, 20) / SHARDS
+
+
+def measure_wire(items=11):
+    """Return seconds to encode and decode a group and its answers, for one item."""
+    rows = [ShardItem(n, f"s{n}", f"target-{n}") for n in range(items)]
+    group = ShardGroup("0" * 32, "team", "ds", "1", {"text": "lantern"}, 100.0, rows)
+    load = LoadEstimate(2, 0, 4.0)
+    hits = {"hits": [{"id": n, "title": "a title of a book"} for n in range(3)]}
+    answers = ShardAnswers(
+        "0" * 32, [ShardAnswer(n, "ok", "done", hits, load) for n in range(items)]
+    )
+
+    def run():
+        for message, kind in ((group, ShardGroup), (answers, ShardAnswers)):
+            frame = wire.encode_envelope(kind.KIND, "vm-1", 1, message.to_body())
+            kind.from_body(wire.decode_envelope(frame[4:]).body)
+
+    return measure_seconds(run, 100) / items
+
+
+# Tables.
+
+
+def print_slopes():
+    """Measure and print the slopes; return what the extrapolation needs."""
+    print("| measured | sizes | values | slope |")
+    print("| --- | --- | --- | --- |")
+    heartbeat = Fit([(n, measure_heartbeat(n)[0] * 1e6) for n in (10, 100, 400, 1600)])
+    _print_fit("one heartbeat, sent and taken, us", "members", heartbeat)
+    frame_bytes = measure_heartbeat(CELL_SIZE)[1]
+    changes = [(n, measure_view_change(CELL_SIZE, n)) for n in (1000, 4000, 12_000)]
+    moving = Fit([(n, (one[0] + one[1]) * 1e3) for n, one in changes])
+    _print_fit("one member change in a cell of 10, ms", "targets of the cell", moving)
+    members = [(n, measure_view_change(n, 1000)) for n in (100, 400, 1600)]
+    wide = Fit([(n, (one[0] + one[1]) * 1e3) for n, one in members])
+    _print_fit("one member change, 1,000 targets, ms", "members of the cell", wide)
+    view_bytes = Fit([(n, one[2] / 1e3) for n, one in changes])
+    _print_fit("view in the store, KB", "targets of the cell", view_bytes)
+    settings = [(n, measure_settings_change(n)) for n in (1000, 4000, 12_000)]
+    applying = Fit([(n, one[0] * 1e3) for n, one in settings])
+    _print_fit("one dataset of 220 targets changed, ms", "targets in all", applying)
+    memory = Fit(
+        [(n, measure_memory(lambda n=n: build_tree(n)) / 1e6) for n in _TARGET_SIZES]
+    )
+    _print_fit("settings in memory, MB", "targets in all", memory)
+    cell_memory = Fit(
+        [(n, measure_memory(lambda n=n: build_cell(n)) / 1e6) for n in (100, 400, 1600)]
+    )
+    _print_fit("two members' tables, MB", "members", cell_memory)
+    shard = [measure_holder() * 1e6, measure_entry() * 1e6, measure_wire() * 1e6]
+    print(f"| holder, us a shard request | - | {shard[0]:.1f} | - |")
+    print(f"| entry, us a shard request | - | {shard[1]:.1f} | - |")
+    print(f"| messages both ways, us a shard request | - | {shard[2]:.1f} | - |")
+    print(f"| heartbeat with headers, bytes | cell of 10 | {frame_bytes} | - |")
+    text_kb = settings[0][1][1] / 1e3
+    return heartbeat, frame_bytes, moving, applying, memory, shard, text_kb, view_bytes
+
+
+_TARGET_SIZES = (1000, 4000, 12_000)
+
+
+def _print_fit(name, unit, fit):
+    sizes = ", ".join(f"{x:,}" for x, _ in fit.points)
+    values = ", ".join(f"{y:.2f}" for _, y in fit.points)
+    print(f"| {name} | {sizes} {unit} | {values} | {fit.slope * 1000:.3f} for 1,000 |")
+
+
+def print_control_budget(slopes):
+    """Print what control costs a node at the target size."""
+    heartbeat, frame_bytes, moving, applying, memory, _, text_kb, view_kb = slopes
+    per_s = (CELL_SIZE - 1) / HEARTBEAT_PERIOD_S
+    targets = TARGETS / CELLS
+    heartbeat_cpu = per_s * heartbeat.at(CELL_SIZE) / 1e6
+    changes_s = CHANGES_PER_DAY / DAY_S
+    settings_cpu = changes_s * applying.at(TARGETS) / 1e3
+    # Each restart is a leave and a join; marking, leaving and joining are 3 views.
+    views_s = (RESTARTS_PER_DAY * 3 + FAILURES_PER_DAY * 2) / DAY_S
+    view_cpu = views_s * moving.at(targets) / 1e3
+    cpu = heartbeat_cpu + settings_cpu + view_cpu
+    settings_traffic = changes_s * text_kb
+    view_traffic = views_s / CELLS * view_kb.at(targets)
+    traffic = per_s * frame_bytes / 1e3 + settings_traffic + view_traffic
+    print("\n| control of one node at the target size | value | budget | factor |")
+    print("| --- | --- | --- | --- |")
+    print(f"| heartbeats, % of a core | {100 * heartbeat_cpu:.2f} | | |")
+    print(f"| settings changes, % of a core | {100 * settings_cpu:.2f} | | |")
+    print(f"| view changes, % of a core | {100 * view_cpu:.3f} | | |")
+    _print_budget("CPU in all, % of a core", 100 * cpu, 100 * CPU_BUDGET)
+    print(f"| heartbeats sent, KB/s | {per_s * frame_bytes / 1e3:.2f} | | |")
+    print(f"| settings taken, KB/s | {settings_traffic:.2f} | | |")
+    print(f"| views taken, KB/s | {view_traffic:.4f} | | |")
+    _print_budget("traffic in all, one way, KB/s", traffic, TRAFFIC_BUDGET_KB)
+    _print_budget("settings in memory, MB", memory.at(TARGETS), MEMORY_BUDGET_MB)
+
+
+def _print_budget(name, value, budget):
+    print(f"| {name} | {value:.2f} | {budget:g} | {value / budget:.2f} |")
+
+
+def print_store_budget():
+    """Print the calls on the key-value service at the target size."""
+    views_s = (RESTARTS_PER_DAY * 3 + FAILURES_PER_DAY * 2) / DAY_S
+    changes_s = CHANGES_PER_DAY / DAY_S
+    watches = 2 * CELLS
+    rows = [
+        ("views: one read and one write a change", views_s, views_s),
+        ("settings: one read and one write a change", changes_s, changes_s),
+        ("settings: read by one watcher of each cell", changes_s * CELLS, 0.0),
+        ("watches re-armed every 10 s, 2 for each cell", watches / 10, 0.0),
+        ("settings read again after a view change", views_s * CELL_SIZE, 0.0),
+    ]
+    print("\n| calls on the store at the target size | reads/s | writes/s |")
+    print("| --- | --- | --- |")
+    for name, reads, writes in rows:
+        print(f"| {name} | {reads:.2f} | {writes:.3f} |")
+    reads, writes = sum(r for _, r, _ in rows), sum(w for _, _, w in rows)
+    print(f"| in all, without bookings | {reads:.1f} | {writes:.2f} |")
+    print(f"| waiting watches at any time | {watches} | |")
+    members = NODES // 8
+    print(
+        f"| a failure domain lost: {members} VMs expelled, in the first 5 s | "
+        f"{2 * CELLS / 5:.0f} | {CELLS / 5:.0f} |"
+    )
+
+
+def print_work(shard):
+    """Print the CPU that the work itself takes at the target size."""
+    per_node = QUERIES_PER_S * SHARDS / NODES
+    own_us = sum(shard)
+    print("\n| work of one node at the target size | value |")
+    print("| --- | --- |")
+    print(f"| shard requests/s sent to targets | {per_node:.0f} |")
+    print(f"| own code and messages, us a shard request | {own_us:.1f} |")
+    print(f"| cores for that | {per_node * own_us / 1e6:.1f} |")
+
+
+def main():
+    """Print all tables."""
+    argparse.ArgumentParser(description=__doc__.splitlines()[0]).parse_args()
+    slopes = print_slopes()
+    print_control_budget(slopes)
+    print_store_budget()
+    print_work(slopes[5])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -190,9 +190,19 @@
 
 def normalize_groups(groups):
     """Return the groups sorted and each once, without those inside another."""
-    sets = {frozenset(group) for group in groups}
-    widest = [one for one in sets if not any(one < other for other in sets)]
-    return sorted(sorted(group) for group in widest)
+    by_size = sorted({frozenset(group) for group in groups}, key=len, reverse=True)
+    kept = []
+    kept_by_target = {}
+    for group in by_size:
+        # A group that contains this one contains each of its targets, so only the
+        # groups of one target need a look.
+        candidates = kept_by_target.get(next(iter(group), None), ())
+        if any(group <= other for other in candidates):
+            continue
+        kept.append(group)
+        for target in group:
+            kept_by_target.setdefault(target, []).append(group)
+    return sorted(sorted(group) for group in kept)
 
 
 def majority(size):
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -29,7 +29,7 @@
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
 from .links import TcpLinks
 from .logs import TraceBook, bind_request
-from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership
+from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership, normalize_groups
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
 from .metrics import Metrics
 from .placement import HeldTargets
@@ -73,6 +73,7 @@
         self.holders_by_target = {}
         self.held = HeldTargets(self.vm_id)
         self._domains_out = set()
+        self._groups = []
         self._clock_offset = time.time() - trio.current_time()
         self.timers = TimerService(trio.current_time())
         self.traces = TraceBook()
@@ -103,7 +104,7 @@
             self.store,
             vm_list,
             self.link,
-            self._list_groups,
+            lambda: self._groups,
             self._is_own_domain_in,
             self._apply_view,
             self._observe_revision,
@@ -211,6 +212,7 @@
         self.admission.set_tree(tree)
         self._apply_domains(tree)
         self._apply_targets()
+        self._groups = normalize_groups(_list_groups(tree))
 
     def _apply_domains(self, tree):
         out = {name for name, is_in in tree.fleet.domains.items() if not is_in}
@@ -242,16 +244,6 @@
         for row in self.holder.core.list_rows():
             row.gained_epoch = self.held.gained[row.target_id]
 
-    def _list_groups(self):
-        datasets = self.distribution.tree.datasets.values()
-        groups = [
-            target_ids
-            for dataset in datasets
-            for layout in dataset.layouts.values()
-            for target_ids in layout.values()
-        ]
-        return groups + [[name] for one in datasets for name in one.targets]
-
     def _is_own_domain_in(self):
         return self.distribution.tree.is_domain_in(self.settings.domain)
 
@@ -525,6 +517,16 @@
             logger.error("stopped with work in flight or outcomes not recorded")
 
 
+def _list_groups(tree):
+    """Return the groups of replicas of all layouts, and each target alone."""
+    groups = []
+    for dataset in tree.datasets.values():
+        for layout in dataset.layouts.values():
+            groups += layout.values()
+        groups += [[name] for name in dataset.targets]
+    return groups
+
+
 def _build_parts(settings):
     def create_client(target, max_connections):
         return HttpTargetClient(target.target_id, target.address, max_connections)
