Do not reset waiting connections when a server shuts down

Cause: closing a listener resets the connections that the kernel holds for it, and the first version also cancelled the first read of connections that it had just accepted.

Ruled out: accepting until none waits, with a pause between two accepts; with clients that keep coming it never ended. So the waiting connections are accepted in one step with the close, and a connection without a request yet gets one second for its first.

--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -3,9 +3,10 @@
 Addresses are ``host:port`` with an IP number as host; IPv6 stands in brackets.
 """
 
+import contextlib
 import errno
-import functools
 import logging
+import os
 import select
 import socket
 from urllib.parse import parse_qsl, unquote
@@ -25,8 +26,13 @@
 REQUEST_TIMEOUT_S = 10.0
 IDLE_GRACE_S = 0.25
 LINGER_S = 1.0
-# Wait for the first bytes on a connection that was accepted as the server closed.
+# When the server closes, a connection that has carried a request is read once more
+# for so long, and one that has not gets the longer time: its client is about to send.
 LAST_LOOK_S = 0.02
+FIRST_REQUEST_GRACE_S = 1.0
+ACCEPT_RETRY_S = 0.1
+# The process or the machine is short of what a new connection needs.
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
 # A client that sends more than this ahead is no longer watched for a disconnect,
 # so that it cannot fill the memory.
 MAX_PIPELINED_BYTES = 256 * 1024
@@ -231,39 +237,63 @@
         last request in flight has its answer.
     """
     server = _Server(handler, options or ServerOptions())
-    async with trio.open_nursery() as connections, trio.open_nursery() as accepting:
-        accepting.start_soon(
-            functools.partial(
-                trio.serve_listeners,
-                server.serve_connection,
-                listeners,
-                handler_nursery=connections,
-            )
-        )
+    async with trio.open_nursery() as nursery:
+        for listener in listeners:
+            nursery.start_soon(server.accept, listener, nursery)
         if shutdown is not None:
             await shutdown.wait()
             await server.drain()
-            accepting.cancel_scope.cancel()
 
 
 class _Server:
     """What all connections of one server share."""
 
-    __slots__ = ("handler", "options", "is_draining", "is_closing", "idle_scopes")
+    __slots__ = (
+        "handler",
+        "options",
+        "is_draining",
+        "is_closing",
+        "idle_connections",
+        "_accept_scopes",
+    )
 
     def __init__(self, handler, options):
         self.handler = handler
         self.options = options
         self.is_draining = False
         self.is_closing = False
-        self.idle_scopes = set()
+        self.idle_connections = set()
+        self._accept_scopes = []
+
+    async def accept(self, listener, nursery):
+        async with listener:
+            with trio.CancelScope() as scope:
+                self._accept_scopes.append(scope)
+                while True:
+                    await self._accept_one(listener, nursery)
+            if isinstance(listener, trio.SocketListener):
+                for stream in _close_listener(listener):
+                    nursery.start_soon(self.serve_connection, stream)
 
     async def drain(self):
         self.is_draining = True
         await trio.sleep(self.options.idle_grace_s)
         self.is_closing = True
-        for scope in self.idle_scopes:
+        for scope in self._accept_scopes:
             scope.cancel()
+        for connection in self.idle_connections:
+            connection.shorten_wait()
+
+    async def _accept_one(self, listener, nursery):
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            if error.errno not in _SHORTAGES:
+                raise
+            logger.error("cannot accept a connection: %s", error)
+            await trio.sleep(ACCEPT_RETRY_S)
+        else:
+            nursery.start_soon(self.serve_connection, stream)
 
     async def serve_connection(self, stream):
         try:
@@ -280,11 +310,13 @@
 class _ServerConnection:
     """One accepted connection."""
 
-    __slots__ = ("_server", "_stream", "_h11")
+    __slots__ = ("_server", "_stream", "_h11", "_idle_scope", "_is_new")
 
     def __init__(self, server, stream):
         self._server = server
         self._stream = stream
+        self._idle_scope = None
+        self._is_new = True
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.options.max_header_bytes
         )
@@ -322,17 +354,25 @@
     async def _wait_for_data(self):
         """Wait on an idle connection; return whether a request has begun."""
         server = self._server
-        timeout_s = LAST_LOOK_S if server.is_closing else server.options.idle_timeout_s
-        with trio.move_on_after(timeout_s) as scope:
-            server.idle_scopes.add(scope)
+        data = b""
+        with trio.move_on_after(server.options.idle_timeout_s) as self._idle_scope:
+            server.idle_connections.add(self)
             try:
+                if server.is_closing:
+                    self.shorten_wait()
                 data = await self._stream.receive_some(RECEIVE_BYTES)
             finally:
-                server.idle_scopes.discard(scope)
-        if scope.cancelled_caught or not data:
-            return False
-        self._h11.receive_data(data)
-        return True
+                server.idle_connections.discard(self)
+        self._is_new = False
+        if data:
+            self._h11.receive_data(data)
+        return bool(data)
+
+    def shorten_wait(self):
+        """Bound the wait for a request, because the server closes."""
+        wait_s = FIRST_REQUEST_GRACE_S if self._is_new else LAST_LOOK_S
+        scope = self._idle_scope
+        scope.deadline = min(scope.deadline, trio.current_time() + wait_s)
 
     async def _read_message(self, event):
         event = event or await self._next_event()
@@ -443,6 +483,23 @@
                 pass
 
 
+def _close_listener(listener):
+    """Close a listener and return the streams of the connections it still held.
+
+    Closing it resets the connections that wait in it. So they are accepted first,
+    in one step with the close: with a pause between, others would arrive.
+    """
+    streams = []
+    with socket.socket(fileno=os.dup(listener.socket.fileno())) as waiting:
+        waiting.setblocking(False)
+        with contextlib.suppress(OSError):
+            while True:
+                accepted = trio.socket.from_stdlib_socket(waiting.accept()[0])
+                streams.append(trio.SocketStream(accepted))
+        listener.socket.close()
+    return streams
+
+
 def _refuse_request(status, message):
     error = BadRequestError(message)
     error.status = status
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -1,56 +1,53 @@
 """Tests of HTTP over trio, on real loopback sockets."""
 
 import contextlib
+import functools
 
 import testtools
 import trio
 
-from tarragonchute.errors import (
-    BadRequestError,
-    OverloadedError,
-    PortInUseError,
-    ProtocolError,
-)
-from tarragonchute.httpio import (
-    ConnectionPool,
-    HttpConnection,
-    HttpResponse,
-    ServerOptions,
-    bind_listeners,
-    get_address,
-    serve_http,
-    split_address,
-)
+from tarragonchute import errors, httpio
+from tarragonchute.httpio import HttpConnection, HttpResponse, ServerOptions
 
 TEST_TIMEOUT_S = 10
 
 
 @contextlib.asynccontextmanager
-async def start_server(handler, options=None, shutdown=None):
-    """Serve on a free port and yield its address."""
-    listeners = await bind_listeners("127.0.0.1:0")
+async def start_server(handler, options=None, shutdown=None, serve=None):
+    """Serve on a free port, with `serve` if given, and yield the address."""
+    serve = serve or functools.partial(
+        httpio.serve_http, handler, options=options, shutdown=shutdown
+    )
+    listeners = await httpio.bind_listeners("127.0.0.1:0")
     with trio.fail_after(TEST_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve_http, handler, listeners, options, shutdown)
-            yield get_address(listeners)
+            nursery.start_soon(serve, listeners)
+            yield httpio.get_address(listeners)
             if shutdown is None:
                 nursery.cancel_scope.cancel()
 
 
+async def close_port():
+    """Return an address on which nobody listens."""
+    (listener,) = await httpio.bind_listeners("127.0.0.1:0")
+    async with listener:
+        return httpio.get_address([listener])
+
+
 async def answer_echo(request):
     return HttpResponse.from_json([request.method, request.path, request.query])
 
 
 async def send_raw(address, data):
     """Send bytes and return all that comes back until the server closes."""
-    stream = await trio.open_tcp_stream(*split_address(address))
+    stream = await trio.open_tcp_stream(*httpio.split_address(address))
     async with stream:
         with contextlib.suppress(trio.BrokenResourceError):
             await stream.send_all(data)
         return b"".join([part async for part in stream])
 
 
-async def answer_raw(data, stream, ends):
+async def answer_raw(data, ends, stream):
     """Answer the first request with fixed bytes, and end the stream if told to."""
     await stream.receive_some(65536)
     await stream.send_all(data)
@@ -103,7 +100,7 @@
 
         async def handle(request):
             if request.path == "/busy":
-                raise OverloadedError("too much")
+                raise errors.OverloadedError("too much")
             raise ZeroDivisionError("secret detail")
 
         async def main():
@@ -195,22 +192,49 @@
         self.assertEqual(b"whole", slow_answer.body)
         self.assertEqual("close", slow_answer.headers["connection"])
 
+    def test_shutdown_under_load(self):
+        """Guards against a reset of connections that the server has yet to accept."""
+        codes = set()
+
+        async def ask_until_refused(address):
+            while True:
+                try:
+                    connection = await HttpConnection.open(address, 1.0)
+                except ConnectionRefusedError:
+                    return
+                codes.add((await connection.exchange("GET", "/")).status)
+                connection.close()
+
+        async def main():
+            shutdown = trio.Event()
+            options = ServerOptions(idle_grace_s=0.05)
+            async with (
+                start_server(answer_echo, options, shutdown) as address,
+                trio.open_nursery() as nursery,
+            ):
+                for _ in range(20):
+                    nursery.start_soon(ask_until_refused, address)
+                shutdown.set()
+
+        trio.run(main)
+        self.assertEqual({200}, codes)
+
     def test_port_in_use(self):
         """Guards against a start that fails without a clear text."""
 
         async def main():
-            (listener,) = await bind_listeners("127.0.0.1:0")
+            (listener,) = await httpio.bind_listeners("127.0.0.1:0")
             async with listener:
-                await bind_listeners(get_address([listener]))
+                await httpio.bind_listeners(httpio.get_address([listener]))
 
-        error = self.assertRaises(PortInUseError, trio.run, main)
+        error = self.assertRaises(errors.PortInUseError, trio.run, main)
         self.assertIn("the port is in use", str(error))
 
     def test_malformed_address(self):
         """Guards against an address that is only half understood."""
         for text in ("host", ":1", "host:", "host:x", "host:70000"):
-            self.assertRaises(ValueError, split_address, text)
-        self.assertEqual(("::1", 80), split_address("[::1]:80"))
+            self.assertRaises(ValueError, httpio.split_address, text)
+        self.assertEqual(("::1", 80), httpio.split_address("[::1]:80"))
 
 
 class ConnectionTests(testtools.TestCase):
@@ -218,18 +242,12 @@
 
     def run_against(self, data, check, ends=True):
         async def main():
-            (listener,) = await bind_listeners("127.0.0.1:0")
-
-            async def answer(stream):
-                await answer_raw(data, stream, ends)
-
-            with trio.fail_after(TEST_TIMEOUT_S):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(trio.serve_listeners, answer, [listener])
-                    connection = await HttpConnection.open(get_address([listener]), 1)
-                    await check(connection)
-                    connection.close()
-                    nursery.cancel_scope.cancel()
+            answer = functools.partial(answer_raw, data, ends)
+            serve = functools.partial(trio.serve_listeners, answer)
+            async with start_server(None, serve=serve) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                await check(connection)
+                connection.close()
 
         trio.run(main)
 
@@ -258,7 +276,7 @@
         """Guards against an answer that is not HTTP."""
 
         async def check(connection):
-            with testtools.ExpectedException(ProtocolError):
+            with testtools.ExpectedException(errors.ProtocolError):
                 await connection.exchange("GET", "/")
 
         self.run_against(b"SSH-2.0 no http\r\n\r\n", check)
@@ -268,7 +286,7 @@
 
         async def check(connection):
             for value in ("a\r\nX: b", "\u00e9"):
-                with testtools.ExpectedException(BadRequestError):
+                with testtools.ExpectedException(errors.BadRequestError):
                     await connection.send_request("GET", "/", [("X-Id", value)])
 
         self.run_against(b"", check)
@@ -278,7 +296,7 @@
 
         async def main():
             async with start_server(answer_echo) as address:
-                pool = ConnectionPool(address, 2, 1.0)
+                pool = httpio.ConnectionPool(address, 2, 1.0)
                 for _ in range(2):
                     await pool.reserve()
                 self.assertFalse(pool.try_reserve())
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,25 +1,21 @@
 """Tests of the key-value service: the twin, and the client against the stand-in."""
 
 import contextlib
+import functools
 
 import testtools
 import trio
 from trio.testing import MockClock
 
 from standins.store import StoreServer
-from tarragonchute.errors import (
-    BadRequestError,
-    StoreConflictError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
-from tarragonchute.httpio import bind_listeners, get_address, serve_http
+from tarragonchute import errors
 from tarragonchute.store import (
     MAX_VALUE_BYTES,
     HttpStore,
     LeaseNotFoundError,
     MemoryStore,
 )
+from tests.test_httpio import close_port, start_server
 
 
 @contextlib.asynccontextmanager
@@ -33,138 +29,120 @@
 async def open_http_store():
     """Yield ``(store, twin)``: a client, and the twin inside its stand-in."""
     server = StoreServer()
-    listeners = await bind_listeners("127.0.0.1:0")
-    with trio.fail_after(10):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve_http, server.handle, listeners)
-            store = HttpStore(get_address(listeners))
-            yield store, server.store
-            store.close()
-            nursery.cancel_scope.cancel()
+    async with start_server(server.handle) as address:
+        store = HttpStore(address)
+        yield store, server.store
+        store.close()
 
 
-class StoreTests:
-    """What both implementations must do; `run` calls a test with both objects."""
+def with_store(test):
+    """Run an async test with the store under test and the twin behind it."""
 
-    def run_test(self, test):
+    @functools.wraps(test)
+    def run(self):
         async def main():
             async with self.open_store() as (store, twin):
-                await test(store, twin)
+                await test(self, store, twin)
 
         trio.run(main, clock=self.make_clock())
 
-    def test_compare_and_swap(self):
-        """Guards against a lost update and against a wrong current entry."""
+    return run
 
-        async def test(store, twin):
-            self.assertIsNone(await store.get("a/b c"))
-            first = await store.put("a/b c", "1", 0)
-            with testtools.ExpectedException(StoreConflictError):
-                await store.put("a/b c", "2", 0)
-            second = await store.put("a/b c", "2", first)
-            self.assertGreater(second, first)
-            try:
-                await store.put("a/b c", "3", first)
-            except StoreConflictError as error:
-                self.assertEqual("2", error.entry.value)
-                self.assertEqual(second, error.entry.revision)
-            else:
-                self.fail("the second writer was not refused")
-            await store.delete("a/b c", second)
-            self.assertIsNone(await store.get("a/b c"))
-            with testtools.ExpectedException(StoreConflictError):
-                await store.delete("a/b c", second)
-            await store.put("a/b c", "4", 0)
-            self.assertEqual(5, store.calls["put"])
 
-        self.run_test(test)
+class StoreTests:
+    """What both implementations must do."""
 
-    def test_list_and_watch(self):
-        """Guards against missed changes and deletions."""
+    @with_store
+    async def test_compare_and_swap(self, store, twin):
+        """Guards against a lost update and against a wrong current entry."""
+        self.assertIsNone(await store.get("a/b c"))
+        first = await store.put("a/b c", "1", 0)
+        with testtools.ExpectedException(errors.StoreConflictError):
+            await store.put("a/b c", "2", 0)
+        second = await store.put("a/b c", "2", first)
+        self.assertGreater(second, first)
+        try:
+            await store.put("a/b c", "3", first)
+        except errors.StoreConflictError as error:
+            self.assertEqual("2", error.entry.value)
+            self.assertEqual(second, error.entry.revision)
+        else:
+            self.fail("the second writer was not refused")
+        await store.delete("a/b c", second)
+        self.assertIsNone(await store.get("a/b c"))
+        with testtools.ExpectedException(errors.StoreConflictError):
+            await store.delete("a/b c", second)
+        await store.put("a/b c", "4", 0)
+        self.assertEqual(5, store.calls["put"])
 
-        async def test(store, twin):
-            await store.put("x/1", "a", 0)
-            await store.put("y/1", "a", 0)
-            entries, revision = await store.list("x/")
-            self.assertEqual(["x/1"], [entry.key for entry in entries])
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(store.put, "x/2", "b", 0)
-                entries, after = await store.watch("x/", revision, 5.0)
-            self.assertEqual([("x/2", "b")], [(e.key, e.value) for e in entries])
-            await store.delete("x/2", after)
-            entries, after = await store.watch("x/", after, 5.0)
-            self.assertEqual([("x/2", None)], [(e.key, e.value) for e in entries])
-            self.assertEqual(([], after), await store.watch("x/", after, 0.01))
-
-        self.run_test(test)
-
-    def test_lost_answer_and_lost_write(self):
+    @with_store
+    async def test_list_and_watch(self, store, twin):
+        """Guards against missed changes and deletions."""
+        await store.put("x/1", "a", 0)
+        await store.put("y/1", "a", 0)
+        entries, revision = await store.list("x/")
+        self.assertEqual(["x/1"], [entry.key for entry in entries])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.put, "x/2", "b", 0)
+            entries, after = await store.watch("x/", revision, 5.0)
+        self.assertEqual([("x/2", "b")], [(e.key, e.value) for e in entries])
+        await store.delete("x/2", after)
+        entries, after = await store.watch("x/", after, 5.0)
+        self.assertEqual([("x/2", None)], [(e.key, e.value) for e in entries])
+        self.assertEqual(([], after), await store.watch("x/", after, 0.01))
+
+    @with_store
+    async def test_lost_answer_and_lost_write(self, store, twin):
         """Guards against a write of unknown outcome reported as not run."""
-
-        async def test(store, twin):
-            twin.lose_answers = 1
-            with testtools.ExpectedException(StoreOutcomeUnknownError):
-                await store.put("k", "1", 0)
-            self.assertEqual("1", (await store.get("k")).value)
-            twin.lose_writes = 1
-            with testtools.ExpectedException(StoreOutcomeUnknownError):
-                await store.put("k", "2", 1)
-            self.assertEqual("1", (await store.get("k")).value)
-
-        self.run_test(test)
-
-    def test_outage(self):
-        """Guards against an effect of a refused call."""
-
-        async def test(store, twin):
-            twin.is_unavailable = True
-            for call in (store.get("k"), store.put("k", "1", 0), store.watch("", 0, 1)):
-                with testtools.ExpectedException(StoreUnavailableError):
-                    await call
-            twin.is_unavailable = False
-            self.assertIsNone(await store.get("k"))
-
-        self.run_test(test)
-
-    def test_restored_backup_shows_a_lower_revision(self):
-        """Guards against a watcher that waits without end after a restore."""
-
-        async def test(store, twin):
+        twin.lose_answers = 1
+        with testtools.ExpectedException(errors.StoreOutcomeUnknownError):
             await store.put("k", "1", 0)
-            backup = twin.save_backup()
+        self.assertEqual("1", (await store.get("k")).value)
+        twin.lose_writes = 1
+        with testtools.ExpectedException(errors.StoreOutcomeUnknownError):
             await store.put("k", "2", 1)
-            twin.restore_backup(backup)
-            self.assertEqual("1", (await store.get("k")).value)
-            self.assertEqual(([], 1), await store.watch("", 2, 60.0))
+        self.assertEqual("1", (await store.get("k")).value)
 
-        self.run_test(test)
-
-    def test_leases(self):
+    @with_store
+    async def test_outage(self, store, twin):
+        """Guards against an effect of a refused call."""
+        twin.is_unavailable = True
+        for call in (store.get("k"), store.put("k", "1", 0), store.watch("", 0, 1)):
+            with testtools.ExpectedException(errors.StoreUnavailableError):
+                await call
+        twin.is_unavailable = False
+        self.assertIsNone(await store.get("k"))
+
+    @with_store
+    async def test_restored_backup_shows_a_lower_revision(self, store, twin):
+        """Guards against a watcher that waits without end after a restore."""
+        await store.put("k", "1", 0)
+        backup = twin.save_backup()
+        await store.put("k", "2", 1)
+        twin.restore_backup(backup)
+        self.assertEqual("1", (await store.get("k")).value)
+        self.assertEqual(([], 1), await store.watch("", 2, 60.0))
+
+    @with_store
+    async def test_leases(self, store, twin):
         """Guards against keys that outlive their lease, and unseen expiries."""
-
-        async def test(store, twin):
-            lease = await store.grant_lease(60.0)
-            revision = await store.put("k", "1", 0, lease)
+        lease = await store.grant_lease(60.0)
+        revision = await store.put("k", "1", 0, lease)
+        await store.renew_lease(lease)
+        twin.expire_leases()
+        entries, _ = await store.watch("", revision, 5.0)
+        self.assertEqual([("k", None)], [(e.key, e.value) for e in entries])
+        with testtools.ExpectedException(LeaseNotFoundError):
             await store.renew_lease(lease)
-            twin.expire_leases()
-            entries, _ = await store.watch("", revision, 5.0)
-            self.assertEqual([("k", None)], [(e.key, e.value) for e in entries])
-            with testtools.ExpectedException(LeaseNotFoundError):
-                await store.renew_lease(lease)
-            with testtools.ExpectedException(LeaseNotFoundError):
-                await store.put("k", "1", 0, lease)
-
-        self.run_test(test)
+        with testtools.ExpectedException(LeaseNotFoundError):
+            await store.put("k", "1", 0, lease)
 
-    def test_large_value(self):
+    @with_store
+    async def test_large_value(self, store, twin):
         """Guards against a value that the store cannot hold."""
-
-        async def test(store, twin):
-            await store.put("k", "\u00e9" * (MAX_VALUE_BYTES // 2), 0)
-            with testtools.ExpectedException(BadRequestError):
-                await store.put("k2", "x" * (MAX_VALUE_BYTES + 1), 0)
-
-        self.run_test(test)
+        await store.put("k", "\u00e9" * (MAX_VALUE_BYTES // 2), 0)
+        with testtools.ExpectedException(errors.BadRequestError):
+            await store.put("k2", "x" * (MAX_VALUE_BYTES + 1), 0)
 
 
 class MemoryStoreTests(StoreTests, testtools.TestCase):
@@ -175,20 +153,17 @@
     def make_clock(self):
         return MockClock(autojump_threshold=0)
 
-    def test_lease_ends_by_time(self):
+    @with_store
+    async def test_lease_ends_by_time(self, store, twin):
         """Guards against a waiting watch that does not see a key expire."""
-
-        async def test(store, twin):
-            lease = await store.grant_lease(1.0)
-            revision = await store.put("k", "1", 0, lease)
-            await trio.sleep(0.5)
-            await store.renew_lease(lease)
-            started_at = trio.current_time()
-            entries, _ = await store.watch("k", revision, 60.0)
-            self.assertIsNone(entries[0].value)
-            self.assertEqual(1.0, trio.current_time() - started_at)
-
-        self.run_test(test)
+        lease = await store.grant_lease(1.0)
+        revision = await store.put("k", "1", 0, lease)
+        await trio.sleep(0.5)
+        await store.renew_lease(lease)
+        started_at = trio.current_time()
+        entries, _ = await store.watch("k", revision, 60.0)
+        self.assertIsNone(entries[0].value)
+        self.assertEqual(1.0, trio.current_time() - started_at)
 
 
 class HttpStoreTests(StoreTests, testtools.TestCase):
@@ -199,41 +174,29 @@
     def make_clock(self):
         return None
 
-    def test_slow_store(self):
+    @with_store
+    async def test_slow_store(self, store, twin):
         """Guards against a timeout that is taken for a write that did not run."""
+        twin.delay_s = 60.0
+        store._timeout_s = 0.02
+        with testtools.ExpectedException(errors.StoreUnavailableError):
+            await store.get("k")
+        with testtools.ExpectedException(errors.StoreOutcomeUnknownError):
+            await store.put("k", "1", 0)
 
-        async def test(store, twin):
-            twin.delay_s = 60.0
-            store._timeout_s = 0.02
-            with testtools.ExpectedException(StoreUnavailableError):
-                await store.get("k")
-            with testtools.ExpectedException(StoreOutcomeUnknownError):
-                await store.put("k", "1", 0)
-
-        self.run_test(test)
-
-    def test_dead_store(self):
+    @with_store
+    async def test_dead_store(self, store, twin):
         """Guards against an unsent write whose outcome is called unknown."""
+        with testtools.ExpectedException(errors.StoreUnavailableError):
+            await HttpStore(await close_port()).put("k", "1", 0)
 
-        async def main():
-            (listener,) = await bind_listeners("127.0.0.1:0")
-            address = get_address([listener])
-            await listener.aclose()
-            with testtools.ExpectedException(StoreUnavailableError):
-                await HttpStore(address).put("k", "1", 0)
-
-        trio.run(main)
-
-    def test_connections_are_reused(self):
+    @with_store
+    async def test_connections_are_reused(self, store, twin):
         """Guards against a new connection for each call, and against waiting calls."""
-
-        async def test(store, twin):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(store.watch, "w", 0, 5.0)
-                for number in range(5):
-                    await store.put(f"k{number}", "1", 0)
-                await store.put("w", "1", 0)
-            self.assertEqual(1, store._pool.connections)
-            self.assertEqual(1, store._watch_pool.connections)
-
-        self.run_test(test)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.watch, "w", 0, 5.0)
+            for number in range(5):
+                await store.put(f"k{number}", "1", 0)
+            await store.put("w", "1", 0)
+        self.assertEqual(1, store._pool.connections)
+        self.assertEqual(1, store._watch_pool.connections)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,6 +1,7 @@
 """Tests of the exchanges with a target: the twin, and the client over HTTP."""
 
 import contextlib
+import functools
 import time
 
 import testtools
@@ -9,7 +10,6 @@
 
 from standins.target import TargetServer
 from tarragonchute.errors import BadRequestError
-from tarragonchute.httpio import bind_listeners, get_address
 from tarragonchute.messages import BOOKING
 from tarragonchute.targets import (
     HttpTargetClient,
@@ -17,6 +17,7 @@
     MemoryTargetClient,
     TargetRequest,
 )
+from tests.test_httpio import close_port, start_server
 
 
 def make_request(clock, request_id="r1", shard="s0", version="1", ttl_s=5.0, key=None):
@@ -34,157 +35,148 @@
 @contextlib.asynccontextmanager
 async def open_http_client(target, max_connections):
     """Yield a client of the stand-in inside this process."""
-    listeners = await bind_listeners("127.0.0.1:0")
-    with trio.fail_after(10):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(TargetServer(target).run, listeners)
-            client = HttpTargetClient("t1", get_address(listeners), max_connections)
-            yield client
-            await client.aclose()
-            nursery.cancel_scope.cancel()
+    async with start_server(None, serve=TargetServer(target).run) as address:
+        client = HttpTargetClient("t1", address, max_connections)
+        yield client
+        await client.aclose()
 
 
-class ExchangeTests:
-    """What both implementations must do."""
+def with_target(max_connections=4, service_s=0.005):
+    """Run an async test with the model of a target and a client of it."""
 
-    def run_test(self, test, max_connections=4, **options):
-        async def main():
-            target = MemoryTarget(
-                "t1", ["s0"], ["1", "2"], wall_clock=self.wall_clock, **options
-            )
-            async with self.open_client(target, max_connections) as client:
-                await test(target, client)
+    def decorate(test):
+        @functools.wraps(test)
+        def run(self):
+            async def main():
+                target = MemoryTarget("t1", ["s0"], ["1", "2"], service_s=service_s)
+                target.wall_clock = self.wall_clock
+                async with self.open_client(target, max_connections) as client:
+                    await test(self, target, client)
 
-        trio.run(main, clock=self.make_clock())
+            trio.run(main, clock=self.make_clock())
 
-    def request(self, *args, **kwargs):
-        return make_request(self.wall_clock, *args, **kwargs)
+        return run
 
-    def test_answer_and_reuse(self):
-        """Guards against lost parts of an answer, and a new connection for each."""
+    return decorate
 
-        async def test(target, client):
-            for _ in range(3):
-                answer = await client.exchange(self.request(version="2"))
-            self.assertEqual("ok", answer.code)
-            self.assertEqual("2", answer.result["version"])
-            self.assertEqual("warm", answer.state)
-            self.assertEqual(target.boot_id, answer.boot_id)
-            self.assertEqual(1, client.connections)
-            self.assertEqual(1, target.counters.connections_peak)
 
-        self.run_test(test)
+class ExchangeTests:
+    """What both implementations must do."""
 
-    def test_refusals(self):
+    def request(self, *args, **kwargs):
+        return make_request(self.wall_clock, *args, **kwargs)
+
+    async def cancel_exchange(self, target, client, **fields):
+        """Cancel an exchange once the target works on it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.exchange, self.request(**fields))
+            await target.wait_work()
+            nursery.cancel_scope.cancel()
+
+    @with_target()
+    async def test_answer_and_reuse(self, target, client):
+        """Guards against lost parts of an answer, and a new connection for each."""
+        for _ in range(3):
+            answer = await client.exchange(self.request(version="2"))
+        self.assertEqual("ok", answer.code)
+        self.assertEqual("2", answer.result["version"])
+        self.assertEqual("warm", answer.state)
+        self.assertEqual(target.boot_id, answer.boot_id)
+        self.assertEqual(1, client.connections)
+        self.assertEqual(1, target.counters.connections_peak)
+
+    @with_target()
+    async def test_refusals(self, target, client):
         """Guards against a refusal whose code or versions are lost."""
 
-        async def check(client, code, **fields):
+        async def check(code, **fields):
             answer = await client.exchange(self.request(**fields))
             self.assertEqual(code, answer.code)
             self.assertTrue(answer.is_provably_not_run)
             return answer
 
-        async def test(target, client):
-            answer = await check(client, "version_missing", version="3")
-            self.assertEqual(["1", "2"], answer.versions)
-            await check(client, "shard_unknown", shard="s/9")
-            await check(client, "deadline_passed", ttl_s=-1.0)
-            target.is_shedding = True
-            await check(client, "shedding", key="k1")
-            target.is_draining = True
-            answer = await check(client, "draining", key="k1")
-            self.assertEqual("draining", answer.state)
-            self.assertEqual("draining", await client.fetch_status())
-            target.reported_state = "warm"
-            self.assertEqual("warm", await client.fetch_status())
-            self.assertEqual({}, target.counters.runs)
-
-        self.run_test(test)
-
-    def test_failures_that_may_have_run(self):
+        answer = await check("version_missing", version="3")
+        self.assertEqual(["1", "2"], answer.versions)
+        await check("shard_unknown", shard="s/9")
+        await check("deadline_passed", ttl_s=-1.0)
+        target.is_shedding = True
+        await check("shedding", key="k1")
+        target.is_draining = True
+        answer = await check("draining", key="k1")
+        self.assertEqual("draining", answer.state)
+        self.assertEqual("draining", await client.fetch_status())
+        target.reported_state = "warm"
+        self.assertEqual("warm", await client.fetch_status())
+        self.assertEqual({}, target.counters.runs)
+
+    @with_target()
+    async def test_failures_that_may_have_run(self, target, client):
         """Guards against a booking that ran and is reported as not run."""
 
-        async def check(client, code, key, ttl_s=5.0):
+        async def check(code, key, ttl_s=5.0):
             answer = await client.exchange(self.request(key=key, ttl_s=ttl_s))
             self.assertEqual(code, answer.code)
             self.assertFalse(answer.is_provably_not_run)
 
-        async def test(target, client):
-            target.lose_answers = 1
-            await check(client, "connection_lost", "k1")
-            target.wrong_ids = 1
-            await check(client, "wrong_answer", "k2")
-            self.assertEqual(0, client.connections)
-            target.service_s = 60.0
-            await check(client, "timed_out", "k3", ttl_s=0.2)
-            self.assertEqual({"k1": 1, "k2": 1, "k3": 1}, target.counters.runs)
-
-        self.run_test(test)
-
-    def test_cancel_stops_the_work(self):
+        target.lose_answers = 1
+        await check("connection_lost", "k1")
+        target.wrong_ids = 1
+        await check("wrong_answer", "k2")
+        self.assertEqual(0, client.connections)
+        target.service_s = 60.0
+        await check("timed_out", "k3", ttl_s=0.2)
+        self.assertEqual({"k1": 1, "k2": 1, "k3": 1}, target.counters.runs)
+
+    @with_target(service_s=60.0)
+    async def test_cancel_stops_the_work(self, target, client):
         """Guards against a slot that is counted as free while the target works."""
+        await self.cancel_exchange(target, client)
+        self.assertEqual(0, target.work)
+        self.assertEqual(1, target.counters.cancelled)
 
-        async def test(target, client):
-            with trio.move_on_after(0.05) as scope:
-                await client.exchange(self.request())
-            self.assertTrue(scope.cancelled_caught)
-            self.assertEqual(0, target.work)
-            self.assertEqual(1, target.counters.cancelled)
-
-        self.run_test(test, service_s=60.0)
-
-    def test_unreachable(self):
+    @with_target(max_connections=1)
+    async def test_unreachable(self, target, client):
         """Guards against a failed connection that blocks a later one."""
-
-        async def test(target, client):
-            target.is_unreachable = True
-            answer = await client.exchange(self.request())
-            self.assertNotEqual("ok", answer.code)
-            self.assertIsNone(await client.fetch_status())
-            target.is_unreachable = False
-            self.assertEqual("ok", (await client.exchange(self.request())).code)
-
-        self.run_test(test, max_connections=1)
-
-    def test_connection_limits(self):
+        target.is_unreachable = True
+        answer = await client.exchange(self.request())
+        self.assertNotEqual("ok", answer.code)
+        self.assertIsNone(await client.fetch_status())
+        target.is_unreachable = False
+        self.assertEqual("ok", (await client.exchange(self.request())).code)
+
+    @with_target(max_connections=2)
+    async def test_connection_limits(self, target, client):
         """Guards against more connections than the client or the target allows."""
-
-        async def test(target, client):
-            async with trio.open_nursery() as nursery:
-                for number in range(6):
-                    request = self.request(f"r{number}")
-                    nursery.start_soon(client.exchange, request)
-            self.assertEqual(2, target.counters.connections_peak)
-            self.assertEqual(6, target.counters.finished)
-            await client.aclose()
-            target.max_connections = 0
-            answer = await client.exchange(self.request())
-            self.assertEqual("connection_lost", answer.code)
-
-        self.run_test(test, max_connections=2)
-
-    def test_restart_loses_running_requests(self):
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                request = self.request(f"r{number}")
+                nursery.start_soon(client.exchange, request)
+        self.assertEqual(2, target.counters.connections_peak)
+        self.assertEqual(6, target.counters.finished)
+        await client.aclose()
+        target.max_connections = 0
+        answer = await client.exchange(self.request())
+        self.assertEqual("connection_lost", answer.code)
+
+    @with_target(service_s=60.0)
+    async def test_restart_loses_running_requests(self, target, client):
         """Guards against a lost request that is taken for one that did not run."""
+        answers = []
 
-        async def test(target, client):
-            answers = []
-
-            async def exchange():
-                answers.append(await client.exchange(self.request(key="k1")))
+        async def exchange():
+            answers.append(await client.exchange(self.request(key="k1")))
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(exchange)
-                await target.wait_work()
-                boot_id = target.boot_id
-                target.restart()
-            self.assertEqual("connection_lost", answers[0].code)
-            self.assertEqual(0, client.connections)
-            target.service_s = 0.0
-            answer = await client.exchange(self.request())
-            self.assertEqual("cold", answer.state)
-            self.assertNotEqual(boot_id, answer.boot_id)
-
-        self.run_test(test, service_s=60.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(exchange)
+            await target.wait_work()
+            boot_id = target.boot_id
+            target.restart()
+        self.assertEqual("connection_lost", answers[0].code)
+        self.assertEqual(0, client.connections)
+        target.service_s = 0.0
+        answer = await client.exchange(self.request())
+        self.assertEqual("cold", answer.state)
+        self.assertNotEqual(boot_id, answer.boot_id)
 
 
 class MemoryTargetClientTests(ExchangeTests, testtools.TestCase):
@@ -206,50 +198,35 @@
     def make_clock(self):
         return None
 
-    def test_duplicate_answer(self):
+    @with_target()
+    async def test_duplicate_answer(self, target, client):
         """Guards against a duplicate that answers the next request."""
-
-        async def test(target, client):
-            target.duplicate_answers = 1
-            first = await client.exchange(self.request("r1", version="1"))
-            second = await client.exchange(self.request("r2", version="2"))
-            self.assertEqual(["1", "2"], [a.result["version"] for a in (first, second)])
-            self.assertEqual(2, target.counters.finished)
-
-        self.run_test(test)
-
-    def test_cancel_without_a_spare_connection(self):
+        target.duplicate_answers = 1
+        first = await client.exchange(self.request("r1", version="1"))
+        second = await client.exchange(self.request("r2", version="2"))
+        self.assertEqual(["1", "2"], [a.result["version"] for a in (first, second)])
+        self.assertEqual(2, target.counters.finished)
+
+    @with_target(max_connections=1, service_s=60.0)
+    async def test_cancel_without_a_spare_connection(self, target, client):
         """Guards against giving up a connection while the target still works."""
+        await self.cancel_exchange(target, client, ttl_s=0.2)
+        self.assertEqual(0, target.work)
+        self.assertEqual(0, client.connections)
+        self.assertEqual(1, target.counters.connections_peak)
 
-        async def test(target, client):
-            with trio.move_on_after(0.02):
-                await client.exchange(self.request(ttl_s=0.2))
-            self.assertEqual(0, target.work)
-            self.assertEqual(0, client.connections)
-            self.assertEqual(1, target.counters.connections_peak)
-
-        self.run_test(test, max_connections=1, service_s=60.0)
-
-    def test_key_that_is_no_header(self):
+    @with_target(max_connections=1)
+    async def test_key_that_is_no_header(self, target, client):
         """Guards against a caller's key that adds headers to the request."""
+        with testtools.ExpectedException(BadRequestError):
+            await client.exchange(self.request(key="k\r\nX-Snapshot: 2"))
+        self.assertEqual("ok", (await client.exchange(self.request())).code)
 
-        async def test(target, client):
-            with testtools.ExpectedException(BadRequestError):
-                await client.exchange(self.request(key="k\r\nX-Snapshot: 2"))
-            self.assertEqual("ok", (await client.exchange(self.request())).code)
-
-        self.run_test(test, max_connections=1)
-
-    def test_nobody_listens(self):
+    @with_target()
+    async def test_nobody_listens(self, target, client):
         """Guards against an unsent request that is taken for one that may have run."""
-
-        async def main():
-            (listener,) = await bind_listeners("127.0.0.1:0")
-            client = HttpTargetClient("t1", get_address([listener]), 1)
-            await listener.aclose()
-            return await client.exchange(self.request())
-
-        self.assertEqual("connect_failed", trio.run(main).code)
+        lost = HttpTargetClient("t1", await close_port(), 1)
+        self.assertEqual("connect_failed", (await lost.exchange(self.request())).code)
 
 
 class MemoryTargetTests(testtools.TestCase):
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -6,13 +6,9 @@
 
 from standins.vmlist import VmListServer
 from tarragonchute.errors import StoreUnavailableError
-from tarragonchute.httpio import (
-    HttpResponse,
-    bind_listeners,
-    get_address,
-    serve_http,
-)
+from tarragonchute.httpio import HttpResponse
 from tarragonchute.vmlist import HttpVmList, MemoryVmList, VmState
+from tests.test_httpio import start_server
 
 
 class MemoryVmListTests(testtools.TestCase):
@@ -41,14 +37,10 @@
 
     def run_test(self, handler, test):
         async def main():
-            listeners = await bind_listeners("127.0.0.1:0")
-            with trio.fail_after(10):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(serve_http, handler, listeners)
-                    vm_list = HttpVmList(get_address(listeners))
-                    await test(vm_list)
-                    vm_list.close()
-                    nursery.cancel_scope.cancel()
+            async with start_server(handler) as address:
+                vm_list = HttpVmList(address)
+                await test(vm_list)
+                vm_list.close()
 
         trio.run(main)
 
