--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -56,6 +56,34 @@
     await stream.receive_some(65536)
 
 
+def against(data, ends=True):
+    """Run an async test with a connection whose requests get fixed bytes."""
+
+    def decorate(test):
+        @in_trio
+        async def run(self):
+            answer = functools.partial(answer_raw, data, ends)
+            serve = functools.partial(trio.serve_listeners, answer)
+            async with start_server(None, serve=serve) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                await test(self, connection)
+                connection.close()
+
+        return functools.wraps(test)(run)
+
+    return decorate
+
+
+def in_trio(test):
+    """Run an async test under trio."""
+
+    @functools.wraps(test)
+    def run(self):
+        trio.run(test, self)
+
+    return run
+
+
 class ServerTests(testtools.TestCase):
     """Limits, errors, disconnects and shutdown of the server."""
 
@@ -95,7 +123,8 @@
             b"GET / HTTP/1.1\r\n", 408, b"in time", request_timeout_s=0.02
         )
 
-    def test_errors_of_the_handler(self):
+    @in_trio
+    async def test_errors_of_the_handler(self):
         """Guards against lost codes, and against a fault that ends the server."""
 
         async def handle(request):
@@ -103,15 +132,11 @@
                 raise errors.OverloadedError("too much")
             raise ZeroDivisionError("secret detail")
 
-        async def main():
-            async with start_server(handle) as address:
-                connection = await HttpConnection.open(address, 1.0)
-                refused = await connection.exchange("GET", "/busy")
-                failed = await connection.exchange("GET", "/fault")
-                connection.close()
-                return refused, failed
-
-        refused, failed = trio.run(main)
+        async with start_server(handle) as address:
+            connection = await HttpConnection.open(address, 1.0)
+            refused = await connection.exchange("GET", "/busy")
+            failed = await connection.exchange("GET", "/fault")
+            connection.close()
         self.assertEqual(503, refused.status)
         self.assertEqual("overloaded", refused.parse_json()["code"])
         self.assertEqual("not_run", refused.parse_json()["outcome"])
@@ -134,7 +159,8 @@
             self.assertIn(b'["GET","/1",{}]', first)
             self.assertIn(b'["GET","/2",{"a":" ","b":""}]', second)
 
-    def test_disconnect_cancels_the_handler(self):
+    @in_trio
+    async def test_disconnect_cancels_the_handler(self):
         """Guards against work for a caller that has left."""
         started = trio.Event()
         cancelled = trio.Event()
@@ -146,18 +172,16 @@
             finally:
                 cancelled.set()
 
-        async def main():
-            options = ServerOptions(cancel_on_disconnect=True)
-            async with start_server(handle, options) as address:
-                connection = await HttpConnection.open(address, 1.0)
-                await connection.send_request("GET", "/")
-                await started.wait()
-                connection.close()
-                await cancelled.wait()
+        options = ServerOptions(cancel_on_disconnect=True)
+        async with start_server(handle, options) as address:
+            connection = await HttpConnection.open(address, 1.0)
+            await connection.send_request("GET", "/")
+            await started.wait()
+            connection.close()
+            await cancelled.wait()
 
-        trio.run(main)
-
-    def test_shutdown_finishes_what_is_in_flight(self):
+    @in_trio
+    async def test_shutdown_finishes_what_is_in_flight(self):
         """Guards against requests cut by a shutdown, and idle clients that block it."""
         started = trio.Event()
         release = trio.Event()
@@ -169,30 +193,27 @@
                 await release.wait()
             return HttpResponse(200, b"whole")
 
-        async def main():
-            options = ServerOptions(idle_grace_s=0.05)
-            async with start_server(handle, options, shutdown) as address:
-                slow, late, idle = [
-                    await HttpConnection.open(address, 1.0) for _ in range(3)
-                ]
-                await idle.exchange("GET", "/")
-                await slow.send_request("GET", "/slow")
-                await started.wait()
-                shutdown.set()
-                late_answer = await late.exchange("GET", "/")
-                with testtools.ExpectedException(ConnectionResetError):
-                    await idle.receive_response()
-                with testtools.ExpectedException(ConnectionRefusedError):
-                    await HttpConnection.open(address, 1.0)
-                release.set()
-                return await slow.receive_response(), late_answer
-
-        slow_answer, late_answer = trio.run(main)
-        self.assertEqual(b"whole", late_answer.body)
-        self.assertEqual(b"whole", slow_answer.body)
-        self.assertEqual("close", slow_answer.headers["connection"])
-
-    def test_shutdown_under_load(self):
+        options = ServerOptions(idle_grace_s=0.05)
+        async with start_server(handle, options, shutdown) as address:
+            slow, late, idle = [
+                await HttpConnection.open(address, 1.0) for _ in range(3)
+            ]
+            await idle.exchange("GET", "/")
+            await slow.send_request("GET", "/slow")
+            await started.wait()
+            shutdown.set()
+            self.assertEqual(b"whole", (await late.exchange("GET", "/")).body)
+            with testtools.ExpectedException(ConnectionResetError):
+                await idle.receive_response()
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await HttpConnection.open(address, 1.0)
+            release.set()
+            answer = await slow.receive_response()
+            self.assertEqual(b"whole", answer.body)
+            self.assertEqual("close", answer.headers["connection"])
+
+    @in_trio
+    async def test_shutdown_under_load(self):
         """Guards against a reset of connections that the server has yet to accept."""
         codes = set()
 
@@ -205,30 +226,25 @@
                 codes.add((await connection.exchange("GET", "/")).status)
                 connection.close()
 
-        async def main():
-            shutdown = trio.Event()
-            options = ServerOptions(idle_grace_s=0.05)
-            async with (
-                start_server(answer_echo, options, shutdown) as address,
-                trio.open_nursery() as nursery,
-            ):
-                for _ in range(20):
-                    nursery.start_soon(ask_until_refused, address)
-                shutdown.set()
-
-        trio.run(main)
+        shutdown = trio.Event()
+        options = ServerOptions(idle_grace_s=0.05)
+        async with (
+            start_server(answer_echo, options, shutdown) as address,
+            trio.open_nursery() as nursery,
+        ):
+            for _ in range(20):
+                nursery.start_soon(ask_until_refused, address)
+            shutdown.set()
         self.assertEqual({200}, codes)
 
-    def test_port_in_use(self):
+    @in_trio
+    async def test_port_in_use(self):
         """Guards against a start that fails without a clear text."""
-
-        async def main():
-            (listener,) = await httpio.bind_listeners("127.0.0.1:0")
-            async with listener:
-                await httpio.bind_listeners(httpio.get_address([listener]))
-
-        error = self.assertRaises(errors.PortInUseError, trio.run, main)
-        self.assertIn("the port is in use", str(error))
+        (listener,) = await httpio.bind_listeners("127.0.0.1:0")
+        text = ".* the port is in use.*"
+        with testtools.ExpectedException(errors.PortInUseError, text):
+            await httpio.bind_listeners(httpio.get_address([listener]))
+        await listener.aclose()
 
     def test_malformed_address(self):
         """Guards against an address that is only half understood."""
@@ -240,79 +256,52 @@
 class ConnectionTests(testtools.TestCase):
     """Reuse and failures of client connections."""
 
-    def run_against(self, data, check, ends=True):
-        async def main():
-            answer = functools.partial(answer_raw, data, ends)
-            serve = functools.partial(trio.serve_listeners, answer)
-            async with start_server(None, serve=serve) as address:
-                connection = await HttpConnection.open(address, 1.0)
-                await check(connection)
-                connection.close()
-
-        trio.run(main)
-
-    def test_second_answer_makes_the_connection_unusable(self):
+    @against(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" * 2, ends=False)
+    async def test_second_answer_makes_the_connection_unusable(self, connection):
         """Guards against a duplicate taken for the answer to the next request."""
+        response = await connection.exchange("GET", "/")
+        self.assertEqual(b"a", response.body)
+        self.assertFalse(connection.is_reusable)
 
-        async def check(connection):
-            response = await connection.exchange("GET", "/")
-            self.assertEqual(b"a", response.body)
-            self.assertFalse(connection.is_reusable)
-
-        data = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" * 2
-        self.run_against(data, check, ends=False)
-
-    def test_half_an_answer_is_an_error(self):
+    @against(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+    async def test_half_an_answer_is_an_error(self, connection):
         """Guards against part of an answer taken for the whole."""
+        with testtools.ExpectedException(ConnectionResetError):
+            await connection.exchange("POST", "/")
+        self.assertFalse(connection.is_reusable)
 
-        async def check(connection):
-            with testtools.ExpectedException(ConnectionResetError):
-                await connection.exchange("POST", "/")
-            self.assertFalse(connection.is_reusable)
-
-        self.run_against(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na", check)
-
-    def test_broken_answer_is_an_error(self):
+    @against(b"SSH-2.0 no http\r\n\r\n")
+    async def test_broken_answer_is_an_error(self, connection):
         """Guards against an answer that is not HTTP."""
+        with testtools.ExpectedException(errors.ProtocolError):
+            await connection.exchange("GET", "/")
 
-        async def check(connection):
-            with testtools.ExpectedException(errors.ProtocolError):
-                await connection.exchange("GET", "/")
-
-        self.run_against(b"SSH-2.0 no http\r\n\r\n", check)
-
-    def test_header_that_cannot_be_sent(self):
+    @against(b"")
+    async def test_header_that_cannot_be_sent(self, connection):
         """Guards against a header value that would start another request."""
+        for value in ("a\r\nX: b", "\u00e9"):
+            with testtools.ExpectedException(errors.BadRequestError):
+                await connection.send_request("GET", "/", [("X-Id", value)])
 
-        async def check(connection):
-            for value in ("a\r\nX: b", "\u00e9"):
-                with testtools.ExpectedException(errors.BadRequestError):
-                    await connection.send_request("GET", "/", [("X-Id", value)])
-
-        self.run_against(b"", check)
-
-    def test_pool_reuses_and_bounds_its_connections(self):
+    @in_trio
+    async def test_pool_reuses_and_bounds_its_connections(self):
         """Guards against more connections than a target accepts."""
-
-        async def main():
-            async with start_server(answer_echo) as address:
-                pool = httpio.ConnectionPool(address, 2, 1.0)
-                for _ in range(2):
-                    await pool.reserve()
-                self.assertFalse(pool.try_reserve())
-                first = await pool.connect()
-                await first.exchange("GET", "/")
-                pool.release(first)
-                self.assertTrue(pool.try_reserve())
-                self.assertIs(first, await pool.connect())
-                await first.send_request("GET", "/")
-                pool.release(first)
-                self.assertEqual(0, pool.connections)
-                second = await pool.connect()
-                await second.exchange("GET", "/")
-                pool.release(second)
-                self.assertEqual(1, pool.connections)
-                pool.close()
-                self.assertEqual(0, pool.connections)
-
-        trio.run(main)
+        async with start_server(answer_echo) as address:
+            pool = httpio.ConnectionPool(address, 2, 1.0)
+            for _ in range(2):
+                await pool.reserve()
+            self.assertFalse(pool.try_reserve())
+            first = await pool.connect()
+            await first.exchange("GET", "/")
+            pool.release(first)
+            self.assertTrue(pool.try_reserve())
+            self.assertIs(first, await pool.connect())
+            await first.send_request("GET", "/")
+            pool.release(first)
+            self.assertEqual(0, pool.connections)
+            second = await pool.connect()
+            await second.exchange("GET", "/")
+            pool.release(second)
+            self.assertEqual(1, pool.connections)
+            pool.close()
+            self.assertEqual(0, pool.connections)
