--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import operator
 from typing import Protocol
 from urllib.parse import quote
 
@@ -351,47 +352,46 @@
 
     async def get(self, key):
         """Return the `Entry`, or None."""
-        answer = await self._read("get", f"/v1/kv/{quote(key)}")
-        return _parse_entry(answer) if answer else None
+        return await self._read("get", f"/v1/kv/{quote(key)}", _parse_entry)
 
     async def put(self, key, value, expect, lease=None):
         """Write by compare-and-swap; see `Store.put`."""
         _check_value(value)
         path = f"/v1/kv/{quote(key)}?expect={expect}"
         body = {"value": value, "lease": lease}
-        return (await self._write("put", "PUT", path, body))["revision"]
+        return await self._write("put", "PUT", path, "revision", body)
 
     async def delete(self, key, expect):
         """Delete by compare-and-swap; return the new revision."""
         path = f"/v1/kv/{quote(key)}?expect={expect}"
-        return (await self._write("delete", "DELETE", path))["revision"]
+        return await self._write("delete", "DELETE", path, "revision")
 
     async def list(self, prefix):
         """Return ``(entries, revision)``."""
-        return _parse_entries(await self._read("list", f"/v1/list/{quote(prefix)}"))
+        return await self._read("list", f"/v1/list/{quote(prefix)}", _parse_entries)
 
     async def watch(self, prefix, after, wait_s):
         """Wait for changes; see `Store.watch`."""
         wait_ms = int(wait_s * 1000)
         path = f"/v1/watch/{quote(prefix)}?after={after}&wait_ms={wait_ms}"
-        return _parse_entries(await self._read("watch", path, wait_s))
+        return await self._read("watch", path, _parse_entries, wait_s)
 
     async def grant_lease(self, ttl_s):
         """Return the id of a new lease."""
         body = {"ttl_ms": int(ttl_s * 1000)}
-        return (await self._write("grant_lease", "POST", "/v1/leases", body))["lease"]
+        return await self._write("grant_lease", "POST", "/v1/leases", "lease", body)
 
     async def renew_lease(self, lease):
         """Extend the lease; raises `LeaseNotFoundError` if it has ended."""
         path = f"/v1/leases/{quote(lease, safe='')}/renew"
-        await self._write("renew_lease", "POST", path)
+        await self._write("renew_lease", "POST", path, "lease")
 
     def close(self):
         """Close all connections."""
         self._pool.close()
         self._watch_pool.close()
 
-    async def _read(self, name, path, wait_s=0.0):
+    async def _read(self, name, path, parse, wait_s=0.0):
         pool = self._watch_pool if name == "watch" else self._pool
         try:
             response = await self._call(name, pool, "GET", path, b"", wait_s)
@@ -400,9 +400,9 @@
             raise StoreUnavailableError(text) from error
         if response.status == 404 and name == "get":
             return None
-        return _parse_answer(response, StoreUnavailableError)
+        return _parse_answer(response, parse, StoreUnavailableError)
 
-    async def _write(self, name, method, path, body=None):
+    async def _write(self, name, method, path, field, body=None):
         data = orjson.dumps(body) if body is not None else b""
         try:
             response = await self._call(name, self._pool, method, path, data)
@@ -412,7 +412,8 @@
         except (OSError, ProtocolError) as error:
             text = f"the answer to {name} was lost: {error}"
             raise StoreOutcomeUnknownError(text) from error
-        return _parse_answer(response, StoreOutcomeUnknownError)
+        parse = operator.itemgetter(field)
+        return _parse_answer(response, parse, StoreOutcomeUnknownError)
 
     async def _call(self, name, pool, method, path, body, wait_s=0.0):
         self.calls[name] = self.calls.get(name, 0) + 1
@@ -440,19 +441,21 @@
         raise _NotSentError(str(error)) from error
 
 
-def _parse_answer(response, unclear_error):
-    """Return the JSON of an answer, or raise the error that it reports.
+def _parse_answer(response, parse, unclear_error):
+    """Return the content of an answer, or raise the error that it reports.
 
     Parameters
     ----------
     response : httpio.HttpResponse
+    parse : callable
+        Takes the JSON of an answer that reports no error.
     unclear_error : type
         Raised for an answer that does not tell what became of the call.
     """
     try:
         answer = response.parse_json()
         if response.status == 200:
-            return answer
+            return parse(answer)
         code = answer["code"]
         text = answer["message"]
         if code == StoreConflictError.code:
@@ -472,7 +475,4 @@
 
 
 def _parse_entries(answer):
-    try:
-        return [_parse_entry(row) for row in answer["entries"]], answer["revision"]
-    except (KeyError, TypeError) as error:
-        raise StoreUnavailableError(f"malformed answer: {error!r}") from error
+    return [_parse_entry(row) for row in answer["entries"]], answer["revision"]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,6 +9,7 @@
 
 from standins.store import StoreServer
 from tarragonchute import errors
+from tarragonchute.httpio import HttpResponse
 from tarragonchute.store import (
     MAX_VALUE_BYTES,
     HttpStore,
@@ -200,3 +201,20 @@
             await store.put("w", "1", 0)
         self.assertEqual(1, store._pool.connections)
         self.assertEqual(1, store._watch_pool.connections)
+
+    @with_store
+    async def test_malformed_answers(self, store, twin):
+        """Guards against an odd answer to a write that is taken for a success."""
+
+        async def handle(request):
+            return HttpResponse(*answers[-1])
+
+        answers = [(200, b"{}"), (200, b"[]"), (500, b"{}"), (502, b"<html>")]
+        async with start_server(handle) as address:
+            odd = HttpStore(address)
+            while answers:
+                with testtools.ExpectedException(errors.StoreOutcomeUnknownError):
+                    await odd.put("k", "1", 0)
+                with testtools.ExpectedException(errors.StoreUnavailableError):
+                    await odd.get("k")
+                answers.pop()
