--- a/tarragonchute/targets.py
+++ b/tarragonchute/targets.py
@@ -323,6 +323,8 @@
         Refusals by code.
     cancelled : int
         Requests that a cancel stopped while they ran.
+    finished : int
+        Requests that ran to their end.
     greatest_work, greatest_cold_work : int
         Most requests that ran at the same time, in any state and while cold.
     slot_breaches, cold_breaches : int
