--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -155,10 +155,14 @@
         return self.state == _RUNNING
 
     def build_request(self):
-        """Return the `TargetRequest` to send."""
+        """Return the `TargetRequest` to send.
+
+        Its request id has the attempt in it: a target refuses a cancelled id from
+        then on, and another attempt of the same request may reach it later.
+        """
         group = self.group
         return TargetRequest(
-            group.request_id,
+            f"{group.request_id}.{self.attempt}",
             self.shard,
             group.version,
             group.query,
