--- a/tarragonchute/cli.py
+++ b/tarragonchute/cli.py
@@ -632,8 +632,10 @@
         return [f"{vm.vm_id}: no answer: {vm.error}"]
     if not vm.trace:
         return []
-    code = vm.trace.get("code") or "in progress"
-    lines = [f"{vm.vm_id}: {code}, started {vm.trace.get('started') or 'at ?'}"]
+    # A VM that only held targets, or has not answered yet, knows no outcome.
+    code = vm.trace.get("code") or "no outcome known here"
+    started = vm.trace.get("started")
+    lines = [f"{vm.vm_id}: {code}" + (f", started {started}" if started else "")]
     for event in vm.trace["events"]:
         details = [
             f"{name}={value}"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -218,6 +218,8 @@
         for command in (("audit",), ("explain", "r1"), ("audit", "fleet", "--json")):
             code, text = self.run_command(*command)
             self.assertEqual(0, code, text)
+        code, text = self.run_command("explain", "r1")
+        self.assertIn("vm-1: no outcome known here\n", text)
         command = ("members", "remove", "vm-2", "--force")
         self.assertIn("epoch 9", self.run_command(*command)[1])
 
