Leave the head line of a shown subtree out of a proposal

`settings show SUBTREE` begins with a comment that names version and author. Each round of showing and proposing put one more of them into the stored text.

--- a/tarragonchute/commands.py
+++ b/tarragonchute/commands.py
@@ -45,6 +45,9 @@
 CALLER_TIMEOUT_S = 35.0
 """Longer than the longest deadline that a team may have, 30 s."""
 
+SHOWN_HEAD = re.compile(r"# \S+, version [0-9]+, by [^\n]*\n")
+"""First line that ``settings show SUBTREE`` puts before the text."""
+
 DOMAIN_EDIT_TRIES = 3
 KEY_BYTES = 16
 
@@ -178,6 +181,9 @@
 def read_subtree_file(subtree, path):
     """Return the text of a file that holds a valid subtree.
 
+    The line with which ``settings show`` begins is left out; otherwise each round of
+    showing and proposing would add one.
+
     Raises
     ------
     FindingsError
@@ -192,7 +198,8 @@
         text,
     )
     parse_subtree(subtree, filled, str(path))
-    return text
+    head = SHOWN_HEAD.match(text)
+    return text[head.end() :] if head else text
 
 
 def show_settings(admin, token):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -211,7 +211,8 @@
             "settings", "propose", "fleet", path, "--base", "1"
         )
         self.assertEqual(0, code, text)
-        self.assertIn(TEAM_DIGEST, self.backend.entries["fleet"].content)
+        expected = FLEET_TEXT + "[domain south]\n"
+        self.assertEqual(expected, self.backend.entries["fleet"].content)
 
     def test_reports(self):
         """Guards against reports that cannot be printed."""
