--- a/tarragonchute/configuration.py
+++ b/tarragonchute/configuration.py
@@ -182,9 +182,9 @@
         subtree : str
         version : int
         member_sets : iterable of iterable of str
-            The members of the view, and the sets in its `previous`, as read from
-            the store after the change was written. VMs that joined later read the
-            settings after they joined.
+            `Membership.list_quorum_sets` of the view that the store had after the
+            change was written. VMs that join later read the settings after they
+            joined.
         """
         return all(self._has_majority(subtree, version, one) for one in member_sets)
 
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -388,11 +388,25 @@
         self._settle(now)
 
     def needs_view(self):
-        """Return the id of a VM with a newer view than the adopted one, or None."""
-        newest = max(self._rows, key=lambda row: row.epoch, default=None)
-        if newest is None or newest.epoch <= self.epoch:
-            return None
-        return newest.vm_id
+        """Return the id of a VM with a newer view than the adopted one, or None.
+
+        Of several, it is the one that was heard last and so is likely to answer.
+        """
+        rows = [row for row in self._rows if row.epoch > self.epoch]
+        newest = max(rows, key=lambda row: row.heard_at, default=None)
+        return None if newest is None else newest.vm_id
+
+    def list_quorum_sets(self):
+        """Return the member sets whose majorities must acknowledge a change.
+
+        These are the members of the view, and of the views before while one of
+        those may still give leases. For `Configuration.is_accepted`, when the
+        store, read after the change was written, still has the adopted view.
+        """
+        if self.view is None:
+            return []
+        previous = [] if self.is_settled else self.view.previous
+        return [set(self.view.members), *(set(one) for one in previous)]
 
     def list_silent(self, now):
         """Return the ids of the other members not heard for `EXPEL_AFTER_S`."""
@@ -596,10 +610,11 @@
         if joins or not old.items() <= new.items():
             self._required_epoch = view.epoch
 
-    def list_unknown_settings(self):
+    def list_unknown_settings(self, now):
         """Return the ids of the VMs whose settings must be compared or pulled."""
-        rows = [row for row in self._rows if not self._has_usable_settings(row)]
-        return sorted({row.vm_id for row in rows})
+        rows = [row for row in self._rows if now - row.heard_at <= _GUEST_MEMORY_S]
+        unknown = [row.vm_id for row in rows if not self._has_usable_settings(row)]
+        return sorted(set(unknown))
 
     # Views and the hand-over of targets.
 
