Restore a regressed view; show two more missing mechanisms

A store that returns an older view would block every further change of the cell, so the first leased member writes the adopted view back.

--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -659,7 +659,9 @@
         Parameters
         ----------
         epoch : int
-            The epoch for which the caller checked it.
+            The epoch for which the caller checked it with
+            `placement.HeldTargets.is_clear`. A request that broke off without an
+            answer counts as in flight until its deadline.
         now : float
         """
         self.released_epoch = max(self.released_epoch, min(epoch, self.epoch))
@@ -815,6 +817,18 @@
         gone = [pair[0] for pair in pairs if self._is_gone(pair, now)]
         return remove_from_view(self.view, gone) if gone else None
 
+    def plan_restore(self, stored, now):
+        """Plan to write the adopted view back to a store that returned an older one.
+
+        Parameters
+        ----------
+        stored : View or None
+            As just read from the store.
+        now : float
+        """
+        is_older = stored is None or stored.epoch < self.epoch
+        return self.view if is_older and self.is_first(now) else None
+
     def plan_groups(self, groups, now):
         """Plan to place other targets, after the layouts in the settings changed."""
         if not self.is_first(now):
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -752,6 +752,21 @@
         return self.is_activated
 
 
+class KeepsFrozenGrants(Membership):
+    """Keeps its grants although its clock stood still."""
+
+    def forget_grants(self):
+        pass
+
+
+class TakesAnyEcho(Membership):
+    """Takes an echo of a time that this process has not sent."""
+
+    def _note_echo(self, row, echo):
+        if echo is not None and (row.echoed is None or echo > row.echoed):
+            row.echoed = echo
+
+
 class KeepsOverSkippedViews(HeldTargets):
     """Takes a target for kept although views were skipped."""
 
@@ -833,6 +848,33 @@
     return world
 
 
+def suspend_holder(**classes):
+    """Play a VM that stands still, clocks included, until others serve for it."""
+    world = World(8, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    world.vms["c"].pause(is_suspended=True)
+    world.run(6.0)
+    world.cut_off.add("c")
+    world.vms["c"].inbox.clear()
+    world.vms["c"].resume()
+    world.run(3.0)
+    return world
+
+
+def restart_with_other_clock(**classes):
+    """Play a process whose clock is behind that of its predecessor."""
+    world = World(9, **classes)
+    world.begin("abcd")
+    world.vms["c"].clock_offset = 2000.0
+    world.run(1.5)
+    world.restart("c")
+    world.run(5.0)
+    world.cut("c")
+    world.run(8.0)
+    return world
+
+
 def follow_no_settings(**classes):
     """Play an accepted change that one VM does not learn of."""
     world = World(4, **classes)
@@ -910,6 +952,8 @@
     ),
     ("skipped view", {"held_class": KeepsOverSkippedViews}, skip_a_view),
     ("tenure", {"held_class": NoTenure}, move_there_and_back),
+    ("frozen clock", {"membership_class": KeepsFrozenGrants}, suspend_holder),
+    ("foreign echo", {"membership_class": TakesAnyEcho}, restart_with_other_clock),
     ("never lower", {"settings_class": LowersVersions}, regress_store),
 ]
 """Each mechanism, the class in which it is switched off, and where that shows."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -462,6 +462,15 @@
         one.set_gone(["a"], 0.0)
         self.assertIsNone(one.plan_join(make_view(1, "b"), 0.0))
 
+    def test_older_view_in_the_store_is_replaced(self):
+        """Guards against a cell that cannot change after the store regressed."""
+        cell = self.make_cell()
+        cell.adopt(make_view(5, "abc", [make_view(4, "abc").incarnations()]))
+        for stored in (None, make_view(4, "abc")):
+            self.assertEqual(5, cell["a"].plan_restore(stored, cell.now).epoch)
+            self.assertIsNone(cell["b"].plan_restore(stored, cell.now))
+        self.assertIsNone(cell["a"].plan_restore(make_view(5, "abc"), cell.now))
+
     def test_layout_change_is_a_view_change(self):
         """Guards against two holders where settings reach VMs at different times."""
         cell = self.make_cell()
