--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -407,11 +407,25 @@
         self._settle(now)
 
     def needs_view(self):
-        """Return the id of a VM with a newer view than the adopted one, or None."""
-        newest = max(self._rows, key=lambda row: row.epoch, default=None)
-        if newest is None or newest.epoch <= self.epoch:
-            return None
-        return newest.vm_id
+        """Return the id of a VM with a newer view than the adopted one, or None.
+
+        Of several, it is the one that was heard last and so is likely to answer.
+        """
+        rows = [row for row in self._rows if row.epoch > self.epoch]
+        newest = max(rows, key=lambda row: row.heard_at, default=None)
+        return None if newest is None else newest.vm_id
+
+    def list_quorum_sets(self):
+        """Return the member sets whose majorities must acknowledge a change.
+
+        These are the members of the view, and of the views before while one of
+        those may still give leases. For `Configuration.is_accepted`, when the
+        store, read after the change was written, still has the adopted view.
+        """
+        if self.view is None:
+            return []
+        previous = [] if self.is_settled else self.view.previous
+        return [set(self.view.members), *(set(one) for one in previous)]
 
     def heard_ago(self, vm_id, now):
         """Return the seconds since a VM was heard; None for this VM or never."""
@@ -620,10 +634,11 @@
         if joins or not old.items() <= new.items():
             self._required_epoch = view.epoch
 
-    def list_unknown_settings(self):
+    def list_unknown_settings(self, now):
         """Return the ids of the VMs whose settings must be compared or pulled."""
-        rows = [row for row in self._rows if not self._has_usable_settings(row)]
-        return sorted({row.vm_id for row in rows})
+        rows = [row for row in self._rows if now - row.heard_at <= _GUEST_MEMORY_S]
+        unknown = [row.vm_id for row in rows if not self._has_usable_settings(row)]
+        return sorted(set(unknown))
 
     # Views and the hand-over of targets.
 
@@ -668,7 +683,9 @@
         Parameters
         ----------
         epoch : int
-            The epoch for which the caller checked it.
+            The epoch for which the caller checked it with
+            `placement.HeldTargets.is_clear`. A request that broke off without an
+            answer counts as in flight until its deadline.
         now : float
         """
         self.released_epoch = max(self.released_epoch, min(epoch, self.epoch))
@@ -824,6 +841,18 @@
         gone = [pair[0] for pair in pairs if self._is_gone(pair, now)]
         return remove_from_view(self.view, gone) if gone else None
 
+    def plan_restore(self, stored, now):
+        """Plan to write the adopted view back to a store that returned an older one.
+
+        Parameters
+        ----------
+        stored : View or None
+            As just read from the store.
+        now : float
+        """
+        is_older = stored is None or stored.epoch < self.epoch
+        return self.view if is_older and self.is_first(now) else None
+
     def plan_groups(self, groups, now):
         """Plan to place other targets, after the layouts in the settings changed."""
         if not self.is_first(now):
