Record attempts, exchanges and store calls as metrics; keep a demo running

Before: the counters existed but nothing called them, so the alerts on extra load could not fire. A process test now reads them from /metrics.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -885,6 +885,8 @@
         Returns seconds of the monotonic clock that `permission` uses too.
     random : random.Random or None
         Source of jitter.
+    observe_exchange : callable or None
+        Called with failure domain and code of each exchange, for metrics.
 
     Attributes
     ----------
@@ -900,8 +902,10 @@
         wall_clock=time.time,
         clock=trio.current_time,
         random=random,
+        observe_exchange=None,
     ):
         self.core = HolderCore(permission, random)
+        self._observe_exchange = observe_exchange
         self._link = link
         self._create_client = create_client
         self._wall_clock = wall_clock
@@ -1043,6 +1047,8 @@
     def _finish(self, worker, answer):
         dispatch = worker.dispatch
         worker.dispatch = None
+        if self._observe_exchange is not None:
+            self._observe_exchange(dispatch.row.domain, answer.code)
         wall, now = self._wall_clock(), self._clock()
         actions = self.core.complete(dispatch, answer, now)
         self._perform(actions, wall, now, worker)
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -21,6 +21,7 @@
     DomainOutError,
     NoLeaseError,
     NotHolderError,
+    Outcome,
     OverloadedError,
     ProtocolError,
     TarragonchuteError,
@@ -31,12 +32,12 @@
 from .logs import TraceBook, bind_request
 from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership, normalize_groups
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
-from .metrics import Metrics
+from .metrics import FIRST, HEDGE, RETRY, Metrics
 from .placement import HeldTargets
 from .routing import Router
 from .searches import Searcher, split_deadline
 from .snapshots import SnapshotChooser
-from .store import HttpStore
+from .store import HttpStore, ObservedStore
 from .targets import HttpTargetClient
 from .timers import TimerService
 from .vmlist import HttpVmList
@@ -67,7 +68,6 @@
     def __init__(self, settings, store, vm_list, create_client):
         self.settings = settings
         self.vm_id = settings.vm_id
-        self.store = store
         self.is_draining = False
         self.is_closed = False
         self.holders_by_target = {}
@@ -78,6 +78,7 @@
         self.timers = TimerService(trio.current_time())
         self.traces = TraceBook()
         self.metrics = Metrics(self._fill_gauges)
+        self.store = ObservedStore(store, self.metrics.count_store_call)
         self.link = TcpLinks(self.vm_id, self.handle, self._handle_lost)
         self._build_control(settings, vm_list)
         self._build_work(create_client)
@@ -119,10 +120,17 @@
         self.router = Router(self.holders_by_target.get, source)
         budgets = Budgets()
         self.admission = Admission(self.distribution.tree.fleet.max_in_flight)
-        self.searcher = Searcher(self.link, chooser, self.router, budgets, numbers)
+        self.searcher = Searcher(
+            self.link, chooser, self.router, budgets, numbers, self._count_attempts
+        )
         self.sender = BookingSender(self.link, chooser, self.router, budgets, numbers)
         self.booker = Booker(self.vm_id, self.store, self.sender, self._list_members)
-        self.holder = Holder(self, self.link, create_client)
+        self.holder = Holder(
+            self,
+            self.link,
+            create_client,
+            observe_exchange=self.metrics.count_target_request,
+        )
         self.administration = Administration(self)
         topics = self.administration.list_topics()
         self.inquiries = questions.Inquiries(self.link, numbers, topics)
@@ -397,8 +405,14 @@
         return seconds
 
     def note_refusal(self, request_id, error):
-        """Count a request that ended with an error."""
-        self.metrics.count_refusal(error.code)
+        """Count a request that was refused before any of it ran."""
+        if error.outcome is Outcome.NOT_RUN:
+            self.metrics.count_refusal(error.code)
+
+    def _count_attempts(self, run):
+        self.metrics.count_attempts(FIRST, run.first_attempts)
+        self.metrics.count_attempts(HEDGE, run.hedges)
+        self.metrics.count_attempts(RETRY, run.extra_attempts - run.hedges)
 
     def render_metrics(self):
         """Return the body of /metrics and its content type."""
--- a/tarragonchute/searches.py
+++ b/tarragonchute/searches.py
@@ -208,6 +208,7 @@
         "request_id",
         "is_finished",
         "extra_attempts",
+        "hedges",
         "_team",
         "_dataset",
         "_query",
@@ -252,6 +253,7 @@
         self.request_id = request_id
         self.is_finished = False
         self.extra_attempts = 0
+        self.hedges = 0
         self._team = team
         self._dataset = dataset
         self._query = query
@@ -375,6 +377,11 @@
             return math.inf
         return min(self._answer_due, self._hedge_due, self._idle_due)
 
+    @property
+    def first_attempts(self):
+        """Number of shards, each of which has a first attempt."""
+        return len(self._shards)
+
     def result(self):
         """Return the `SearchResult` of a finished run.
 
@@ -606,6 +613,7 @@
         shard.is_hedged = True
         if self._try_send(shard, untried, now):
             self.extra_attempts += 1
+            self.hedges += 1
         return True
 
     def _retry_idle(self, now):
@@ -709,16 +717,27 @@
     budgets : Budgets
     numbers : iterator of int
         Request numbers of this VM, shared with every other user of the link.
+    observe_run : callable or None
+        Called with each `SearchRun` that has ended, for metrics.
     """
 
-    __slots__ = ("_link", "_chooser", "_router", "_budgets", "_numbers", "_open")
+    __slots__ = (
+        "_link",
+        "_chooser",
+        "_router",
+        "_budgets",
+        "_numbers",
+        "_observe_run",
+        "_open",
+    )
 
-    def __init__(self, link, chooser, router, budgets, numbers):
+    def __init__(self, link, chooser, router, budgets, numbers, observe_run=None):
         self._link = link
         self._chooser = chooser
         self._router = router
         self._budgets = budgets
         self._numbers = numbers
+        self._observe_run = observe_run
         self._open = {}
 
     async def search(
@@ -766,6 +785,8 @@
         finally:
             del self._open[number]
             self._perform(search, run.cancel(trio.current_time()))
+            if self._observe_run is not None:
+                self._observe_run(run)
         return run.result()
 
     def handle_answers(self, vm_id, number, answers):
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -16,6 +16,7 @@
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
+    TarragonchuteError,
 )
 from .httpio import ConnectionPool
 
@@ -106,6 +107,64 @@
     status = 404
 
 
+class ObservedStore:
+    """Passes every call on and reports how it ended.
+
+    Parameters
+    ----------
+    store : Store
+    observe : callable
+        Called with the operation (``get``, ``put``, ``delete``, ``list``, ``watch``
+        or ``lease``) and ``ok`` or the code of the error.
+    """
+
+    __slots__ = ("_store", "_observe")
+
+    def __init__(self, store, observe):
+        self._store = store
+        self._observe = observe
+
+    async def get(self, key):
+        """See `Store`."""
+        return await self._call("get", self._store.get(key))
+
+    async def put(self, key, value, expect, lease=None):
+        """See `Store`."""
+        return await self._call("put", self._store.put(key, value, expect, lease))
+
+    async def delete(self, key, expect):
+        """See `Store`."""
+        return await self._call("delete", self._store.delete(key, expect))
+
+    async def list(self, prefix):
+        """See `Store`."""
+        return await self._call("list", self._store.list(prefix))
+
+    async def watch(self, prefix, after, wait_s):
+        """See `Store`."""
+        return await self._call("watch", self._store.watch(prefix, after, wait_s))
+
+    async def grant_lease(self, ttl_s):
+        """See `Store`."""
+        return await self._call("lease", self._store.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease):
+        """See `Store`."""
+        return await self._call("lease", self._store.renew_lease(lease))
+
+    async def _call(self, operation, call):
+        result = "cancelled"
+        try:
+            answer = await call
+            result = "ok"
+            return answer
+        except TarragonchuteError as error:
+            result = error.code
+            raise
+        finally:
+            self._observe(operation, result)
+
+
 class MemoryStore:
     """In-memory twin of the key-value service, with faults.
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -147,6 +147,22 @@
         traced = [one.vm_id for one in explained if one.trace]
         self.assertGreaterEqual(len(traced), 2)
 
+    def test_metrics_count_the_work(self):
+        """Guards against metrics that no part records."""
+        self.run_scenario(self._read_metrics)
+
+    async def _read_metrics(self, deployment, balancer):
+        await self.search(balancer, "vm-1")
+        response = await balancer.exchange("vm-1", "GET", "/metrics")
+        lines = response.body.decode().splitlines()
+        for name in ("shard_attempts_total", "store_calls_total", "lease_remaining"):
+            values = [
+                float(line.rpartition(" ")[2])
+                for line in lines
+                if name in line and not line.startswith("#")
+            ]
+            self.assertTrue(any(value > 0 for value in values), name)
+
     def test_same_key_through_all_vms_at_once_runs_once(self):
         """Guards against a doubled booking when a caller's request is repeated."""
         self.run_scenario(self._book_everywhere)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -4,13 +4,14 @@
 """
 
 import argparse
+import signal
 import sys
 import tempfile
 
 import trio
 
 from tarragonchute.errors import TarragonchuteError
-from tools.deployment import DatasetPlan, Deployment
+from tools.deployment import TOKEN, DatasetPlan, Deployment
 from tools.load import Balancer, Callers, PhaseReport
 
 DOMAINS = ["d1", "d2", "d3"]
@@ -88,18 +89,41 @@
         return doubled, breaches
 
 
-async def run_demo():
-    """Run all phases and return the exit code."""
+async def run_demo(keeps_running):
+    """Run all phases and return the exit code.
+
+    Parameters
+    ----------
+    keeps_running : bool
+        Only start the deployment, print its addresses, and wait for Ctrl-C.
+    """
     with tempfile.TemporaryDirectory() as folder:
         async with Deployment(folder, DOMAINS, DATASETS) as deployment:
             balancer = Balancer(deployment.callers)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(balancer.run)
-                code = await _run_phases(deployment, balancer)
+                if keeps_running:
+                    code = await _keep_running(deployment, balancer)
+                else:
+                    code = await _run_phases(deployment, balancer)
                 nursery.cancel_scope.cancel()
     return code
 
 
+async def _keep_running(deployment, balancer):
+    await load_settings(deployment, deployment.vm_ids[0])
+    await balancer.wait_healthy(len(deployment.vm_ids))
+    print(f"token of the admin ports: {TOKEN}")
+    for vm_id in deployment.vm_ids:
+        caller, admin = deployment.callers[vm_id], deployment.admins[vm_id]
+        print(f"{vm_id}: callers {caller}, admin {admin}")
+    print("Ctrl-C ends it", flush=True)
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async for _ in signals:
+            break
+    return 0
+
+
 async def _run_phases(deployment, balancer):
     first, second, third = deployment.vm_ids
     await load_settings(deployment, first)
@@ -155,8 +179,11 @@
 
 def main():
     """Run the demo."""
-    argparse.ArgumentParser(description=__doc__.splitlines()[0]).parse_args()
-    return trio.run(run_demo)
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument(
+        "--keep", action="store_true", help="start the deployment and keep it running"
+    )
+    return trio.run(run_demo, parser.parse_args().keep)
 
 
 if __name__ == "__main__":
