Let a VM start from its peers while the store is down

Before: a VM had no address of another VM until it had read the view in the store. The file of a VM may now list peers, which it asks for the view; a process test restarts a VM during an outage.

--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -110,6 +110,7 @@
             self._apply_view,
             self._observe_revision,
             self._get_known_revision,
+            settings.peers,
         )
 
     def _build_work(self, create_client):
--- a/tarragonchute/schema.py
+++ b/tarragonchute/schema.py
@@ -205,6 +205,11 @@
             [Option("address", Kind.ADDRESS, "Address of the VM list service.")],
             is_required=True,
         ),
+        Section(
+            "peers",
+            "Other VMs, asked for view and settings while the store is down at start.",
+            repeated=Option("VM", Kind.ADDRESS, "The VM's peer_address."),
+        ),
         Section(
             "log",
             "Log records, written to standard error.",
--- a/tarragonchute/settings.py
+++ b/tarragonchute/settings.py
@@ -36,6 +36,8 @@
     bootstrap_token_sha256 : str
         Hexadecimal digest of the token that opens the admin port while subtree
         ``fleet`` names no operator; empty for none.
+    peers : dict of str to str
+        Addresses of other VMs, for a start while the store is down.
     """
 
     __slots__ = (
@@ -51,10 +53,12 @@
         "log_level",
         "drain_timeout_s",
         "bootstrap_token_sha256",
+        "peers",
     )
 
-    def __init__(self, bootstrap_token_sha256="", **values):
+    def __init__(self, bootstrap_token_sha256="", peers=None, **values):
         values["bootstrap_token_sha256"] = bootstrap_token_sha256
+        values["peers"] = peers or {}
         for name in self.__slots__:
             setattr(self, name, values[name])
 
@@ -263,6 +267,7 @@
     log = document.values.get("log") or _list_defaults(VM_SCHEMA.sections["log"])
     values["log_format"] = log["format"]
     values["log_level"] = log["level"]
+    values["peers"] = document.values.get("peers")
     return VmSettings(**values)
 
 
--- a/tarragonchute/views.py
+++ b/tarragonchute/views.py
@@ -41,6 +41,8 @@
         Called with a store revision and the revision known when it was asked for.
     known_revision : callable
         Returns the highest store revision that this VM has seen.
+    seeds : dict of str to str
+        Addresses of VMs to ask for a view as long as none is known.
 
     Attributes
     ----------
@@ -60,7 +62,9 @@
         handle_change,
         observe_revision,
         known_revision,
+        seeds,
     ):
+        self._seeds = seeds
         self.key = f"members/{cell}"
         self.is_draining = False
         self.is_store_reached = False
@@ -76,6 +80,7 @@
 
     async def run(self):
         """Follow the store and the VM list until cancelled."""
+        self._link.set_peers(self._seeds)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch)
             nursery.start_soon(self._change)
@@ -87,6 +92,9 @@
         """Send what the membership has due."""
         for vm_id, heartbeat in self._membership.build_heartbeats(now):
             self._link.send(vm_id, HEARTBEAT, heartbeat.to_body())
+        if self._membership.view is None:
+            for vm_id in self._seeds:
+                self._link.send(vm_id, VIEW_PULL, None)
         self.pull()
 
     def pull(self):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -319,6 +319,27 @@
         await self.wait_for(is_booked)
         self.assertEqual({"k-9": 1}, await self.read_runs(deployment))
 
+    def test_vm_started_during_the_outage_serves_callers(self):
+        """Guards against a VM that cannot start until the store is back."""
+        self.run_scenario(self._start_without_store)
+
+    async def _start_without_store(self, deployment, balancer):
+        await deployment.control_store(outage="refuse")
+        deployment.kill_vm("vm-3")
+        deployment.start_vm("vm-3")
+
+        async def is_served():
+            status, answer = await self.search(balancer, "vm-3", 0.5)
+            return status == 200 and answer["snapshot"] == "1"
+
+        await self.wait_for(is_served)
+        await deployment.control_store(outage="")
+
+        async def is_covered():
+            return (await self.search(balancer, "vm-3"))[0] == 200
+
+        await self.wait_for(is_covered)
+
 
 class DomainTests(ProcessTestCase):
     """A failure domain is taken out by its operators."""
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -289,7 +289,9 @@
             "[log]",
             "format = json",
             f"level = {self._log_level}",
+            "[peers]",
         ]
+        lines += [f"{k} = {address}" for k, address in self.peers.items() if k != vm_id]
         return "\n".join(lines) + "\n"
 
     def _write_tree(self):
