--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -857,6 +857,8 @@
         """Plan to place other targets, after the layouts in the settings changed."""
         if not self.is_first(now):
             return None
+        if groups == self.view.groups:
+            return None
         if normalize_groups(groups) == self.view.groups:
             return None
         return self._plan(self.view.members, groups=groups)
