Bound the store calls of a proposal; let the machine change layouts

A store that does not answer left the operator's call waiting: reading and writing now end after 3 s each, as not run and as unknown.

The machine also changes which targets are replicas of each other, which moves targets through a view change, and has to fail with three mechanisms switched off.

--- a/tarragonchute/configuration.py
+++ b/tarragonchute/configuration.py
@@ -28,7 +28,8 @@
 KEY_PREFIX = "settings/"
 MAX_VALUE_BYTES = 900 * 1000
 ACCEPT_TIMEOUT_S = 3.0
-READ_BACK_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 3.0
+WRITE_TIMEOUT_S = 3.0
 READ_BACK_PERIOD_S = 0.1
 
 
@@ -420,7 +421,7 @@
         If the content is no INI text; nothing was written.
     """
     try:
-        entry = await store.get(proposal.key)
+        entry = await _read(store, proposal.key)
         old = _read_value(entry)
         _check_base(proposal, old, known_version)
         value = proposal.make_value(old)
@@ -442,6 +443,12 @@
     return ProposalResult(state, proposal.change_id, proposal.version, error)
 
 
+async def _read(store, key):
+    with trio.move_on_after(READ_TIMEOUT_S):
+        return await store.get(key)
+    raise StoreUnavailableError("the store did not answer in time")
+
+
 def _read_value(entry):
     return None if entry is None else SubtreeValue.from_value(entry.value)
 
@@ -463,7 +470,7 @@
     under way cannot do so after the key has changed.
     """
     text = value.to_value()
-    with trio.move_on_after(READ_BACK_TIMEOUT_S):
+    with trio.move_on_after(WRITE_TIMEOUT_S):
         try:
             await store.put(proposal.key, text, expect)
             return
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -37,7 +37,8 @@
     Faults: ``ok``; ``down`` (nothing happens); ``lost`` (a write takes effect and
     its answer is lost); ``dropped`` (the write does not arrive, its sender cannot
     know); ``late`` (the write arrives after the next call); ``raced`` (another
-    operator writes first); ``raced_lost`` (and the answer is lost).
+    operator writes first); ``raced_lost`` (and the answer is lost); ``hang`` (no
+    answer at all).
     """
 
     def __init__(self, faults=()):
@@ -49,7 +50,10 @@
 
     async def get(self, key):
         await trio.lowlevel.checkpoint()
-        if self._next_fault() == "down":
+        fault = self._next_fault()
+        if fault == "hang":
+            await trio.sleep_forever()
+        if fault == "down":
             raise StoreUnavailableError
         self._deliver_late()
         return self.entry
@@ -57,6 +61,8 @@
     async def put(self, key, value, expect, lease=None):
         await trio.lowlevel.checkpoint()
         fault = self._next_fault()
+        if fault == "hang":
+            await trio.sleep_forever()
         if fault == "down":
             raise StoreUnavailableError
         if fault.startswith("raced"):
@@ -308,6 +314,13 @@
             result = propose(store)
             self.assertEqual(ProposalState.UNKNOWN, result.state, first)
 
+    def test_silent_store_is_not_run_or_unknown(self):
+        """Guards against an operator's call that never returns."""
+        result = propose(self.make_store("hang"))
+        self.assertEqual(ProposalState.NOT_RUN, result.state)
+        result = propose(self.make_store("ok", "hang"))
+        self.assertEqual(ProposalState.UNKNOWN, result.state)
+
     def test_unreachable_store_is_not_run(self):
         """Guards against ``unknown`` where nothing was sent."""
         for faults in (["down"], ["ok", "down"]):
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -404,6 +404,7 @@
             member.plan_mark_active(now)
             or member.plan_expulsion(now)
             or member.plan_removal_of_gone(now)
+            or member.plan_groups(self.world.groups, now)
             or member.plan_compaction(now)
         )
 
@@ -445,6 +446,7 @@
         self.cut_off = set()
         self.is_delayed = False
         self.served = {}
+        self.groups = GROUPS
         self._incarnations = itertools.count(1)
 
     def begin(self, vm_ids):
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -17,8 +17,13 @@
 
 from tarragonchute import configuration
 from tests.test_handover_faults import (
+    GROUPS,
     SETTINGS_KEY,
+    TARGETS,
     TICK_S,
+    LowersVersions,
+    NoIncarnationCheck,
+    NoWaitOut,
     SimulationTestCase,
     World,
     list_violations,
@@ -119,6 +124,13 @@
         world.vms[vm_id].propose()
 
 
+def change_layout(world, vm_id):
+    """Make other targets replicas of each other."""
+    count = ord(vm_id) - ord(VM_IDS[0])
+    mixed = list(zip(TARGETS[:count], reversed(TARGETS[:count]), strict=True))
+    world.groups = [*GROUPS, *mixed]
+
+
 def garble(world, vm_id):
     """Duplicate and reorder messages from now on."""
     world.network.duplicates = world.network.reorders = True
@@ -192,6 +204,7 @@
     take_out,
     bring_back,
     propose,
+    change_layout,
     garble,
     delay,
     ungarble,
@@ -339,6 +352,15 @@
         for seed in range(3):
             self.assertEqual([], run_machine(seed, 60))
 
+    def test_machine_sees_a_missing_mechanism(self):
+        """Guards against random sequences that never reach a dangerous state."""
+        for classes in (
+            {"membership_class": NoWaitOut},
+            {"membership_class": NoIncarnationCheck},
+            {"settings_class": LowersVersions},
+        ):
+            self.assertNotEqual([], run_machine(0, 80, **classes), classes)
+
 
 if __name__ == "__main__":
     configuration.logger.setLevel(logging.ERROR)
