--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -817,6 +817,14 @@
         gone = [pair[0] for pair in pairs if self._is_gone(pair, now)]
         return remove_from_view(self.view, gone) if gone else None
 
+    def plan_change(self, now):
+        """Plan the change that is due without an operator's or own request."""
+        return (
+            self.plan_expulsion(now)
+            or self.plan_removal_of_gone(now)
+            or self.plan_compaction(now)
+        )
+
     def plan_restore(self, stored, now):
         """Plan to write the adopted view back to a store that returned an older one.
 
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -402,10 +402,8 @@
             return member.plan_leave(now) if self.is_draining else None
         return (
             member.plan_mark_active(now)
-            or member.plan_expulsion(now)
-            or member.plan_removal_of_gone(now)
             or member.plan_groups(self.world.groups, now)
-            or member.plan_compaction(now)
+            or member.plan_change(now)
         )
 
     def _adopt(self, view):
