Tell lines of views apart after the store returned an older view

If the store returned the view of before the last change and a VM joined on it, two views had the same epoch. Peers granted the joiner leases and reported release for "its" epoch, and it served targets that others held.

An epoch is now the number of the view and a hash of its content, and a view lists the epochs before it. Grants and reports count only for the adopted view and its ancestors; a member adopts only descendants; a view of another line is merged, with the member sets of both lines as previous sets.

Ruled out: writing the view back alone, since the joiner may be faster; a new field in the heartbeat, which would change another module.

Release by tenure and the lines each prevent the fault of a move there and back, so that test switches off both.

--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -43,6 +43,14 @@
 _MAX_HANDOVERS = 16
 _MAX_PREVIOUS = 16
 _MAX_DIGESTS = 256
+_MAX_HISTORY = 32
+
+_EPOCH_HASH_BITS = 32
+"""An epoch is the number of the view and, in its low bits, a hash of its content.
+
+A store that returns an older view lets a VM write another view of a number that was
+used before. The hash tells the two apart in heartbeats.
+"""
 
 _SEND_TIME_SPREAD_S = 0.001
 """Send times are shifted back by up to this much, differently in each process."""
@@ -92,7 +100,7 @@
     Parameters
     ----------
     epoch : int
-        Rises by one with each change.
+        `number`, which rises by one with each change, and a hash of the content.
     members : dict of str to Member
     previous : list of dict of str to str
         Member sets (vm_id to incarnation) whose leases and requests may not have
@@ -104,16 +112,34 @@
     dead : iterable of (str, str)
         Processes (vm_id and incarnation) in `previous` that the VM list or an
         operator vouched to have ended.
+    history : iterable of int
+        Epochs of the views that came before, newest last. The last is 0 where two
+        lines were merged.
     """
 
-    __slots__ = ("epoch", "members", "previous", "groups", "dead")
+    __slots__ = ("epoch", "members", "previous", "groups", "dead", "history")
 
-    def __init__(self, epoch, members, previous=(), groups=(), dead=()):
+    def __init__(self, epoch, members, previous=(), groups=(), dead=(), history=()):
         self.epoch = epoch
         self.members = dict(members)
         self.previous = [dict(one) for one in previous]
         self.groups = normalize_groups(groups)
         self.dead = {(vm_id, incarnation) for vm_id, incarnation in dead}
+        self.history = list(history)[-_MAX_HISTORY:]
+
+    @property
+    def number(self):
+        """Count of changes up to this view, as shown to operators."""
+        return self.epoch >> _EPOCH_HASH_BITS
+
+    @property
+    def base(self):
+        """Epoch of the view that this one replaced; 0 if there is no single one."""
+        return self.history[-1] if self.history else 0
+
+    def follows(self, epoch):
+        """Whether this view descends from the one of an epoch."""
+        return epoch > 0 and epoch in self.history
 
     def list_active(self):
         """Return the sorted ids of the members that may hold targets."""
@@ -148,6 +174,7 @@
             "previous": self.previous,
             "groups": self.groups,
             "dead": sorted(self.dead),
+            "history": self.history,
         }
 
     def to_value(self):
@@ -166,8 +193,8 @@
         try:
             members = {k: Member(**m) for k, m in body["members"].items()}
             epoch = int(body["epoch"])
-            groups, dead = body.get("groups", ()), body.get("dead", ())
-            return cls(epoch, members, body["previous"], groups, dead)
+            rest = [body.get(name, ()) for name in ("groups", "dead", "history")]
+            return cls(epoch, members, body["previous"], *rest)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ProtocolError(f"malformed view: {error!r}") from error
 
@@ -207,10 +234,9 @@
     member : Member
     """
     if view is None:
-        return View(1, {vm_id: member})
+        return _make_view([], {vm_id: member}, [], [], [])
     members = {**view.members, vm_id: member}
-    previous = _carry_over(view)
-    return View(view.epoch + 1, members, previous, view.groups, view.dead)
+    return _make_view([view], members, _carry_over(view), view.groups, view.dead)
 
 
 def remove_from_view(view, vm_ids):
@@ -229,7 +255,37 @@
     previous = _carry_over(view)
     processes = {pair for one in previous for pair in one.items()}
     dead = view.dead | {pair for pair in processes if pair[0] in removed}
-    return View(view.epoch + 1, members, previous, view.groups, dead)
+    return _make_view([view], members, previous, view.groups, dead)
+
+
+def merge_views(view, other):
+    """Return the view with the members of one line that succeeds two.
+
+    Parameters
+    ----------
+    view : View
+        Its members stay.
+    other : View
+        Of a line that began when the store returned an older view. Its processes
+        may hold leases, so they are among the previous sets.
+    """
+    previous = _carry_over(view)
+    previous += [one for one in _carry_over(other) if one not in previous]
+    dead = view.dead | other.dead
+    return _make_view([view, other], view.members, previous, view.groups, dead)
+
+
+def _make_view(replaced, members, previous, groups, dead):
+    """Return the successor of one view, of two that are merged, or of none."""
+    history = [epoch for view in replaced for epoch in [*view.history, view.epoch]]
+    if len(replaced) > 1:
+        history.append(0)
+    number = max([view.number for view in replaced], default=0) + 1
+    view = View(0, members, previous, groups, dead, history)
+    digest = hashlib.blake2b(view.to_value().encode(), digest_size=8).digest()
+    low = int.from_bytes(digest, "big") % (1 << _EPOCH_HASH_BITS)
+    view.epoch = (number << _EPOCH_HASH_BITS) + low
+    return view
 
 
 def _carry_over(view):
@@ -534,7 +590,7 @@
 
     def _credit(self, row):
         """Count the newest echo of a peer as its grant, if the peer may grant."""
-        if row.echoed is None or row.epoch > self.epoch:
+        if row.echoed is None or not self._is_known(row.epoch):
             return
         if not self._has_usable_settings(row):
             return
@@ -543,6 +599,15 @@
             row.granted_until = until
             self._lease_end = None
 
+    def _is_known(self, epoch):
+        """Whether an epoch is that of the adopted view or of one before it.
+
+        A newer view must be adopted first, and one of another line counts never.
+        """
+        return epoch == self.epoch or (
+            self.view is not None and self.view.follows(epoch)
+        )
+
     def _has_usable_settings(self, row):
         """Whether the peer is known to have no newer settings than this VM."""
         digest = row.digest
@@ -619,7 +684,7 @@
     # Views and the hand-over of targets.
 
     def adopt_view(self, view, now):
-        """Take a newer view; one with a lower or the same epoch is ignored.
+        """Take a view that descends from the adopted one; ignore any other.
 
         A valid lease lasts to its end if this VM is an active member of the new
         view, so that targets which did not move stay in service.
@@ -631,10 +696,10 @@
             it holds before it sends again, and calls `note_released` once no
             request to another target is in flight.
         """
-        if view.epoch <= self.epoch:
+        if not self._is_successor(view):
             return False
         carried = self.lease_until(now)
-        self.is_continuous = view.epoch == self.epoch + 1 and self.view is not None
+        self.is_continuous = self.view is not None and view.base == self.epoch
         self._require_settings(view)
         self.view = view
         self.is_member = view.has_process(*self._me)
@@ -653,6 +718,20 @@
         self._settle(now)
         return True
 
+    def _is_successor(self, view):
+        """Whether a view may replace the adopted one.
+
+        A member takes only what descends from its view: the other line's previous
+        sets do not have the processes that may hold leases under this one. Beyond
+        the length of the history that cannot be checked; so many changes are not
+        made in the time that a store takes to be set right.
+        """
+        if self.view is None or view.follows(self.epoch):
+            return True
+        if not self.is_member:
+            return view.epoch > self.epoch
+        return view.number > self.view.number + _MAX_HISTORY
+
     def note_released(self, epoch, now):
         """Report that no request to targets not held at `epoch` is in flight.
 
@@ -730,7 +809,10 @@
         if pair == self._me:
             return self.epoch >= epoch
         row = self._find_process(*pair)
-        return row is not None and row.epoch >= epoch
+        return row is not None and self._is_at_least(row.epoch, epoch)
+
+    def _is_at_least(self, reported, epoch):
+        return reported >= epoch and self._is_known(reported)
 
     def _is_released(self, handover):
         """Condition (a): every process reports that it has finished."""
@@ -741,7 +823,7 @@
         if pair == self._me:
             return self.released_epoch >= epoch
         row = self._find_process(*pair)
-        return row is not None and row.released_epoch >= epoch
+        return row is not None and self._is_at_least(row.released_epoch, epoch)
 
     def _is_waited_out(self, handover, now):
         """Condition (b): every lease and request of older views has ended."""
@@ -768,7 +850,7 @@
             return None
         if view is not None and view.has_process(*self._me):
             return None
-        if view is not None and view.epoch < self.epoch:
+        if self.view is not None and (view is None or view.epoch != self.epoch):
             return None
         member = Member(self.incarnation, self.address, self.domain, state)
         return add_to_view(view, self.vm_id, member)
@@ -826,7 +908,10 @@
         )
 
     def plan_restore(self, stored, now):
-        """Plan to write the adopted view back to a store that returned an older one.
+        """Plan to repair the view in a store that returned an older one.
+
+        An older view is replaced by the adopted one. One of another line, which a
+        VM began from an older view, is merged with it.
 
         Parameters
         ----------
@@ -834,8 +919,13 @@
             As just read from the store.
         now : float
         """
-        is_older = stored is None or stored.epoch < self.epoch
-        return self.view if is_older and self.is_first(now) else None
+        if not self.is_member or (self.has_lease(now) and not self.is_first(now)):
+            return None
+        if stored is None or self.view.follows(stored.epoch):
+            return self.view
+        if stored.epoch == self.epoch or self._is_successor(stored):
+            return None
+        return merge_views(self.view, stored)
 
     def plan_groups(self, groups, now):
         """Plan to place other targets, after the layouts in the settings changed."""
@@ -870,7 +960,7 @@
         groups = self.view.groups if groups is None else groups
         previous = self._list_previous(members)
         dead = () if self.is_settled else self.view.dead
-        return View(self.epoch + 1, members, previous, groups, dead)
+        return _make_view([self.view], members, previous, groups, dead)
 
     def _list_previous(self, members):
         """Return the previous sets of the next view.
--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -372,9 +372,9 @@
         stored = None if entry is None else View.from_value(entry.value)
         if stored is not None:
             self._adopt(stored)
-            if stored.epoch != self.membership.epoch:
-                return
-        plan = self._plan(stored)
+        plan = self.membership.plan_restore(stored, self.clock)
+        if plan is None and (stored is None or stored.epoch == self.membership.epoch):
+            plan = self._plan(stored)
         if plan is not None:
             self.pending_write = (plan, entry.revision if entry else 0)
 
@@ -714,7 +714,7 @@
     """Counts the grants of peers with a newer epoch."""
 
     def _credit(self, row):
-        epoch, row.epoch = row.epoch, 0
+        epoch, row.epoch = row.epoch, self.epoch
         super()._credit(row)
         row.epoch = epoch
 
@@ -767,6 +767,19 @@
             row.echoed = echo
 
 
+class NoLines(Membership):
+    """Compares epochs by their size only."""
+
+    def _is_known(self, epoch):
+        return epoch <= self.epoch
+
+    def _is_at_least(self, reported, epoch):
+        return reported >= epoch
+
+    def _is_successor(self, view):
+        return view.epoch > self.epoch
+
+
 class KeepsOverSkippedViews(HeldTargets):
     """Takes a target for kept although views were skipped."""
 
@@ -848,6 +861,24 @@
     return world
 
 
+def regress_view(**classes):
+    """Play a store that returns the view of before a join, while another joins.
+
+    The members cannot reach the store, so they do not repair the view.
+    """
+    world = World(10, **classes)
+    world.begin("abcd")
+    world.run(1.5)
+    older = world.store.entries[VIEW_KEY]
+    world.start("e")
+    world.run(2.0)
+    world.store.entries[VIEW_KEY] = older
+    world.cut_off |= set("abcde")
+    world.start("f")
+    world.run(6.0)
+    return world
+
+
 def suspend_holder(**classes):
     """Play a VM that stands still, clocks included, until others serve for it."""
     world = World(8, **classes)
@@ -951,7 +982,12 @@
         play_matrix("leave", "restart", "a", False, 0.5, 1.2),
     ),
     ("skipped view", {"held_class": KeepsOverSkippedViews}, skip_a_view),
-    ("tenure", {"held_class": NoTenure}, move_there_and_back),
+    (
+        "tenure, and lines of views, each of which suffices",
+        {"held_class": NoTenure, "membership_class": NoLines},
+        move_there_and_back,
+    ),
+    ("lines of views", {"membership_class": NoLines}, regress_view),
     ("frozen clock", {"membership_class": KeepsFrozenGrants}, suspend_holder),
     ("foreign echo", {"membership_class": TakesAnyEcho}, restart_with_other_clock),
     ("never lower", {"settings_class": LowersVersions}, regress_store),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,13 +24,19 @@
 PERIOD = membership.HEARTBEAT_PERIOD_S
 
 
-def make_view(epoch, vm_ids, previous=(), leaving=(), incarnations=None):
+def at(number):
+    """Return the epoch of the test view with a number."""
+    return number << 32
+
+
+def make_view(number, vm_ids, previous=(), leaving=(), incarnations=None):
     """Return a view of processes named after their VM."""
     names = {vm_id: f"{vm_id}-1" for vm_id in vm_ids} | (incarnations or {})
     members = {k: Member(names[k], f"{k}:1", "north") for k in vm_ids}
     for vm_id in leaving:
         members[vm_id] = members[vm_id].with_state(MemberState.LEAVING)
-    return View(epoch, members, previous)
+    history = [at(older) for older in range(1, number)]
+    return View(at(number), members, previous, history=history)
 
 
 class Cell:
@@ -105,10 +111,10 @@
         """Guards against a lease counted from receipt and not from sending."""
         one = Membership("a", "a-1")
         one.adopt_view(make_view(1, "abc"), 0.0)
-        one.note_settings_read(1)
+        one.note_settings_read(at(1))
         ((_, sent), _) = one.build_heartbeats(10.0)
         for when in (10.1, 11.4):
-            heartbeat = Heartbeat("b-1", 1, 1, 5.0, sent.sent_at, "")
+            heartbeat = Heartbeat("b-1", at(1), at(1), 5.0, sent.sent_at, "")
             one.handle_heartbeat("b", heartbeat, when)
         self.assertAlmostEqual(10.0 + LEASE_S, one.lease_until(11.4), places=2)
 
@@ -116,10 +122,12 @@
         """Guards against a lease without end after a restart with a new clock."""
         one = Membership("a", "a-1")
         one.adopt_view(make_view(1, "abc"), 0.0)
-        one.note_settings_read(1)
+        one.note_settings_read(at(1))
         one.build_heartbeats(10.0)
         for echo in (9.99, 10.5, 99999.0, None):
-            one.handle_heartbeat("b", Heartbeat("b-1", 1, 1, 5.0, echo, ""), 10.1)
+            one.handle_heartbeat(
+                "b", Heartbeat("b-1", at(1), at(1), 5.0, echo, ""), 10.1
+            )
             self.assertFalse(one.has_lease(10.2), echo)
 
     def test_other_incarnation_grants_nothing(self):
@@ -156,8 +164,8 @@
         cell.run(0.9)
         view = make_view(2, "abcd", [make_view(1, "abc").incarnations()])
         cell.adopt(view, "a")
-        self.assertTrue(cell["a"].may_serve(1, cell.now))
-        self.assertFalse(cell["a"].may_serve(2, cell.now))
+        self.assertTrue(cell["a"].may_serve(at(1), cell.now))
+        self.assertFalse(cell["a"].may_serve(at(2), cell.now))
 
     def test_no_service_for_leaving_or_replaced_process(self):
         """Guards against a process that serves after it lost its place."""
@@ -169,9 +177,9 @@
             cell = Cell("a", "b", "c")
             cell.adopt(make_view(1, "abc"))
             cell.run(0.9)
-            self.assertTrue(cell["a"].may_serve(1, cell.now))
+            self.assertTrue(cell["a"].may_serve(at(1), cell.now))
             cell.adopt(view, "a")
-            self.assertFalse(cell["a"].may_serve(1, cell.now))
+            self.assertFalse(cell["a"].may_serve(at(1), cell.now))
 
     def test_clock_jump_drops_the_lease(self):
         """Guards against a lease that was frozen together with the VM."""
@@ -194,10 +202,10 @@
         cell.cut = {"a"}
         cell.run(LEASE_S + PERIOD)
         self.assertFalse(cell.has_lease("b"))
-        cell["b"].note_settings_read(2)
+        cell["b"].note_settings_read(at(2))
         cell.run(0.9)
         self.assertFalse(cell.has_lease("b"))
-        cell["c"].note_settings_read(2)
+        cell["c"].note_settings_read(at(2))
         cell.run(0.9)
         self.assertTrue(cell.has_lease("b"))
 
@@ -209,7 +217,7 @@
         cell["a"].adopt_view(make_view(2, "a", [{"a": "a-1"}]), cell.now)
         cell.run(LEASE_S + PERIOD)
         self.assertFalse(cell.has_lease("a"))
-        cell["a"].note_settings_read(2)
+        cell["a"].note_settings_read(at(2))
         self.assertTrue(cell.has_lease("a"))
 
     def test_late_report_of_gone_does_not_bury_a_new_process(self):
@@ -266,10 +274,14 @@
         """Guards against a grant counted with the digest of an older heartbeat."""
         one = Membership("a", "a-1")
         one.adopt_view(make_view(1, "ab"), 0.0)
-        one.note_settings_read(1)
+        one.note_settings_read(at(1))
         ((_, sent),) = one.build_heartbeats(10.0)
-        one.handle_heartbeat("b", Heartbeat("b-1", 1, 1, 6, sent.sent_at, "new"), 10.1)
-        one.handle_heartbeat("b", Heartbeat("b-1", 1, 1, 5, sent.sent_at, ""), 10.1)
+        one.handle_heartbeat(
+            "b", Heartbeat("b-1", at(1), at(1), 6, sent.sent_at, "new"), 10.1
+        )
+        one.handle_heartbeat(
+            "b", Heartbeat("b-1", at(1), at(1), 5, sent.sent_at, ""), 10.1
+        )
         self.assertFalse(one.has_lease(10.2))
 
 
@@ -289,7 +301,7 @@
         """Guards against a clean hand-over as slow as a crash."""
         cell = self.join("a", "b")
         cell.run(0.6)
-        self.assertTrue(cell["c"].may_serve(2, cell.now))
+        self.assertTrue(cell["c"].may_serve(at(2), cell.now))
 
     def test_waits_for_the_last_release(self):
         """Guards against a new holder that starts while requests are in flight."""
@@ -297,9 +309,9 @@
         cell["b"].adopt_view(make_view(2, "abc", [{"a": "a-1", "b": "b-1"}]), cell.now)
         cell.run(WAIT_OUT_S - PERIOD)
         self.assertTrue(cell["c"].is_activated)
-        self.assertFalse(cell["c"].may_serve(2, cell.now))
+        self.assertFalse(cell["c"].may_serve(at(2), cell.now))
         cell.run(3 * PERIOD)
-        self.assertTrue(cell["c"].may_serve(2, cell.now))
+        self.assertTrue(cell["c"].may_serve(at(2), cell.now))
 
     def test_release_of_another_process_does_not_count(self):
         """Guards against a restarted VM that vouches for its predecessor."""
@@ -310,9 +322,9 @@
         cell.adopt(view)
         cell.run(1.2)
         self.assertTrue(cell["c"].has_lease(cell.now))
-        self.assertFalse(cell["c"].may_serve(3, cell.now))
+        self.assertFalse(cell["c"].may_serve(at(3), cell.now))
         cell.run(WAIT_OUT_S)
-        self.assertTrue(cell["c"].may_serve(3, cell.now))
+        self.assertTrue(cell["c"].may_serve(at(3), cell.now))
 
     def test_activation_needs_a_majority_of_each_previous_set(self):
         """Guards against a wait that starts while old leases are renewed."""
@@ -321,23 +333,23 @@
         cell.adopt(view, "a")
         cell.run(6.0)
         self.assertFalse(cell["a"].is_activated)
-        self.assertFalse(cell["a"].may_serve(3, cell.now))
+        self.assertFalse(cell["a"].may_serve(at(3), cell.now))
         cell["a"].set_gone(["x"], cell.now)
         self.assertTrue(cell["a"].is_activated)
         cell.run(WAIT_OUT_S + PERIOD)
-        self.assertTrue(cell["a"].may_serve(3, cell.now))
+        self.assertTrue(cell["a"].may_serve(at(3), cell.now))
 
     def test_pending_condition_lasts_over_further_views(self):
         """Guards against a second view change that ends the wait of the first."""
         cell = self.join()
         cell.run(0.6)
-        self.assertFalse(cell["c"].may_serve(2, cell.now))
+        self.assertFalse(cell["c"].may_serve(at(2), cell.now))
         two = make_view(2, "abc").incarnations()
         cell.adopt(make_view(3, "abc", [{"a": "a-1", "b": "b-1"}, two]), "c")
-        self.assertFalse(cell["c"].may_serve(2, cell.now))
+        self.assertFalse(cell["c"].may_serve(at(2), cell.now))
         cell.adopt(make_view(3, "abc", [two]))
         cell.run(0.6)
-        self.assertTrue(cell["c"].may_serve(2, cell.now))
+        self.assertTrue(cell["c"].may_serve(at(2), cell.now))
 
     def test_never_adopts_a_lower_epoch(self):
         """Guards against a late copy of an old view."""
@@ -360,14 +372,14 @@
         """Guards against a cell that cannot start."""
         view = Membership("a", "a-1", "a:1").plan_join(None, 0.0)
         self.assertEqual(
-            (1, ["a"], []), (view.epoch, view.list_active(), view.previous)
+            (1, ["a"], []), (view.number, view.list_active(), view.previous)
         )
 
     def test_joiner_carries_previous_sets_over(self):
         """Guards against a joiner that drops sets which still hold leases."""
         current = make_view(5, "ab", [{"x": "x-1"}])
         view = Membership("c", "c-1").plan_join(current, 0.0)
-        self.assertEqual(6, view.epoch)
+        self.assertEqual(6, view.number)
         self.assertEqual([{"x": "x-1"}, current.incarnations()], view.previous)
         restarted = Membership("a", "a-2").plan_join(current, 0.0)
         self.assertEqual("a-2", restarted.members["a"].incarnation)
@@ -416,9 +428,9 @@
         cell["c"].adopt_view(leaving, cell.now)
         cell.run(0.9)
         self.assertIsNone(cell["c"].plan_leave(cell.now))
-        cell["c"].note_released(2, cell.now)
+        cell["c"].note_released(leaving.epoch, cell.now)
         cell.run(0.6)
-        self.assertTrue(cell["a"].may_serve(2, cell.now))
+        self.assertTrue(cell["a"].may_serve(leaving.epoch, cell.now))
         left = cell["c"].plan_leave(cell.now)
         self.assertEqual([{"a": "a-1", "b": "b-1"}], left.previous)
         self.assertEqual(["a", "b"], sorted(left.members))
@@ -428,7 +440,7 @@
         cell = self.make_cell()
         cell.adopt(cell["c"].plan_mark_leaving(cell.now))
         view = cell["c"].plan_mark_active(cell.now)
-        self.assertEqual((3, ["a", "b", "c"]), (view.epoch, view.list_active()))
+        self.assertEqual((3, ["a", "b", "c"]), (view.number, view.list_active()))
         self.assertIsNone(cell["a"].plan_mark_active(cell.now))
 
     def test_dead_majority_is_removed_when_gone(self):
@@ -443,9 +455,9 @@
         cell["a"].set_gone(["b", "c"], cell.now)
         cell.adopt(cell["a"].plan_removal_of_gone(cell.now), "a")
         cell.run(WAIT_OUT_S - PERIOD)
-        self.assertFalse(cell["a"].may_serve(2, cell.now))
+        self.assertFalse(cell["a"].may_serve(at(2), cell.now))
         cell.run(3 * PERIOD)
-        self.assertTrue(cell["a"].may_serve(2, cell.now))
+        self.assertTrue(cell["a"].may_serve(at(2), cell.now))
 
     def test_forced_removal_restores_the_majority(self):
         """Guards against an operator's command without effect."""
@@ -454,7 +466,7 @@
         cell.run(LEASE_S + PERIOD)
         cell.adopt(remove_from_view(cell["a"].view, ["b", "c"]), "a")
         cell.run(WAIT_OUT_S + 2 * PERIOD)
-        self.assertTrue(cell["a"].may_serve(2, cell.now))
+        self.assertTrue(cell["a"].may_serve(at(2), cell.now))
 
     def test_gone_vm_does_not_join(self):
         """Guards against a process that the others count as dead."""
@@ -467,16 +479,37 @@
         cell = self.make_cell()
         cell.adopt(make_view(5, "abc", [make_view(4, "abc").incarnations()]))
         for stored in (None, make_view(4, "abc")):
-            self.assertEqual(5, cell["a"].plan_restore(stored, cell.now).epoch)
+            self.assertEqual(5, cell["a"].plan_restore(stored, cell.now).number)
             self.assertIsNone(cell["b"].plan_restore(stored, cell.now))
         self.assertIsNone(cell["a"].plan_restore(make_view(5, "abc"), cell.now))
 
+    def test_other_line_is_merged_and_not_adopted(self):
+        """Guards against members that follow a view begun from an older one."""
+        cell = self.make_cell()
+        cell.adopt(cell["a"].plan_mark_leaving(cell.now))
+        cell.adopt(cell["a"].plan_mark_active(cell.now))
+        joiner = Membership("f", "f-1", "f:1")
+        other = joiner.plan_join(make_view(1, "abc"), cell.now)
+        joiner.adopt_view(other, cell.now)
+        another = Membership("g", "g-1").plan_join(other, cell.now)
+        another = Membership("h", "h-1").plan_join(another, cell.now)
+        self.assertGreater(another.epoch, cell["a"].epoch)
+        self.assertFalse(cell["a"].adopt_view(another, cell.now))
+        self.assertFalse(joiner.adopt_view(cell["a"].view, cell.now))
+        merged = cell["a"].plan_restore(another, cell.now)
+        self.assertEqual((5, ["a", "b", "c"]), (merged.number, merged.list_active()))
+        self.assertIn(another.incarnations(), merged.previous)
+        self.assertIn(cell["a"].view.incarnations(), merged.previous)
+        for one in (cell["a"], joiner):
+            self.assertTrue(one.adopt_view(merged, cell.now))
+            self.assertFalse(one.is_continuous)
+
     def test_layout_change_is_a_view_change(self):
         """Guards against two holders where settings reach VMs at different times."""
         cell = self.make_cell()
         groups = [("t2", "t1")]
         view = cell["a"].plan_groups(groups, cell.now)
-        self.assertEqual((2, [["t1", "t2"]]), (view.epoch, view.groups))
+        self.assertEqual((2, [["t1", "t2"]]), (view.number, view.groups))
         self.assertIsNone(cell["b"].plan_groups(groups, cell.now))
         cell.adopt(view)
         self.assertIsNone(cell["a"].plan_groups([("t1", "t2"), ("t1",)], cell.now))
@@ -496,7 +529,7 @@
         cell = self.make_cell()
         one = cell["a"]
         for number in range(500):
-            heartbeat = Heartbeat(f"g-{number}", 1, 1, 1.0, None, "")
+            heartbeat = Heartbeat(f"g-{number}", at(1), at(1), 1.0, None, "")
             one.handle_heartbeat(f"g{number}", heartbeat, cell.now)
         self.assertLess(len(one._rows), 70)
         self.assertLess(len(one.build_heartbeats(cell.now)), 20)
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -21,6 +21,7 @@
     SETTINGS_KEY,
     TARGETS,
     TICK_S,
+    VIEW_KEY,
     LowersVersions,
     NoIncarnationCheck,
     NoWaitOut,
@@ -178,6 +179,13 @@
         world.store.entries[SETTINGS_KEY] = newer
 
 
+def regress_view(world, vm_id):
+    """Let the store return an older view from now on."""
+    if world.older_view is not None and not world.store.is_down:
+        world.store.entries[VIEW_KEY] = world.older_view
+        start_vm(world, vm_id)
+
+
 def wait(world, vm_id):
     """Let some time pass."""
     world.run(1.0)
@@ -212,6 +220,7 @@
     start_store,
     lose_answers,
     regress_store,
+    regress_view,
     wait,
     wait_long,
 ]
@@ -244,16 +253,20 @@
     def __init__(self, seed, **classes):
         self.world = World(seed, **classes)
         self.world.older_settings = None
+        self.world.older_view = None
         self.world.begin(FIRST_VM_IDS)
         self.world.run(1.5)
 
     def play(self, action, vm_id, ticks):
         """Play one action and let some ticks pass."""
         before = self.world.store.entries.get(SETTINGS_KEY)
+        view = self.world.store.entries[VIEW_KEY]
         action(self.world, vm_id)
         self.world.run(ticks * TICK_S)
         if self.world.store.entries.get(SETTINGS_KEY) is not before:
             self.world.older_settings = before
+        if self.world.store.entries[VIEW_KEY] is not view:
+            self.world.older_view = view
 
     def recover(self):
         """End all faults and return the targets that stay without a sender."""
