--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -441,7 +441,7 @@
         values.settings_ages_s = self.distribution.list_ages(now)
         values.held_targets = len(self.held.gained)
         values.lease_remaining_s = max(membership.lease_until(now) - now, 0.0)
-        values.view_epoch = membership.epoch
+        values.view_epoch = membership.view.number if membership.view else 0
         values.view_members = len(membership.view.members) if membership.view else 0
         values.in_flight = self.admission.in_flight
         values.admission_limit = self.admission.limit
