--- a/tarragonchute/cli.py
+++ b/tarragonchute/cli.py
@@ -480,7 +480,8 @@
         noun = "finding" if count == 1 else "findings"
         print(f"{error}\n{count} {noun}", file=sys.stderr)
     else:
-        print(f"tarragonchute: {error}", file=sys.stderr)
+        code = _describe_error(error)["code"]
+        print(f"tarragonchute: {code}: {error}", file=sys.stderr)
     return _find_error_exit(error)
 
 
@@ -632,8 +633,10 @@
         return [f"{vm.vm_id}: no answer: {vm.error}"]
     if not vm.trace:
         return []
-    code = vm.trace.get("code") or "in progress"
-    lines = [f"{vm.vm_id}: {code}, started {vm.trace.get('started') or 'at ?'}"]
+    # A VM that only held targets, or has not answered yet, knows no outcome.
+    code = vm.trace.get("code") or "no outcome known here"
+    started = vm.trace.get("started")
+    lines = [f"{vm.vm_id}: {code}" + (f", started {started}" if started else "")]
     for event in vm.trace["events"]:
         details = [
             f"{name}={value}"
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -12,6 +12,7 @@
 
 from .errors import ProtocolError
 from .messages import Heartbeat
+from .placement import update_holders
 from .tables import MemberRow, Table
 
 HEARTBEAT_PERIOD_S = 0.3
@@ -104,16 +105,20 @@
     dead : iterable of (str, str)
         Processes (vm_id and incarnation) in `previous` that the VM list or an
         operator vouched to have ended.
+    holders : dict of str to str
+        Target to the active member that holds it, in the view before. The view
+        carries the assignment so that a change moves as few targets as possible.
     """
 
-    __slots__ = ("epoch", "members", "previous", "groups", "dead")
+    __slots__ = ("epoch", "members", "previous", "groups", "dead", "holders")
 
-    def __init__(self, epoch, members, previous=(), groups=(), dead=()):
+    def __init__(self, epoch, members, previous=(), groups=(), dead=(), holders=None):
         self.epoch = epoch
         self.members = dict(members)
         self.previous = [dict(one) for one in previous]
         self.groups = normalize_groups(groups)
         self.dead = {(vm_id, incarnation) for vm_id, incarnation in dead}
+        self.holders = update_holders(self.groups, self.list_active(), holders or {})
 
     def list_active(self):
         """Return the sorted ids of the members that may hold targets."""
@@ -148,6 +153,7 @@
             "previous": self.previous,
             "groups": self.groups,
             "dead": sorted(self.dead),
+            "holders": self.holders,
         }
 
     def to_value(self):
@@ -167,7 +173,8 @@
             members = {k: Member(**m) for k, m in body["members"].items()}
             epoch = int(body["epoch"])
             groups, dead = body.get("groups", ()), body.get("dead", ())
-            return cls(epoch, members, body["previous"], groups, dead)
+            holders = body.get("holders")
+            return cls(epoch, members, body["previous"], groups, dead, holders)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ProtocolError(f"malformed view: {error!r}") from error
 
@@ -183,9 +190,19 @@
 
 def normalize_groups(groups):
     """Return the groups sorted and each once, without those inside another."""
-    sets = {frozenset(group) for group in groups}
-    widest = [one for one in sets if not any(one < other for other in sets)]
-    return sorted(sorted(group) for group in widest)
+    by_size = sorted({frozenset(group) for group in groups}, key=len, reverse=True)
+    kept = []
+    kept_by_target = {}
+    for group in by_size:
+        # A group that contains this one contains each of its targets, so only the
+        # groups of one target need a look.
+        candidates = kept_by_target.get(next(iter(group), None), ())
+        if any(group <= other for other in candidates):
+            continue
+        kept.append(group)
+        for target in group:
+            kept_by_target.setdefault(target, []).append(group)
+    return sorted(sorted(group) for group in kept)
 
 
 def majority(size):
@@ -210,7 +227,8 @@
         return View(1, {vm_id: member})
     members = {**view.members, vm_id: member}
     previous = _carry_over(view)
-    return View(view.epoch + 1, members, previous, view.groups, view.dead)
+    groups, holders = view.groups, view.holders
+    return View(view.epoch + 1, members, previous, groups, view.dead, holders)
 
 
 def remove_from_view(view, vm_ids):
@@ -229,7 +247,8 @@
     previous = _carry_over(view)
     processes = {pair for one in previous for pair in one.items()}
     dead = view.dead | {pair for pair in processes if pair[0] in removed}
-    return View(view.epoch + 1, members, previous, view.groups, dead)
+    groups, holders = view.groups, view.holders
+    return View(view.epoch + 1, members, previous, groups, dead, holders)
 
 
 def _carry_over(view):
@@ -388,11 +407,25 @@
         self._settle(now)
 
     def needs_view(self):
-        """Return the id of a VM with a newer view than the adopted one, or None."""
-        newest = max(self._rows, key=lambda row: row.epoch, default=None)
-        if newest is None or newest.epoch <= self.epoch:
-            return None
-        return newest.vm_id
+        """Return the id of a VM with a newer view than the adopted one, or None.
+
+        Of several, it is the one that was heard last and so is likely to answer.
+        """
+        rows = [row for row in self._rows if row.epoch > self.epoch]
+        newest = max(rows, key=lambda row: row.heard_at, default=None)
+        return None if newest is None else newest.vm_id
+
+    def list_quorum_sets(self):
+        """Return the member sets whose majorities must acknowledge a change.
+
+        These are the members of the view, and of the views before while one of
+        those may still give leases. For `Configuration.is_accepted`, when the
+        store, read after the change was written, still has the adopted view.
+        """
+        if self.view is None:
+            return []
+        previous = [] if self.is_settled else self.view.previous
+        return [set(self.view.members), *(set(one) for one in previous)]
 
     def heard_ago(self, vm_id, now):
         """Return the seconds since a VM was heard; None for this VM or never."""
@@ -601,10 +634,11 @@
         if joins or not old.items() <= new.items():
             self._required_epoch = view.epoch
 
-    def list_unknown_settings(self):
+    def list_unknown_settings(self, now):
         """Return the ids of the VMs whose settings must be compared or pulled."""
-        rows = [row for row in self._rows if not self._has_usable_settings(row)]
-        return sorted({row.vm_id for row in rows})
+        rows = [row for row in self._rows if now - row.heard_at <= _GUEST_MEMORY_S]
+        unknown = [row.vm_id for row in rows if not self._has_usable_settings(row)]
+        return sorted(set(unknown))
 
     # Views and the hand-over of targets.
 
@@ -649,7 +683,9 @@
         Parameters
         ----------
         epoch : int
-            The epoch for which the caller checked it.
+            The epoch for which the caller checked it with
+            `placement.HeldTargets.is_clear`. A request that broke off without an
+            answer counts as in flight until its deadline.
         now : float
         """
         self.released_epoch = max(self.released_epoch, min(epoch, self.epoch))
@@ -805,6 +841,18 @@
         gone = [pair[0] for pair in pairs if self._is_gone(pair, now)]
         return remove_from_view(self.view, gone) if gone else None
 
+    def plan_restore(self, stored, now):
+        """Plan to write the adopted view back to a store that returned an older one.
+
+        Parameters
+        ----------
+        stored : View or None
+            As just read from the store.
+        now : float
+        """
+        is_older = stored is None or stored.epoch < self.epoch
+        return self.view if is_older and self.is_first(now) else None
+
     def plan_groups(self, groups, now):
         """Plan to place other targets, after the layouts in the settings changed."""
         if not self.is_first(now):
@@ -838,7 +886,8 @@
         groups = self.view.groups if groups is None else groups
         previous = self._list_previous(members)
         dead = () if self.is_settled else self.view.dead
-        return View(self.epoch + 1, members, previous, groups, dead)
+        holders = self.view.holders
+        return View(self.epoch + 1, members, previous, groups, dead, holders)
 
     def _list_previous(self, members):
         """Return the previous sets of the next view.
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -29,10 +29,10 @@
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
 from .links import TcpLinks
 from .logs import TraceBook, bind_request
-from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership
+from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership, normalize_groups
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
 from .metrics import Metrics
-from .placement import HeldTargets, assign_holders
+from .placement import HeldTargets
 from .routing import Router
 from .searches import Searcher, split_deadline
 from .snapshots import SnapshotChooser
@@ -73,6 +73,7 @@
         self.holders_by_target = {}
         self.held = HeldTargets(self.vm_id)
         self._domains_out = set()
+        self._groups = []
         self._clock_offset = time.time() - trio.current_time()
         self.timers = TimerService(trio.current_time())
         self.traces = TraceBook()
@@ -103,7 +104,7 @@
             self.store,
             vm_list,
             self.link,
-            self._list_groups,
+            lambda: self._groups,
             self._is_own_domain_in,
             self._apply_view,
             self._observe_revision,
@@ -211,6 +212,7 @@
         self.admission.set_tree(tree)
         self._apply_domains(tree)
         self._apply_targets()
+        self._groups = normalize_groups(_list_groups(tree))
 
     def _apply_domains(self, tree):
         out = {name for name, is_in in tree.fleet.domains.items() if not is_in}
@@ -225,13 +227,13 @@
     def _apply_view(self, now):
         membership = self.membership
         view = membership.view
-        holders = assign_holders(view.groups, view.list_active())
         self.holders_by_target.clear()
-        self.holders_by_target.update(holders)
-        self.held.update(holders, view.epoch, membership.is_continuous)
+        self.holders_by_target.update(view.holders)
+        self.held.update(view.holders, view.epoch, membership.is_continuous)
         if not membership.is_active:
             self.held.gained.clear()
         self._apply_targets()
+        self.distribution.refresh(now)
         # The new holders wait for this VM's word that its requests have ended.
         self.send_heartbeats(now)
 
@@ -239,16 +241,8 @@
         targets = self.distribution.tree.list_targets()
         held = [targets[name] for name in self.held.gained if name in targets]
         self.holder.set_targets(held, self.membership.epoch)
-
-    def _list_groups(self):
-        datasets = self.distribution.tree.datasets.values()
-        groups = [
-            target_ids
-            for dataset in datasets
-            for layout in dataset.layouts.values()
-            for target_ids in layout.values()
-        ]
-        return groups + [[name] for one in datasets for name in one.targets]
+        for row in self.holder.core.list_rows():
+            row.gained_epoch = self.held.gained[row.target_id]
 
     def _is_own_domain_in(self):
         return self.distribution.tree.is_domain_in(self.settings.domain)
@@ -300,9 +294,10 @@
         self._clock_offset = offset
 
     def _keep_up(self, now):
-        before = self.membership.released_epoch
-        self.membership.note_released(self.holder.core.released_epoch, now)
-        if self.membership.released_epoch > before:
+        membership = self.membership
+        is_clear = self.held.is_clear(self.holder.core.list_in_flight())
+        if is_clear and membership.released_epoch < membership.epoch:
+            membership.note_released(membership.epoch, now)
             self.send_heartbeats(now)
         self.distribution.pull(now)
         self.views.pull()
@@ -522,6 +517,16 @@
             logger.error("stopped with work in flight or outcomes not recorded")
 
 
+def _list_groups(tree):
+    """Return the groups of replicas of all layouts, and each target alone."""
+    groups = []
+    for dataset in tree.datasets.values():
+        for layout in dataset.layouts.values():
+            groups += layout.values()
+        groups += [[name] for name in dataset.targets]
+    return groups
+
+
 def _build_parts(settings):
     def create_client(target, max_connections):
         return HttpTargetClient(target.target_id, target.address, max_connections)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -211,13 +211,16 @@
             "settings", "propose", "fleet", path, "--base", "1"
         )
         self.assertEqual(0, code, text)
-        self.assertIn(TEAM_DIGEST, self.backend.entries["fleet"].content)
+        expected = FLEET_TEXT + "[domain south]\n"
+        self.assertEqual(expected, self.backend.entries["fleet"].content)
 
     def test_reports(self):
         """Guards against reports that cannot be printed."""
         for command in (("audit",), ("explain", "r1"), ("audit", "fleet", "--json")):
             code, text = self.run_command(*command)
             self.assertEqual(0, code, text)
+        code, text = self.run_command("explain", "r1")
+        self.assertIn("vm-1: no outcome known here\n", text)
         command = ("members", "remove", "vm-2", "--force")
         self.assertIn("epoch 9", self.run_command(*command)[1])
 
