Judge at its end whether a search leaves work behind

Cause: the oracle looked at open work only after all fakes had finished, so a search that did not cancel its attempts passed. Before: no violation without the cancellation. After: 'caller gone at sent: work goes on after the end'. It is now checked for every search and not only for callers who left.

--- a/tests/test_search_faults.py
+++ b/tests/test_search_faults.py
@@ -60,6 +60,7 @@
         self.request_id = f"id-{name}"
         self.number = None
         self.working = {}
+        self.left_working = {}
         self.seen_shards = set()
         self.delivered = []
         self.cancelled = []
@@ -220,6 +221,7 @@
             except errors.TarragonchuteError as error:
                 call.error = error
         call.finished_at = trio.current_time()
+        call.left_working = dict(call.working)
 
 
 def kill_holder(fleet):
@@ -272,9 +274,9 @@
     """Compare an answer with what the fakes delivered."""
     if call.finished_at > call.started_at + DEADLINE_S:
         raise Violation("answered after the deadline")
+    if call.left_working and not fleet.dead:
+        raise Violation(f"work goes on after the end: {call.left_working}")
     if call.result is None and call.error is None:
-        if call.working:
-            raise Violation(f"work goes on for a caller who left: {call.working}")
         return
     coverage = (call.result or call.error).coverage
     delivered = {}
@@ -397,6 +399,7 @@
     (RUN, "_is_current", lambda self, attempt: True, OLD, "gave up shards"),
     (RUN, "_restart", resume_on, OLD, "several versions in one answer"),
     (RUN, "_take_attempt", take_again, ("answers doubled", "sent"), "gave up shards"),
+    (RUN, "cancel", lambda self, now: (), ("caller gone", "sent"), "after the end"),
     (RUN, "coverage", hide_missing, ("answers lost", "sent"), "not the whole layout"),
     (
         searches.Searcher,
