Refuse queued requests that would time out at the target

Cause: a request that times out keeps its slot until the deadline plus 0.25 s, and the queue serves the nearest deadline first, so overload took all slots. Also, a connect cut short by the request's own deadline judged a target dead. Ruled out: margins of 1 and 2 medians, which still lost much of the goodput.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -35,7 +35,9 @@
 MAX_SHARD_TIME_S = 1.0  # longest deadline of a dispatch, counted from its check
 SKEW_S = 0.25  # bound of the error between the wall clocks of two machines
 MAX_QUEUED_PER_TEAM = 64  # requests queued for one target
-DUPLICATE_MEMORY_S = 10.0  # links lose messages but never delay them this long
+DUPLICATE_MEMORY_S = 10.0  # far longer than any request lives
+SERVICE_MARGIN = 3.0  # median service times that a queued request still needs
+SHORTEST_CONNECT_S = 0.05  # ten times what a new connection takes
 DEFAULT_SERVICE_S = 0.02  # service time of a target that has not answered yet
 ADVANCE_PERIOD_S = 0.01
 ANSWER_BATCH_S = 0.001
@@ -616,7 +618,16 @@
             return True
         service = row.median_latency or DEFAULT_SERVICE_S
         rounds = (row.queue.count_ahead(team) + 1) / max(1, row.limit)
-        return now + (rounds + 1) * service > dispatch.expires_at
+        return now + (rounds + SERVICE_MARGIN) * service > dispatch.expires_at
+
+    def _is_too_late(self, dispatch, row, now):
+        """Whether a queued request would probably time out if it were sent now.
+
+        A request that times out keeps its slot until the deadline plus `SKEW_S`,
+        so under overload a few of them would take all slots.
+        """
+        service = row.median_latency or 0.0
+        return now + SERVICE_MARGIN * service > dispatch.expires_at
 
     def _start(self, dispatch, now, actions):
         """Check permission, then dispatch a request for which there is room."""
@@ -644,6 +655,8 @@
             dispatch = row.queue.pop()
             if dispatch.expires_at <= now:
                 self._refuse(dispatch, DeadlinePassedError.code, actions)
+            elif self._is_too_late(dispatch, row, now):
+                self._refuse(dispatch, OverloadedError.code, actions)
             else:
                 self._start(dispatch, now, actions)
 
@@ -714,6 +727,13 @@
     def _judge(self, dispatch, answer, now, actions):
         row = dispatch.row
         latency = now - dispatch.started_at
+        if (
+            answer.code == "connect_failed"
+            and now >= dispatch.deadline
+            and latency < SHORTEST_CONNECT_S
+        ):
+            # The deadline cut the attempt short, which says nothing of the target.
+            return
         is_alone = dispatch.is_alone and row.sequence == dispatch.sequence
         self._health.handle_answer(
             row, answer, latency, is_alone, dispatch.sequence, now
