Remember bookings for ten minutes against a second delivery

Ruled out: remembering searches as long, which costs memory at 17,900 shard requests/s and guards nothing, as a search may be repeated. Before: 10 s for all. After: 10 s for searches, 600 s for bookings. Conclusion: a copy of a booking within ten minutes never runs.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -35,7 +35,8 @@
 MAX_SHARD_TIME_S = 1.0  # longest deadline of a dispatch, counted from its check
 SKEW_S = 0.25  # bound of the error between the wall clocks of two machines
 MAX_QUEUED_PER_TEAM = 64  # requests queued for one target
-DUPLICATE_MEMORY_S = 10.0  # far longer than any request lives
+SEARCH_MEMORY_S = 10.0  # far longer than a search lives; a repeat is harmless
+BOOKING_MEMORY_S = 600.0  # a repeat would charge twice, and bookings are few
 SERVICE_MARGIN = 3.0  # median service times that a queued request still needs
 SHORTEST_CONNECT_S = 0.05  # ten times what a new connection takes
 DEFAULT_SERVICE_S = 0.02  # service time of a target that has not answered yet
@@ -383,6 +384,7 @@
         self._targets = Table("targets")
         self._departed = {}
         self._origins = {}
+        self._booked = {}
         self._old_keys = []
         self._occupied = {}
         self._domains_out = set()
@@ -409,7 +411,9 @@
         now : float
         """
         actions = []
-        origin = self._get_origin(sender, number, group.request_id, now)
+        is_booking = group.operation == messages.BOOKING
+        key = (sender, number, group.request_id)
+        origin = self._get_origin(key, now, is_booking)
         expires_at = now + group.remaining_ms / 1000
         for item in group.items:
             if item.attempt in origin.attempts:
@@ -427,7 +431,7 @@
         A booking in flight is not cancelled: its outcome still has to be recorded.
         """
         actions = []
-        origin = self._get_origin(sender, number, cancel.request_id, now)
+        origin = self._get_origin((sender, number, cancel.request_id), now, False)
         for attempt in cancel.attempts:
             if attempt not in origin.attempts:
                 origin.cancelled = origin.cancelled or set()
@@ -479,7 +483,8 @@
                 self._drain(row, now, actions)
             if self._health.take_due_probe(row, now):
                 actions.append(Probe(row.target_id))
-        self._forget_origins(now)
+        self._forget_origins(self._origins, now)
+        self._forget_origins(self._booked, now)
         return actions
 
     # Targets.
@@ -552,22 +557,26 @@
 
     # Admission.
 
-    def _get_origin(self, sender, number, request_id, now):
-        key = (sender, number, request_id)
-        origin = self._origins.get(key)
+    def _get_origin(self, key, now, is_booking):
+        """Return what is known of a request; bookings are remembered longer."""
+        origin = self._origins.get(key) or self._booked.get(key)
         if origin is None:
-            origin = self._origins[key] = Origin(sender, number, request_id)
-        origin.forget_at = now + DUPLICATE_MEMORY_S
+            origin = self._origins[key] = Origin(*key)
+        if is_booking and key in self._origins:
+            # Also one that a cancel has announced without its operation.
+            self._booked[key] = self._origins.pop(key)
+        memory = BOOKING_MEMORY_S if key in self._booked else SEARCH_MEMORY_S
+        origin.forget_at = now + memory
         return origin
 
-    def _forget_origins(self, now):
+    def _forget_origins(self, origins, now):
         """Drop old requests, oldest first; an open one holds back the others."""
-        for key, origin in self._origins.items():
+        for key, origin in origins.items():
             if origin.forget_at > now or origin.open:
                 break
             self._old_keys.append(key)
         for key in self._old_keys:
-            del self._origins[key]
+            del origins[key]
         self._old_keys.clear()
 
     def _admit(self, dispatch, now, actions):
