--- /dev/null
+++ b/bench/driver.py
@@ -0,0 +1,689 @@
+"""Drives the decision code of nine VMs over the fakes in virtual time."""
+
+import itertools
+import random
+
+from tarragonchute import errors
+from tarragonchute.admission import Admission
+from tarragonchute.budgets import Budgets
+from tarragonchute.errors import (
+    CoverageTooLowError,
+    NotRunError,
+    Outcome,
+    OverloadedError,
+)
+from tarragonchute.holders import (
+    ADVANCE_PERIOD_S,
+    ANSWER_BATCH_S,
+    Abort,
+    Answer,
+    Dispatch,
+    HolderCore,
+    Probe,
+)
+from tarragonchute.messages import (
+    ANSWERED,
+    BOOKING,
+    ShardAnswers,
+    ShardGroup,
+    ShardItem,
+)
+from tarragonchute.placement import assign_holders
+from tarragonchute.routing import Router
+from tarragonchute.searches import (
+    HOP_MS,
+    LOAD_REFUSALS,
+    RETRY_SHARE_LEFT,
+    SearchRun,
+    SendGroup,
+    split_deadline,
+)
+from tarragonchute.settings import FleetSettings, Tree
+from tarragonchute.snapshots import SnapshotChooser
+
+from .fakes import EventQueue, Exchange, FakeClient, FakeNetwork, FakeTarget
+
+VMS = 9
+SERVICE_S = 0.020  # mean service time of every target; `holders.DEFAULT_SERVICE_S`
+BOOKING_SHARE = 0.02  # bookings for each search
+WARM_UP_S = 1.0  # load rises to its full rate; not measured
+FIRST_LOAD = 0.2  # part of the full rate at the start
+LARGE_SHARDS = 20  # latencies are those of datasets with at least so many shards
+DRAIN_S = 4.0  # after the load; longer than any deadline and its skew
+SPREAD_S = 0.9  # a change of settings reaches all VMs within this time
+
+
+class Parts:
+    """The classes that decide; a switch puts a subclass in the place of one.
+
+    Parameters
+    ----------
+    router, admission, core, run, budgets : type
+    """
+
+    __slots__ = ("router", "admission", "core", "run", "budgets")
+
+    def __init__(
+        self,
+        router=Router,
+        admission=Admission,
+        core=HolderCore,
+        run=SearchRun,
+        budgets=Budgets,
+    ):
+        self.router = router
+        self.admission = admission
+        self.core = core
+        self.run = run
+        self.budgets = budgets
+
+
+class Deployment:
+    """One deployment at today's size.
+
+    Parameters
+    ----------
+    tree : settings.Tree
+    least_s, most_s : float
+        One-way delays between machines in seconds.
+    """
+
+    __slots__ = ("tree", "least_s", "most_s")
+
+    def __init__(self, tree, least_s, most_s):
+        self.tree = tree
+        self.least_s = least_s
+        self.most_s = most_s
+
+    def find_connect_s(self, target):
+        """Return the seconds that a new connection takes; section 1.5."""
+        return 0.005 if target.max_connections <= 25 else 0.001
+
+
+class Counts:
+    """What one run counted.
+
+    Attributes
+    ----------
+    latencies : list of float
+        Seconds of the measured searches in large datasets that were not refused.
+    coverages : list of float
+        Of the same searches.
+    before : list of float
+        Latencies after the warm-up and before the measured window.
+    useful : int
+        Shard answers in answers that ended in time and in the measured window.
+    offered : float
+        Shard requests that the targets can bear in the measured window.
+    """
+
+    __slots__ = (
+        "latencies",
+        "coverages",
+        "before",
+        "searches",
+        "refused",
+        "too_low",
+        "late",
+        "lost",
+        "bookings",
+        "bookings_refused",
+        "bookings_unknown",
+        "first_attempts",
+        "sent",
+        "useful",
+        "offered",
+        "breaches",
+        "doubled",
+    )
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+        self.latencies = []
+        self.coverages = []
+        self.before = []
+
+
+class World:
+    """Targets, network and load; the VMs are built by a subclass.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    seed : int
+    load : float
+        Part of the capacity.
+    seconds : float
+        Length of the load after the warm-up.
+    straggler_share : float
+
+    Attributes
+    ----------
+    measured_from, measured_until : float
+        Searches that start in between are measured; a row may move it.
+    """
+
+    def __init__(self, deployment, seed, load, seconds, straggler_share=0.0):
+        self.random = random.Random(seed)
+        self.queue = EventQueue()
+        self.deployment = deployment
+        self.tree = deployment.tree
+        self.network = FakeNetwork(self.random, deployment.least_s, deployment.most_s)
+        self.mean_service_s = SERVICE_S * (1 + 9 * straggler_share)
+        self.targets = {
+            name: FakeTarget(
+                self.queue, self.random, target, SERVICE_S, straggler_share
+            )
+            for name, target in self.tree.list_targets().items()
+        }
+        self.load = load
+        self.load_ends = WARM_UP_S + seconds
+        self.measured_from = WARM_UP_S
+        self.measured_until = self.load_ends
+        self.is_store_up = True
+        self.counts = Counts()
+        self.open_searches = 0
+        self.numbers = itertools.count(1)
+        self.runs_by_key = {}
+        self.refused_keys = []
+        self._sent_shards = set()
+        self.vms = self.build_vms()
+
+    def build_vms(self):
+        """Return the list of VMs."""
+        raise NotImplementedError
+
+    def run(self):
+        """Run the load to its end and return the `Counts`."""
+        for team in self.tree.teams.values():
+            for dataset in team.datasets:
+                self._plan_search(team, self.tree.datasets[dataset])
+        self.queue.run(self.load_ends + DRAIN_S)
+        return self._finish_counts()
+
+    def count_capacity(self, dataset):
+        """Return the searches/s that the targets of a dataset can bear."""
+        slots = sum(target.slots for target in dataset.targets.values())
+        return slots / self.mean_service_s / count_shards(dataset)
+
+    def set_domain(self, domain, is_in):
+        """Take a failure domain out or put it back, at each VM a little later."""
+        domains = {**self.tree.fleet.domains, domain: is_in}
+        fleet = FleetSettings(domains, {}, self.tree.fleet.max_in_flight)
+        tree = Tree(fleet, self.tree.teams, self.tree.datasets)
+        for vm in self.vms:
+            due = self.queue.now + self.random.uniform(0.1, SPREAD_S)
+            self.queue.at(due, vm.take_tree, tree, domain, is_in)
+
+    def note_sent(self, request_id, shard, key):
+        """Count a request that is sent to a target."""
+        self.counts.sent += 1
+        name = (request_id, shard)
+        if name not in self._sent_shards:
+            self._sent_shards.add(name)
+            self.counts.first_attempts += 1
+        if key is not None:
+            self.runs_by_key.setdefault(key, 0)
+
+    def note_end(self, key, answer):
+        """Count a booking that a target ran."""
+        if key is not None and answer.code == ANSWERED:
+            self.runs_by_key[key] += 1
+
+    def is_measured(self, time):
+        """Whether a time lies in the measured window."""
+        return self.measured_from <= time < self.measured_until
+
+    def note_search(self, dataset, started_at, deadline_s, coverage, is_answer):
+        """Count the end of a search; coverage None is a refusal."""
+        self.open_searches -= 1
+        counts = self.counts
+        now = self.queue.now
+        seconds = now - started_at
+        if is_answer and seconds <= deadline_s and self.is_measured(now):
+            counts.useful += coverage.answered
+        is_large = count_shards(dataset) >= LARGE_SHARDS
+        if not self.is_measured(started_at):
+            is_before = WARM_UP_S <= started_at < self.measured_from
+            if is_before and is_large and coverage is not None:
+                counts.before.append(seconds)
+            return
+        counts.searches += 1
+        if coverage is None:
+            counts.refused += 1
+            return
+        counts.late += seconds > deadline_s
+        counts.too_low += not is_answer
+        if is_large:
+            counts.latencies.append(seconds)
+            counts.coverages.append(coverage.fraction)
+
+    def note_booking(self, key, outcome, started_at):
+        """Count the end of a booking."""
+        if outcome == Outcome.NOT_RUN:
+            self.refused_keys.append(key)
+        if self.is_measured(started_at):
+            self.counts.bookings += 1
+            self.counts.bookings_refused += outcome == Outcome.NOT_RUN
+            self.counts.bookings_unknown += outcome == Outcome.UNKNOWN
+
+    def _plan_search(self, team, dataset):
+        now = self.queue.now
+        rate = self.load * self.count_capacity(dataset)
+        if now < WARM_UP_S:
+            rate *= FIRST_LOAD + (1 - FIRST_LOAD) * now / WARM_UP_S
+        due = now + self.random.expovariate(rate)
+        if due < self.load_ends:
+            self.queue.at(due, self._start_search, team, dataset)
+
+    def _start_search(self, team, dataset):
+        self._plan_search(team, dataset)
+        vm = self.random.choice(self.vms)
+        self.open_searches += 1
+        vm.search(team, dataset)
+        if self.random.random() < BOOKING_SHARE:
+            shard = self.random.choice(list(find_layout(dataset)))
+            self.random.choice(self.vms).book(team, dataset, shard)
+
+    def _finish_counts(self):
+        counts = self.counts
+        targets = self.targets.values()
+        counts.lost = self.open_searches
+        counts.breaches = sum(
+            t.slot_breaches + t.cold_breaches + t.out_breaches + t.connection_breaches
+            for t in targets
+        )
+        counts.doubled = sum(runs > 1 for runs in self.runs_by_key.values())
+        counts.doubled += sum(
+            self.runs_by_key.get(key, 0) > 0 for key in self.refused_keys
+        )
+        slots = sum(t.slots for t in targets)
+        seconds = self.measured_until - self.measured_from
+        counts.offered = slots * seconds / self.mean_service_s
+        return counts
+
+
+def find_layout(dataset):
+    """Return the shards of the newest version of a dataset."""
+    return list(dataset.layouts.values())[-1]
+
+
+def count_shards(dataset):
+    """Return the number of shards of the newest version of a dataset."""
+    return len(find_layout(dataset))
+
+
+class ProductWorld(World):
+    """Nine VMs with the product's decision code."""
+
+    def __init__(
+        self, deployment, seed, load, seconds, straggler_share=0.0, parts=None
+    ):
+        self.parts = parts or Parts()
+        super().__init__(deployment, seed, load, seconds, straggler_share)
+
+    def build_vms(self):
+        """Return the VMs, each with the targets that it holds."""
+        names = [f"vm-{number}" for number in range(1, VMS + 1)]
+        groups = []
+        for dataset in self.tree.datasets.values():
+            groups += find_layout(dataset).values()
+        self.holders = assign_holders(groups, names)
+        self.vms_by_name = {name: ProductVm(self, name) for name in names}
+        return list(self.vms_by_name.values())
+
+
+class ProductVm:
+    """Entry and holder of one VM.
+
+    Parameters
+    ----------
+    world : ProductWorld
+    vm_id : str
+    """
+
+    def __init__(self, world, vm_id):
+        parts = world.parts
+        self.world = world
+        self.queue = world.queue
+        self.vm_id = vm_id
+        self.admission = parts.admission(world.tree.fleet.max_in_flight)
+        self.admission.set_tree(world.tree)
+        self.chooser = SnapshotChooser()
+        self.chooser.set_tree(world.tree)
+        seed = world.random.random()
+        self.router = parts.router(world.holders.get, random.Random(seed))
+        self.router.set_tree(world.tree)
+        self.budgets = parts.budgets()
+        self.core = parts.core(self, random.Random(seed))
+        self.open = {}
+        self._clients = {}
+        self._exchanges = {}
+        self._batches = {}
+        held = [t for n, t in world.tree.list_targets().items() if self._holds(n)]
+        self._perform(self.core.set_targets(held, 1, 0.0))
+        self.queue.at(world.random.random() * ADVANCE_PERIOD_S, self._advance)
+
+    def check_target(self, target_id, now):
+        """Permit everything: the bench has no membership."""
+
+    def take_tree(self, tree, domain, is_in):
+        """Take changed settings in which a failure domain left or returned."""
+        now = self.queue.now
+        self.router.set_tree(tree)
+        change = self.core.set_domain_in if is_in else self.core.set_domain_out
+        self._perform(change(domain, now))
+
+    def _holds(self, target_id):
+        return self.world.holders[target_id] == self.vm_id
+
+    # Entry.
+
+    def search(self, team, dataset):
+        """Start a search of a caller."""
+        call = _SearchCall(self, team, dataset)
+        try:
+            self.admission.enter(team.name, self.queue.now)
+        except NotRunError:
+            self.world.note_search(dataset, self.queue.now, 0.0, None, False)
+            return
+        call.start()
+
+    def book(self, team, dataset, shard):
+        """Start a booking of a caller."""
+        call = _BookingCall(self, team, dataset, shard)
+        now = self.queue.now
+        try:
+            self.admission.enter(team.name, now)
+        except NotRunError:
+            self.world.note_booking(call.key, Outcome.NOT_RUN, now)
+            return
+        call.start()
+
+    def leave(self, team, started_at, deadline_s, code):
+        """Count a request of a caller as ended; as `node.Node` does."""
+        now = self.queue.now
+        is_late = now - started_at >= split_deadline(deadline_s)
+        is_overloaded = code == OverloadedError.code
+        self.admission.leave(team.name, is_late, is_overloaded, now)
+
+    def send(self, vm_id, number, message):
+        """Send a message to a holder."""
+        due = self.queue.now + self.world.network.delay(self.vm_id, vm_id)
+        holder = self.world.vms_by_name[vm_id]
+        self.queue.at(due, holder.handle, self.vm_id, number, message)
+
+    def handle_answers(self, vm_id, number, answers):
+        """Take answers from a holder."""
+        call = self.open.get(number)
+        if call is not None:
+            call.handle_answers(vm_id, answers)
+
+    # Holder.
+
+    def handle(self, sender, number, message):
+        """Take a message from an entry."""
+        now = self.queue.now
+        take = self.core.submit if type(message) is ShardGroup else self.core.cancel
+        self._perform(take(sender, number, message, now))
+
+    def _advance(self):
+        self._perform(self.core.advance(self.queue.now))
+        self.queue.at(self.queue.now + ADVANCE_PERIOD_S, self._advance)
+
+    def _perform(self, actions):
+        for action in actions:
+            kind = type(action)
+            if kind is Dispatch:
+                self._dispatch(action)
+            elif kind is Answer:
+                self._add_answer(action)
+            elif kind is Abort:
+                self._exchanges[action.dispatch].cancel()
+            elif kind is Probe:
+                due = self.queue.now + self._get_client(action.target_id).delay_s
+                self.queue.at(due, self._probe, action.target_id)
+            else:
+                client = self._clients.pop(action.target_id, None)
+                if client is not None:
+                    client.close()
+
+    def _dispatch(self, dispatch):
+        group = dispatch.group
+        key = group.idempotency_key
+        self.world.note_sent(group.request_id, dispatch.shard, key)
+        client = self._get_client(dispatch.target_id)
+        self._exchanges[dispatch] = Exchange(
+            client, dispatch.deadline, key, dispatch, self._complete
+        )
+
+    def _complete(self, exchange, answer):
+        del self._exchanges[exchange.subject]
+        self.world.note_end(exchange.key, answer)
+        actions = self.core.complete(exchange.subject, answer, self.queue.now)
+        self._perform(actions)
+
+    def _probe(self, target_id):
+        state = self.world.targets[target_id].read_status()
+        due = self.queue.now + self._get_client(target_id).delay_s
+        self.queue.at(due, self._end_probe, target_id, state)
+
+    def _end_probe(self, target_id, state):
+        self._perform(self.core.handle_status(target_id, state, self.queue.now))
+
+    def _get_client(self, target_id):
+        client = self._clients.get(target_id)
+        if client is None:
+            world = self.world
+            target = world.targets[target_id]
+            delay_s = world.network.delay(self.vm_id, target_id)
+            connect_s = world.deployment.find_connect_s(target)
+            client = FakeClient(self.queue, target, delay_s, connect_s)
+            self._clients[target_id] = client
+        return client
+
+    def _add_answer(self, action):
+        """Send a request's last answer at once, others within a batch; as `Holder`."""
+        origin = action.origin
+        batch = self._batches.get(origin)
+        if batch is None:
+            batch = self._batches[origin] = []
+            due = self.queue.now + ANSWER_BATCH_S
+            self.queue.at(due, self._send_answers, origin, batch)
+        batch.append(action.answer)
+        if action.is_last:
+            self._send_answers(origin, batch)
+
+    def _send_answers(self, origin, batch):
+        if self._batches.get(origin) is not batch:
+            return
+        del self._batches[origin]
+        due = self.queue.now + self.world.network.delay(self.vm_id, origin.sender)
+        entry = self.world.vms_by_name[origin.sender]
+        answers = ShardAnswers(origin.request_id, batch)
+        self.queue.at(due, entry.handle_answers, self.vm_id, origin.number, answers)
+
+
+class _SearchCall:
+    """A search under way and its timer; as `searches.Searcher`."""
+
+    __slots__ = (
+        "vm",
+        "team",
+        "dataset",
+        "number",
+        "run",
+        "started_at",
+        "deadline_s",
+        "timer_at",
+    )
+
+    def __init__(self, vm, team, dataset):
+        self.vm = vm
+        self.team = team
+        self.dataset = dataset
+        self.number = next(vm.world.numbers)
+        self.started_at = vm.queue.now
+        self.deadline_s = team.default_deadline_ms / 1000
+        self.timer_at = float("inf")
+
+    def start(self):
+        vm, now = self.vm, self.started_at
+        self.run = vm.world.parts.run(
+            f"r{self.number}",
+            self.team.name,
+            self.dataset.name,
+            None,
+            self.deadline_s,
+            self.team.least_coverage,
+            vm.chooser,
+            vm.router,
+            vm.budgets.find(self.dataset.name, now),
+        )
+        vm.open[self.number] = self
+        self._perform(self.run.start(now))
+
+    def handle_answers(self, vm_id, answers):
+        now = self.vm.queue.now
+        self._perform(self.run.handle_answers(answers.answers, now, vm_id))
+
+    def _perform(self, actions):
+        for action in actions:
+            if type(action) is SendGroup and self.run.is_finished:
+                continue
+            self.vm.send(action.vm_id, self.number, action.message)
+        if self.run.is_finished:
+            self._finish()
+            return
+        due = self.run.next_due()
+        if due < self.timer_at:
+            self.timer_at = due
+            self.vm.queue.at(due, self._wake, due)
+
+    def _wake(self, due):
+        if self.number not in self.vm.open or due != self.timer_at:
+            return
+        self.timer_at = float("inf")
+        now = self.vm.queue.now
+        actions = self.run.advance(now) if self.run.next_due() <= now else ()
+        self._perform(actions)
+
+    def _finish(self):
+        vm = self.vm
+        del vm.open[self.number]
+        code, coverage, is_answer = "ok", None, True
+        try:
+            coverage = self.run.result().coverage
+        except CoverageTooLowError as error:
+            code, coverage, is_answer = error.code, error.coverage, False
+        except errors.TarragonchuteError as error:
+            code = error.code
+        vm.leave(self.team, self.started_at, self.deadline_s, code)
+        vm.world.note_search(
+            self.dataset, self.started_at, self.deadline_s, coverage, is_answer
+        )
+
+
+class _BookingCall:
+    """A booking under way; follows `bookings.Booker` and `BookingSender`."""
+
+    __slots__ = (
+        "vm",
+        "team",
+        "dataset",
+        "shard",
+        "key",
+        "request_id",
+        "started_at",
+        "answer_due",
+        "deadline_s",
+        "untried",
+        "sent",
+        "number",
+    )
+
+    def __init__(self, vm, team, dataset, shard):
+        self.vm = vm
+        self.team = team
+        self.dataset = dataset
+        self.shard = shard
+        self.key = self.request_id = f"b{next(vm.world.numbers)}"
+        self.started_at = vm.queue.now
+        self.deadline_s = team.default_deadline_ms / 1000
+        self.answer_due = self.started_at + split_deadline(self.deadline_s)
+        self.untried = list(find_layout(dataset)[shard])
+        self.sent = None
+        self.number = None
+
+    def start(self):
+        if not self.vm.world.is_store_up:
+            self._end(Outcome.NOT_RUN, errors.StoreUnavailableError.code)
+            return
+        self.vm.queue.at(self.answer_due, self._expire)
+        self._try(None)
+
+    def handle_answers(self, vm_id, answers):
+        (answer,) = answers.answers
+        target = self.sent
+        self.vm.router.note_answer(target, answer.code, answer.load, self.vm.queue.now)
+        del self.vm.open[self.number]
+        self.sent = None
+        if answer.code == ANSWERED:
+            self._end(Outcome.DONE, answer.code)
+        elif answer.outcome != Outcome.NOT_RUN:
+            self._end(Outcome.UNKNOWN, answer.code)
+        elif self._may_send(answer.code):
+            self._try(answer.code)
+        else:
+            self._end(Outcome.NOT_RUN, answer.code)
+
+    def _may_send(self, code):
+        now = self.vm.queue.now
+        left = self.answer_due - now
+        if left < (self.answer_due - self.started_at) * RETRY_SHARE_LEFT:
+            return False
+        if code not in LOAD_REFUSALS:
+            return True
+        return self.vm.budgets.find(self.dataset.name, now).retries.try_spend(now)
+
+    def _try(self, code):
+        vm, now = self.vm, self.vm.queue.now
+        choice = vm.router.choose(self.untried, now)
+        if choice is None:
+            self._end(Outcome.NOT_RUN, code)
+            return
+        self.sent, vm_id = choice
+        self.untried.remove(self.sent)
+        self.number = next(vm.world.numbers)
+        vm.open[self.number] = self
+        vm.router.note_sent(self.sent)
+        vm.send(vm_id, self.number, self._build_group(self.sent, now))
+
+    def _build_group(self, target, now):
+        left_ms = (self.answer_due - now) * 1000 - HOP_MS
+        version = list(self.dataset.layouts)[-1]
+        return ShardGroup(
+            self.request_id,
+            self.team.name,
+            self.dataset.name,
+            version,
+            None,
+            left_ms,
+            [ShardItem(1, self.shard, target)],
+            BOOKING,
+            self.key,
+        )
+
+    def _expire(self):
+        if self.sent is not None:
+            del self.vm.open[self.number]
+            now = self.vm.queue.now
+            self.vm.router.note_answer(self.sent, "outcome_unknown", None, now)
+            self._end(Outcome.UNKNOWN, "outcome_unknown")
+
+    def _end(self, outcome, code):
+        vm = self.vm
+        self.sent = None
+        vm.leave(self.team, self.started_at, self.deadline_s, code)
+        vm.world.note_booking(self.key, outcome, self.started_at)
