--- a/tarragonchute/bookings.py
+++ b/tarragonchute/bookings.py
@@ -17,7 +17,6 @@
 from . import errors
 from .messages import ANSWERED, BOOKING, ShardGroup, ShardItem
 from .searches import HOP_MS, LOAD_REFUSALS, NOT_SENT, RETRY_SHARE_LEFT, split_deadline
-from .store import LeaseNotFoundError
 
 logger = logging.getLogger(__name__)
 
@@ -70,7 +69,7 @@
 MAX_KEY_LENGTH = 200
 
 STARTED = "started"
-STORE_REGRESSED = "store_regressed"
+_REGRESSED_TEXT = "the store lost writes; claims are being restored"
 
 
 class BookingOrder:
@@ -541,7 +540,7 @@
         if now >= booking.claim_due:
             raise errors.DeadlinePassedError("too little time is left to dispatch")
         if self.is_regressed:
-            raise _build_regressed_error()
+            raise errors.StoreRegressedError(_REGRESSED_TEXT)
         if len(self._pending) >= MAX_PENDING:
             raise errors.StoreUnavailableError("too many outcomes wait for the store")
         if not self._budget.try_spend(WRITES_PER_BOOKING, now):
@@ -572,7 +571,7 @@
         # A peer may have told of a regression while the claim was under way.
         if not self._observe(revision, seen) or self.is_regressed:
             self._forgo(booking, record)
-            raise _build_regressed_error()
+            raise errors.StoreRegressedError(_REGRESSED_TEXT)
         return record, revision
 
     async def _put_claim(self, booking, record, expect):
@@ -585,7 +584,7 @@
                         booking.record_key, record.to_text(), expect, lease
                     )
                 return None
-            except LeaseNotFoundError:
+            except errors.LeaseNotFoundError:
                 self._lease = None
         raise errors.StoreUnavailableError("the store forgets its leases")
 
@@ -714,7 +713,7 @@
         except errors.BadRequestError:
             # The result is larger than the store's values; the key reads as unknown.
             logger.exception("gave up the outcome of %s", record_key)
-        except LeaseNotFoundError:
+        except errors.LeaseNotFoundError:
             self._lease = None
             return False
         except errors.NotRunError:
@@ -785,7 +784,7 @@
                 await self._restore_claim(self._to_restore[-1])
                 self._to_restore.pop()
             await self._end_restore()
-        except LeaseNotFoundError:
+        except errors.LeaseNotFoundError:
             self._lease = None
         except (errors.StoreOutcomeUnknownError, errors.NotRunError):
             return
@@ -908,12 +907,6 @@
     return None
 
 
-def _build_regressed_error():
-    error = errors.NotRunError("the store lost writes; claims are being restored")
-    error.code = STORE_REGRESSED
-    return error
-
-
 _NOT_RUN = str(errors.Outcome.NOT_RUN)
 
 _NO_MARK = (0, 0)
--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -124,11 +124,23 @@
 
 
 class CoverageTooLowError(TarragonchuteError):
-    """Fewer shards answered than the caller accepts."""
+    """Fewer shards answered than the caller accepts.
+
+    Attributes
+    ----------
+    coverage : searches.Coverage or None
+    load_refusals : int
+        Attempts that were refused because of load.
+    """
 
     code = "coverage_too_low"
     status = 503
 
+    def __init__(self, message="", coverage=None, load_refusals=0):
+        super().__init__(message)
+        self.coverage = coverage
+        self.load_refusals = load_refusals
+
 
 class OutcomeUnknownError(TarragonchuteError):
     """The work was sent and no answer tells whether it ran."""
@@ -149,6 +161,19 @@
     code = "store_busy"
 
 
+class StoreRegressedError(NotRunError):
+    """The store lost writes, and the claims in it are being restored."""
+
+    code = "store_regressed"
+
+
+class LeaseNotFoundError(NotRunError):
+    """The lease named in a call does not exist, or has ended."""
+
+    code = "lease_not_found"
+    status = 404
+
+
 class StoreConflictError(TarragonchuteError):
     """A compare-and-swap found another revision than the expected one.
 
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -22,7 +22,6 @@
     NoLeaseError,
     NotHolderError,
     Outcome,
-    OverloadedError,
     ProtocolError,
     TarragonchuteError,
 )
@@ -51,6 +50,9 @@
 
 DRAIN_POLL_S = 0.05
 
+OVERLOADED_SHARE = 0.05
+"""Part of a search's shards that holders may refuse before it counts as overload."""
+
 
 class Parts:
     """The parts of one VM's process, and how they are connected.
@@ -336,7 +338,7 @@
         deadline_s = search.deadline_ms / 1000
         with bind_request(request_id):
             started_at = self._begin(request_id, "search", team, dataset)
-            code, coverage = "cancelled", None
+            code, coverage, load_refusals = "cancelled", None, 0
             try:
                 result = await self.searcher.search(
                     team,
@@ -347,12 +349,19 @@
                     request_id,
                 )
                 code, coverage = "ok", result.coverage
+                load_refusals = result.load_refusals
                 return result
             except TarragonchuteError as error:
-                code, coverage = error.code, getattr(error, "coverage", None)
+                code = error.code
+                coverage = getattr(error, "coverage", None)
+                load_refusals = getattr(error, "load_refusals", 0)
                 raise
             finally:
-                seconds = self._end(request_id, team, code, started_at, deadline_s)
+                total = coverage.total if coverage else 0
+                is_overloaded = load_refusals > OVERLOADED_SHARE * total
+                seconds = self._end(
+                    request_id, team, code, started_at, deadline_s, is_overloaded
+                )
                 counts = (coverage.answered, coverage.total) if coverage else (0, 0)
                 self.metrics.observe_search(team, seconds, code, *counts)
                 logger.info(
@@ -396,11 +405,12 @@
         self.traces.add(request_id, now, name, time.time(), team=team, dataset=dataset)
         return now
 
-    def _end(self, request_id, team, code, started_at, deadline_s):
+    def _end(self, request_id, team, code, started_at, deadline_s, is_overloaded=False):
         now = trio.current_time()
         seconds = now - started_at
-        is_late = seconds >= split_deadline(deadline_s)
-        is_overloaded = code == OverloadedError.code
+        # A partial answer comes at the split deadline. It says that a shard is
+        # lost, which is no reason to admit fewer requests.
+        is_late = seconds > (split_deadline(deadline_s) + deadline_s) / 2
         self.admission.leave(team, is_late, is_overloaded, now)
         self.traces.finish(request_id, now, code)
         return seconds
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -11,7 +11,7 @@
 
 from .errors import (
     BadRequestError,
-    NotRunError,
+    LeaseNotFoundError,
     ProtocolError,
     StoreConflictError,
     StoreOutcomeUnknownError,
@@ -100,13 +100,6 @@
         """Extend the lease by its time to live."""
 
 
-class LeaseNotFoundError(NotRunError):
-    """The lease named in a call does not exist, or has ended."""
-
-    code = "lease_not_found"
-    status = 404
-
-
 class ObservedStore:
     """Passes every call on and reports how it ended.
 
