Show that gone members must stay in the majority of a lease

The design page lets a lease leave out members that the VM list reports gone. In a split whose two witnesses of the newer view die, both sides then count a majority of what is left: the oracle saw two senders with that rule and none without it.

--- a/tests/test_handover_faults.py
+++ b/tests/test_handover_faults.py
@@ -7,6 +7,7 @@
 
 import itertools
 import logging
+import math
 import random
 import sys
 
@@ -767,6 +768,23 @@
             row.echoed = echo
 
 
+class DiscountsGoneMembers(Membership):
+    """Takes a majority of the members that its VM list does not report gone."""
+
+    def _compute_lease_end(self):
+        if self.view is None:
+            return -math.inf
+        ends = self._list_grants()
+        living = [vm_id for vm_id in self.view.members if vm_id not in self._gone]
+        needed = self._quorum(len(living))
+        until = ends[needed - 1] if len(ends) >= needed else -math.inf
+        return max(until, self._carried_until)
+
+    def set_gone(self, vm_ids, now):
+        super().set_gone(vm_ids, now)
+        self._lease_end = None
+
+
 class NoLines(Membership):
     """Compares epochs by their size only."""
 
@@ -861,6 +879,25 @@
     return world
 
 
+def bury_witnesses(**classes):
+    """Play a split after which members die that had left the older view."""
+    world = World(1, **classes)
+    world.begin("abcde")
+    world.run(1.5)
+    world.split("ab")
+    for vm_id in "fgh":
+        world.start(vm_id)
+        world.split("ab")
+    for vm in (world.vms["a"], world.vms["b"]):
+        take = vm.membership.set_gone
+        vm._read_vm_list = lambda vm=vm, take=take: take(world.list_gone(), vm.clock)
+    world.run(5.0)
+    world.kill("d")
+    world.kill("e")
+    world.run(8.0)
+    return world
+
+
 def regress_view(**classes):
     """Play a store that returns the view of before a join, while another joins.
 
@@ -987,6 +1024,11 @@
         {"held_class": NoTenure, "membership_class": NoLines},
         move_there_and_back,
     ),
+    (
+        "gone members in the majority",
+        {"membership_class": DiscountsGoneMembers},
+        bury_witnesses,
+    ),
     ("lines of views", {"membership_class": NoLines}, regress_view),
     ("frozen clock", {"membership_class": KeepsFrozenGrants}, suspend_holder),
     ("foreign echo", {"membership_class": TakesAnyEcho}, restart_with_other_clock),
