Call a request that a client refused to write not run

Cause: the HTTP client raises BadRequestError before it writes an id that cannot stand in a header; the holder answered 'unknown' and kept the slot. Ruled out: the same for other exceptions, which prove nothing. Before: wrong_answer, unknown. After: bad_request, not_run, slot free at once. Conclusion: the code counts as proof in the holder only.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -15,6 +15,7 @@
 
 from . import messages
 from .errors import (
+    BadRequestError,
     DeadlinePassedError,
     DomainOutError,
     NotHolderError,
@@ -51,6 +52,7 @@
     {
         messages.ANSWERED,
         CANCELLED,
+        BadRequestError.code,
         "shedding",
         "draining",
         "deadline_passed",
@@ -698,7 +700,7 @@
         code = answer.code
         if code == messages.ANSWERED:
             end = Outcome.DONE
-        elif answer.is_provably_not_run:
+        elif answer.is_provably_not_run or code == BadRequestError.code:
             end = Outcome.NOT_RUN
         else:
             end = Outcome.UNKNOWN
@@ -1072,6 +1074,9 @@
         try:
             client = self._get_client(dispatch.row)
             return await client.exchange(dispatch.build_request())
+        except BadRequestError as error:
+            logger.warning("request for %s not sent: %s", dispatch.target_id, error)
+            return TargetAnswer(error.code)
         except Exception:
             # A fault of one client must not end the service of the others.
             logger.exception("exchange with %s failed", dispatch.target_id)
