--- a/tarragonchute/distribution.py
+++ b/tarragonchute/distribution.py
@@ -237,8 +237,7 @@
                 await trio.sleep(ACCEPT_POLL_S)
 
     def _is_accepted(self, subtree, version):
-        view = self._membership.view
-        sets = [view.members, *view.previous] if view else []
+        sets = self._membership.list_quorum_sets()
         return self._configuration.is_accepted(subtree, version, sets)
 
     # Store.
