Let the first request to an idle target go alone

Cause: the pool drops an idle connection that the target closed without a word, so a holder did not learn of a restart while nothing was in flight, still counted the target as warm and sent two requests to it at once. If both were cancelled, their ends told nothing either, and it went on until the next status read. Ruled out: restarts while requests are in flight; the lost connection tells at once. A target that turns cold without a restart and while idle is covered by the same rule.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -16,6 +16,7 @@
 
 SERVICE_SIGMA = 0.3  # of the logarithm; the p99 is about twice the median
 STRAGGLER_FACTOR = 10.0
+RESTART_S = 0.1  # while a target restarts, connections to it fail
 WARM_AFTER = 20  # requests after which a cold target is warm, as in MemoryTarget
 
 
@@ -160,15 +161,20 @@
         for exchange in list(self.works):
             exchange.end_at_target("connection_lost")
 
+    def is_up(self):
+        """Whether it takes connections."""
+        is_starting = self.boot > 1 and self._queue.now < self.restarted_at + RESTART_S
+        return not (self.is_unreachable or is_starting)
+
     def read_status(self):
         """Return what the status endpoint says, or None."""
-        if self.is_unreachable:
+        if not self.is_up():
             return None
         return self.reported_state or self.state
 
     def open_connection(self):
         """Count a new connection; return whether it was accepted."""
-        if self.is_unreachable:
+        if not self.is_up():
             return False
         if self.connections >= self.max_connections:
             self.connection_breaches += 1
@@ -375,7 +381,7 @@
         target = self.client.target
         if self.state == _ENDED:
             return
-        if target.boot != self._boot or target.is_unreachable:
+        if target.boot != self._boot or not target.is_up():
             self.end_at_target("connection_lost")
             return
         self.state = _WORKING
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -221,6 +221,7 @@
         Row("110 shards, stragglers 80%", WIDE, 0.8, 8.0, STRAGGLER_SHARE),
         Row("replica lost, 40%", BOTH, 0.4, 8.0, 0.0, lose_replica, False),
         Row("cold restarts, 40%", TURNED, 0.4, 10.0, 0.0, restart_targets),
+        Row("cold restarts, 5%", BOTH, 0.05, 60.0, 0.0, restart_targets),
         Row("domain out, 60%", BOTH, 0.6, DOMAIN_ROW_S, 0.0, take_domain_out, False),
         Row("domain out, 40%", TURNED, 0.4, DOMAIN_ROW_S, 0.0, take_domain_out, False),
         Row("store out 60 s, 5%", BOTH, 0.05, 60.0, 0.0, stop_store),
--- a/tarragonchute/health.py
+++ b/tarragonchute/health.py
@@ -65,6 +65,8 @@
         """
         row.last_answer_at = now
         code = answer.code
+        if code == "ok" or answer.state is not None:
+            self._limiter.note_proof(row)
         if code == "connect_failed":
             self._handle_connect_failure(row, now)
         elif row.state in (DRAINING, DEAD):
--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -459,7 +459,7 @@
             return actions
         row = dispatch.row
         if answer.code in _FINISHED_CODES:
-            self._free_slot(dispatch, actions)
+            self._free_slot(dispatch, now, actions)
         self._judge(dispatch, answer, now, actions)
         self._answer_exchange(dispatch, answer, actions)
         self._drain(row, now, actions)
@@ -652,6 +652,7 @@
             self._note_breach(f"no room for a dispatch to {row.target_id}")
             self._refuse(dispatch, OverloadedError.code, actions)
             return
+        self._limiter.note_start(row, now)
         dispatch.state = _RUNNING
         dispatch.started_at = now
         dispatch.gained_epoch = row.gained_epoch
@@ -756,14 +757,14 @@
     def _end_overdue(self, dispatch, now, actions):
         """Free the slot of a request that the target must have ended by now."""
         row = dispatch.row
-        self._free_slot(dispatch, actions)
+        self._free_slot(dispatch, now, actions)
         if dispatch.state == _RUNNING:
             answer = TargetAnswer("timed_out")
             actions.append(Abort(dispatch))
             self._answer_exchange(dispatch, answer, actions)
         self._drain(row, now, actions)
 
-    def _free_slot(self, dispatch, actions):
+    def _free_slot(self, dispatch, now, actions):
         row = dispatch.row
         del self._occupied[dispatch]
         self._limiter.release(row)
@@ -771,6 +772,7 @@
             self._note_breach(f"negative count of requests to {row.target_id}")
         if row.in_flight:
             return
+        row.idle_since = now
         if not row.is_held:
             del self._departed[row.target_id]
             actions.append(Retire(row.target_id))
--- a/tarragonchute/limits.py
+++ b/tarragonchute/limits.py
@@ -16,6 +16,13 @@
 SHED_FACTOR = 0.5  # multiplicative decrease
 SHED_INCREASE = 1.0  # requests in flight gained for each full round of good answers
 
+SAFE_IDLE_S = 0.1
+"""Idle time within which a target cannot have restarted unnoticed.
+
+A restart ends its idle connections, but nobody reads them until the next request, so
+several requests at once would be the first work of a cold target.
+"""
+
 
 def count_connections(slots, max_connections):
     """Return how many connections one holder may open.
@@ -35,7 +42,8 @@
     """Keeps the concurrency limit of each target.
 
     The limit is the least of the slots, the connections, the slow-start limit and
-    the limit that shed answers set. It is 0 for a draining or dead target.
+    the limit that shed answers set. It is 0 for a draining or dead target, and the
+    cold limit while a target that was idle has not answered.
     """
 
     __slots__ = ()
@@ -58,6 +66,7 @@
             row.connection_limit,
             row.slow_start_limit,
             int(row.shed_limit),
+            COLD_LIMIT if row.is_unproven else row.slots,
         )
 
     def has_room(self, row):
@@ -72,6 +81,18 @@
         row.sequence += 1
         return True
 
+    def note_start(self, row, now):
+        """Let the first request after an idle time go alone until it is answered."""
+        if row.in_flight == 1 and now - row.idle_since > SAFE_IDLE_S:
+            row.is_unproven = True
+            self.update(row)
+
+    def note_proof(self, row):
+        """End that restriction: an answer has told the state of the target."""
+        if row.is_unproven:
+            row.is_unproven = False
+            self.update(row)
+
     def release(self, row):
         """Count one request less; it must surely be over at the target."""
         row.in_flight -= 1
--- a/tarragonchute/tables.py
+++ b/tarragonchute/tables.py
@@ -82,6 +82,10 @@
         Number of the latest dispatch.
     lowered_sequence : int
         Value of `sequence` when `shed_limit` was last lowered.
+    idle_since : float
+        Time in seconds at which `in_flight` last fell to 0.
+    is_unproven : bool
+        Whether the target has not answered since it was idle.
     latencies : list of float
         Recent latencies in seconds.
     median_latency, warm_median : float or None
@@ -116,6 +120,8 @@
         "shed_limit",
         "sequence",
         "lowered_sequence",
+        "idle_since",
+        "is_unproven",
         "latencies",
         "warm_median",
         "slow_answers",
@@ -148,6 +154,8 @@
         self.shed_limit = float(slots)
         self.sequence = 0
         self.lowered_sequence = 0
+        self.idle_since = 0.0
+        self.is_unproven = False
         self.latencies = []
         self.warm_median = None
         self.slow_answers = 0
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -22,6 +22,7 @@
     Probe,
     Retire,
 )
+from tarragonchute.limits import SAFE_IDLE_S
 from tarragonchute.messages import BOOKING, ShardCancel, ShardGroup, ShardItem
 from tarragonchute.settings import TargetSettings
 from tarragonchute.targets import TargetAnswer
@@ -117,6 +118,35 @@
         actions = self._complete(actions[0])
         self.assertEqual([2], self._dispatched(actions))
 
+    def test_first_request_after_an_idle_time_goes_alone(self):
+        """Guards against two requests to a target that restarted unnoticed."""
+        self._warm_up()
+        self.now += SAFE_IDLE_S + 0.001
+        (first, *_) = actions = self._submit([1, 2], number=1)
+        self.assertEqual([1], self._dispatched(actions))
+        self.core.cancel("e1", 1, ShardCancel("r1", [1]), self.now)
+        actions = self._complete(first, "cancelled")
+        self.assertEqual([2], self._dispatched(actions))
+        self.assertEqual([], self._dispatched(self._submit([3], number=2)))
+        (second,) = [action for action in actions if type(action) is Dispatch]
+        actions = self._complete(second, state="cold", boot_id="b2")
+        self.assertEqual([3], self._dispatched(actions))
+        self.assertEqual(1, self.core.get_row("t1").limit)
+
+    def test_warm_target_serves_all_slots_after_a_short_pause(self):
+        """Guards against half the throughput of a target that is in use."""
+        self._warm_up()
+        self.now += SAFE_IDLE_S / 2
+        self.assertEqual([1, 2], self._dispatched(self._submit([1, 2])))
+
+    def test_answer_after_an_idle_time_gives_back_all_slots(self):
+        """Guards against a target that stays at one request for good."""
+        self._warm_up()
+        self.now += SAFE_IDLE_S + 0.001
+        (first, *_) = self._submit([1, 2, 3], number=1)
+        actions = self._complete(first, state="warm", boot_id="b1")
+        self.assertEqual([2, 3], self._dispatched(actions))
+
     def test_deadline_of_a_dispatch_is_bounded(self):
         """Guards against a paused holder whose request arrives after hand-over."""
         for remaining_ms, expected in ((200, 0.2), (5000, holders.MAX_SHARD_TIME_S)):
