Expect a cold target to be slow until it answers

Cause: the median latency of a target outlived its change to cold, so its holder reported and planned with the warm service time while one request at a time took five times as long. Entries and holder queued up work at targets that had come back. Ruled out: the choice by limits alone, which the entries already have.

--- a/tarragonchute/health.py
+++ b/tarragonchute/health.py
@@ -20,7 +20,7 @@
 SLOW_FACTOR = 5.0  # times the warm median
 SLOW_ANSWERS_TO_RELEARN = 32  # a lasting change of speed becomes the new normal
 LATENCIES_KEPT = 32
-MEDIAN_EVERY = 8  # answers; one median for each answer would cost 3 µs
+MEDIAN_EVERY = 8  # answers, after as many; a median for each would cost 3 µs
 
 _GOOD_STATES = (None, WARM)
 
@@ -125,6 +125,10 @@
                 reason,
             )
             row.latencies.clear()
+            if state == COLD and row.warm_median is not None:
+                # Until it answers, so that neither its holder nor the entries
+                # queue up work as for a warm target.
+                row.median_latency = row.warm_median * SLOW_FACTOR
         row.state = state
         if state == COLD:
             self._limiter.restart(row)
@@ -190,7 +194,7 @@
     def _note_latency(self, row, latency):
         row.latencies.append(latency)
         count = len(row.latencies)
-        if count % MEDIAN_EVERY == 0 or row.median_latency is None:
+        if count % MEDIAN_EVERY == 0 or count < MEDIAN_EVERY:
             row.median_latency = statistics.median(row.latencies)
             if row.state == WARM:
                 row.warm_median = row.median_latency
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -97,6 +97,16 @@
                 self._answer(row, code, latency=factor * SERVICE_S, alone=alone)
                 self.assertEqual(after, row.state, (code, factor, alone))
 
+    def test_cold_target_is_expected_to_be_slow(self):
+        """Guards against queues at a cold target that its holder believes fast."""
+        row = self._build_row(WARM)
+        self._answer(row, "connection_lost")
+        expected = health.SLOW_FACTOR * SERVICE_S
+        self.assertAlmostEqual(expected, row.median_latency)
+        self._answer(row, latency=3 * SERVICE_S, state=COLD)
+        self.assertAlmostEqual(3 * SERVICE_S, row.median_latency)
+        self.assertAlmostEqual(SERVICE_S, row.warm_median)
+
     def test_slow_answers_do_not_end_a_cold_start(self):
         """Guards against raising the limit of a target that is still slow."""
         row = self._build_row(WARM)
