--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -242,7 +242,8 @@
     targets = [
         TargetSettings(f"t{n}", "10.0.0.1:80", "d1", 2, 25) for n in range(items)
     ]
-    core.set_targets(targets, 1, 0.0)
+    for probe in core.set_targets(targets, 1, 0.0):
+        core.handle_status(probe.target_id, WARM, 0.0)
     for row in core.list_rows():
         row.state = WARM
         row.limit = 2
--- a/tarragonchute/health.py
+++ b/tarragonchute/health.py
@@ -14,6 +14,7 @@
 
 STATUS_PERIOD_S = 1.0
 DRAINING_PROBE_PERIOD_S = 2.0
+FIRST_STATUS_WAIT_S = 0.1  # a read takes a few ms, also on a new connection
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 5.0
 BACKOFF_JITTER = 0.5  # fraction of the delay; spreads the probes of many holders
@@ -47,6 +48,32 @@
         row.probe_due_at = now + STATUS_PERIOD_S * self._random.random()
         self._judge(row, COLD, reason)
 
+    def begin_gained(self, row, now):
+        """Treat a gained target as new; the caller must read its status at once.
+
+        The target gets no work until the read ends or `FIRST_STATUS_WAIT_S` is over:
+        it may be draining, which only its previous holder knows.
+        """
+        self.begin(row, now, "it was gained")
+        row.is_probing = True
+        row.first_status_by = now + FIRST_STATUS_WAIT_S
+
+    def end_first_wait(self, row, now, was_paused):
+        """Let a gained target have work if its first status is overdue.
+
+        Parameters
+        ----------
+        row : TargetRow
+        now : float
+            Seconds on the local monotonic clock.
+        was_paused : bool
+            Whether this VM did not run for most of the wait. The wait then starts
+            again, because the status may be there and not be read yet.
+        """
+        if row.first_status_by is None or now < row.first_status_by:
+            return
+        row.first_status_by = now + FIRST_STATUS_WAIT_S if was_paused else None
+
     def handle_answer(self, row, answer, latency, is_alone, sequence, now):
         """Judge a target by one answer or failure.
 
@@ -94,6 +121,7 @@
             Seconds on the local monotonic clock.
         """
         row.is_probing = False
+        row.first_status_by = None
         row.last_probe_at = now
         if state == DRAINING:
             self._handle_draining(row, now, "the status says draining")
--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import logging
+import math
 import random
 import time
 from typing import Protocol
@@ -24,7 +25,7 @@
     OverloadedError,
     ProtocolError,
 )
-from .health import TargetHealth
+from .health import FIRST_STATUS_WAIT_S, TargetHealth
 from .limits import COLD, DEAD, DRAINING, TargetLimiter
 from .messages import LoadEstimate, ShardAnswer, ShardAnswers, ShardCancel, ShardGroup
 from .settings import TargetSettings
@@ -400,6 +401,7 @@
         self._domains_out = set()
         self._epoch = 0
         self._released_epoch = 0
+        self._advanced_at = math.inf
         self.dispatched = 0
         self.cancelled = 0
         self.duplicates = 0
@@ -487,7 +489,10 @@
         for dispatch in list(self._occupied):
             if now >= dispatch.deadline + SKEW_S:
                 self._end_overdue(dispatch, now, actions)
+        was_paused = now - self._advanced_at >= FIRST_STATUS_WAIT_S
+        self._advanced_at = now
         for row in self._targets:
+            self._health.end_first_wait(row, now, was_paused)
             if row.queue.waiting:
                 self._expire_queue(row, now, actions)
                 self._drain(row, now, actions)
@@ -503,6 +508,8 @@
         """Replace the held targets.
 
         Queued requests to a removed target are refused; those in flight go on.
+        Requests to a gained target wait in its queue until the returned `Probe` is
+        answered or `health.FIRST_STATUS_WAIT_S` is over.
 
         Parameters
         ----------
@@ -600,7 +607,7 @@
             self._refuse(dispatch, code, actions)
             return
         dispatch.row = row
-        if not row.queue.waiting and self._limiter.has_room(row):
+        if not row.queue.waiting and self._has_room(row):
             self._start(dispatch, now, actions)
             return
         code = self._check_permission(row.target_id, now)
@@ -611,6 +618,9 @@
             return
         row.queue.push(dispatch)
 
+    def _has_room(self, row):
+        return row.first_status_by is None and self._limiter.has_room(row)
+
     def _find_refusal(self, dispatch, row, now):
         """Return the code with which a request is refused, or None."""
         cancelled = dispatch.origin.cancelled
@@ -675,7 +685,7 @@
 
     def _drain(self, row, now, actions):
         """Dispatch queued requests while there is room."""
-        while row.queue.waiting and self._limiter.has_room(row):
+        while row.queue.waiting and self._has_room(row):
             dispatch = row.queue.pop()
             if dispatch.expires_at <= now:
                 self._refuse(dispatch, DeadlinePassedError.code, actions)
@@ -814,11 +824,11 @@
             # A target regained while its requests are still in flight keeps
             # counting them, but may have been restarted meanwhile.
             row.is_held = True
-            row.is_probing = False
             row.gained_epoch = epoch
             self._targets.add(target.target_id, row)
             row.state = COLD
-            self._health.begin(row, now, "it was gained")
+            self._health.begin_gained(row, now)
+            actions.append(Probe(row.target_id))
         self._change_settings(row, target, actions)
 
     def _change_settings(self, row, target, actions):
--- a/tarragonchute/tables.py
+++ b/tarragonchute/tables.py
@@ -90,6 +90,9 @@
         Answers in a row that were too slow for a warm target.
     probe_due_at, probe_delay : float
         When the status is read next, and the current back-off, in seconds.
+    first_status_by : float or None
+        Time until which a gained target gets no work unless its status was read, in
+        seconds; None when it need not wait.
     queue : holders.FairQueue or None
     pending : settings.TargetSettings or None
         Changed settings that apply once nothing is in flight.
@@ -122,6 +125,7 @@
         "probe_due_at",
         "probe_delay",
         "is_probing",
+        "first_status_by",
         "is_held",
         "queue",
         "pending",
@@ -154,6 +158,7 @@
         self.probe_due_at = 0.0
         self.probe_delay = 0.0
         self.is_probing = False
+        self.first_status_by = None
         self.is_held = True
         self.queue = None
         self.pending = None
--- a/tests/test_holder_faults.py
+++ b/tests/test_holder_faults.py
@@ -798,6 +798,29 @@
     return None
 
 
+class GainTests(testtools.TestCase):
+    """A target that drains while its holder changes."""
+
+    def _drain_and_take_over(self):
+        sim = Simulation()
+        sim.start_load()
+        FAULTS["draining"](sim, None)
+        sim.run_until(sim.now + 0.4)
+        FAULTS["long pause"](sim, None)
+        sim.run_until(sim.now + 4.0)
+        return [kind for kind, _ in sim.settle()]
+
+    def test_new_holder_sends_nothing(self):
+        """Guards against work sent before the new holder knows that it drains."""
+        self.assertEqual([], self._drain_and_take_over())
+
+    def test_oracle_sees_a_new_holder_that_does_not_wait(self):
+        """Guards against a test of the wait that would pass anything."""
+        has_room = limits.TargetLimiter().has_room
+        with mock.patch.object(HolderCore, "_has_room", lambda _, row: has_room(row)):
+            self.assertIn("leaving", self._drain_and_take_over())
+
+
 class OverloadTests(testtools.TestCase):
     """Service under more load than the target can bear."""
 
--- a/tests/test_holder_machine.py
+++ b/tests/test_holder_machine.py
@@ -132,3 +132,7 @@
     def test_any_fault_at_any_time(self):
         """Guards the promises of section 1.2 against faults that come together."""
         run_machine(seed=None, steps=STEPS)
+
+    def test_draining_target_that_is_gained(self):
+        """Guards against one request from a new holder to a target that drains."""
+        run_machine(seed=91, steps=60, examples=100)
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -61,7 +61,13 @@
         self.permission = Permissions()
         self.core = HolderCore(self.permission, random.Random(1))
         self.now = 100.0
-        self.core.set_targets([build_target()], 1, self.now)
+        self._gain(1)
+
+    def _gain(self, epoch, state="warm"):
+        """Gain the target and answer the read of its status at once."""
+        actions = self.core.set_targets([build_target()], epoch, self.now)
+        self.assertEqual([Probe], [type(action) for action in actions])
+        return self.core.handle_status("t1", state, self.now)
 
     def _submit(self, attempts, number=1, **more):
         return self.core.submit("e1", number, build_group(attempts, **more), self.now)
@@ -294,10 +300,50 @@
         """Guards against forgetting requests that still occupy slots."""
         self._submit([1])
         self.core.set_targets([], 2, self.now)
-        self.core.set_targets([build_target()], 3, self.now)
+        self._gain(3)
         self.assertEqual(3, self.core.released_epoch)
         self.assertEqual([], self._dispatched(self._submit([5], number=5)))
 
+    def test_gained_target_gets_no_work_before_its_status(self):
+        """Guards against new work for a target whose draining is not known yet."""
+        cases = {
+            "draining": [Answer, Answer],
+            "warm": [Dispatch],
+            None: [Dispatch],
+        }
+        for state, expected in cases.items():
+            self.core.set_targets([], 2, self.now)
+            self.core.set_targets([build_target()], 3, self.now)
+            self.assertEqual([], self._submit([1, 2], number=state))
+            self.assertEqual([], self.core.advance(self.now + 0.09))
+            actions = self.core.handle_status("t1", state, self.now + 0.09)
+            self.assertEqual(expected, [type(action) for action in actions], state)
+            self._start_core()
+
+    def test_gained_target_whose_status_does_not_come(self):
+        """Guards against a target that stays unserved while its status hangs."""
+        self.core.set_targets([], 2, self.now)
+        self.core.set_targets([build_target()], 3, self.now)
+        self._submit([2], number=2, remaining_ms=85)
+        self._submit([1])
+        self.core.advance(self.now + 0.05)
+        actions = self.core.advance(self.now + 0.09)
+        self.assertEqual([(2, "deadline_passed", "not_run")], self._answers(actions))
+        actions = self.core.advance(self.now + 0.1)
+        self.assertEqual([1], self._dispatched(actions))
+
+    def test_pause_does_not_count_as_wait_for_the_status(self):
+        """Guards against work for a draining target when a paused VM goes on."""
+        self.core.advance(self.now)
+        self.core.set_targets([], 2, self.now)
+        self.core.set_targets([build_target()], 3, self.now)
+        self.now += 0.7
+        self.assertEqual([], self._submit([1]))
+        self.assertEqual([], self.core.advance(self.now))
+        self.assertEqual([], self.core.advance(self.now + 0.09))
+        actions = self.core.handle_status("t1", "draining", self.now + 0.09)
+        self.assertEqual([(1, "draining", "not_run")], self._answers(actions))
+
     def test_changed_settings_wait_for_requests_in_flight(self):
         """Guards against two clients that together open too many connections."""
         self._warm_up()
@@ -407,6 +453,8 @@
                 nursery.start_soon(service.run)
                 await nursery.start(holder.run, service)
                 holder.set_targets([build_target()], 1)
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertIsNone(holder.core.get_row("t1").first_status_by)
                 await scenario(holder, link)
                 nursery.cancel_scope.cancel()
 
