Refuse a booking that reaches its holder after dispatch_before

A holder counted the remaining time of a group from its receipt, so a group delayed between entry and holder could run after the record of its key read as unknown. The group now carries the claim's dispatch_before, which bounds the target deadline; a group that comes later is refused as deadline_passed. The limit is applied to the wall-clock deadline as well, so a pause between the two clock readings cannot move it.

--- a/tarragonchute/bookings.py
+++ b/tarragonchute/bookings.py
@@ -81,9 +81,22 @@
         `key` is the caller's idempotency key.
     order : object
         JSON of the order.
+
+    Attributes
+    ----------
+    dispatch_before : float or None
+        Unix time in seconds after which it must not run; set from the claim.
     """
 
-    __slots__ = ("request_id", "team", "key", "dataset", "shard", "order")
+    __slots__ = (
+        "request_id",
+        "team",
+        "key",
+        "dataset",
+        "shard",
+        "order",
+        "dispatch_before",
+    )
 
     def __init__(self, request_id, team, key, dataset, shard, order):
         self.request_id = request_id
@@ -92,6 +105,7 @@
         self.dataset = dataset
         self.shard = shard
         self.order = order
+        self.dispatch_before = None
 
     def record_key(self):
         """Return the key of the record in the store."""
@@ -654,6 +668,7 @@
     async def _dispatch_claimed(self, booking, record):
         if self._wall_clock() >= record.dispatch_before:
             return DispatchResult(errors.Outcome.NOT_RUN, "deadline_passed")
+        booking.order.dispatch_before = record.dispatch_before
         answer = DispatchResult(errors.Outcome.UNKNOWN, "outcome_unknown")
         with trio.move_on_at(booking.answer_due):
             try:
@@ -1073,4 +1088,5 @@
         [ShardItem(_ATTEMPT, order.shard, target)],
         BOOKING,
         order.key,
+        order.dispatch_before,
     )
--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -160,6 +160,21 @@
         """Whether it was dispatched and has no answer yet."""
         return self.state == _RUNNING
 
+    def set_wall_deadline(self, wall, now):
+        """Set `wall_deadline`; a booking's is at most its `dispatch_before`.
+
+        Parameters
+        ----------
+        wall : float
+            Unix time in seconds, read before `now`. A pause between the readings
+            then makes the deadline earlier and never later.
+        now : float
+            Seconds of the local monotonic clock.
+        """
+        self.wall_deadline = wall + (self.deadline - now)
+        if self.group.dispatch_before is not None:
+            self.wall_deadline = min(self.wall_deadline, self.group.dispatch_before)
+
     def build_request(self):
         """Return the `TargetRequest` to send.
 
@@ -410,7 +425,7 @@
 
     # Requests.
 
-    def submit(self, sender, number, group, now):
+    def submit(self, sender, number, group, now, wall=None):
         """Take a group of attempts; each gets exactly one `Answer`.
 
         Parameters
@@ -421,12 +436,17 @@
             Its request number.
         group : messages.ShardGroup
         now : float
+        wall : float or None
+            Unix time in seconds, read before `now`; needed if the group has a
+            `dispatch_before`.
         """
         actions = []
         is_booking = group.operation == messages.BOOKING
         key = (sender, number, group.request_id)
         origin = self._get_origin(key, now, is_booking)
         expires_at = now + group.remaining_ms / 1000
+        if group.dispatch_before is not None:
+            expires_at = min(expires_at, now + (group.dispatch_before - wall))
         for item in group.items:
             if item.attempt in origin.attempts:
                 self.duplicates += 1
@@ -999,7 +1019,8 @@
         # The wall clock is read first: a pause between the two readings then
         # makes the deadline earlier and never later.
         wall, now = self._wall_clock(), self._clock()
-        self._perform(self.core.submit(sender, number, group, now), wall, now)
+        actions = self.core.submit(sender, number, group, now, wall)
+        self._perform(actions, wall, now)
 
     def cancel(self, sender, number, cancel):
         """Cancel attempts; see `HolderCore.cancel`."""
@@ -1030,7 +1051,7 @@
         for action in actions:
             kind = type(action)
             if kind is Dispatch:
-                action.wall_deadline = wall + (action.deadline - now)
+                action.set_wall_deadline(wall, now)
                 self._begin(action, worker)
                 worker = None
             elif kind is Answer:
--- a/tarragonchute/messages.py
+++ b/tarragonchute/messages.py
@@ -130,6 +130,8 @@
         `SEARCH` or `BOOKING`.
     idempotency_key : str or None
         Only for a booking.
+    dispatch_before : float or None
+        Only for a booking: Unix time in seconds after which it must not run.
     """
 
     KIND = "shard_group"
@@ -143,6 +145,7 @@
         "items",
         "operation",
         "idempotency_key",
+        "dispatch_before",
     )
 
     def __init__(
@@ -156,6 +159,7 @@
         items,
         operation=SEARCH,
         idempotency_key=None,
+        dispatch_before=None,
     ):
         self.request_id = request_id
         self.team = team
@@ -166,6 +170,7 @@
         self.items = items
         self.operation = operation
         self.idempotency_key = idempotency_key
+        self.dispatch_before = dispatch_before
 
     def to_body(self):
         """Return the JSON body."""
@@ -181,6 +186,8 @@
         fields["items"] = [ShardItem(*item) for item in body["items"]]
         if fields["operation"] not in (SEARCH, BOOKING):
             raise ValueError(fields["operation"])
+        if not isinstance(fields.get("dispatch_before"), (int, float, type(None))):
+            raise ValueError(fields["dispatch_before"])
         return cls(**fields)
 
 
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -93,6 +93,25 @@
         self.assertAlmostEqual(67, codes.count("ok"), delta=2)
         self.assertEqual(codes.count("ok"), len(world.runs))
 
+    def test_group_carries_the_time_limit_of_its_claim(self):
+        """Guards against a late group that runs after its record reads unknown."""
+        limits = []
+
+        async def script(world):
+            serve = world.serve
+
+            def watch(vm, holder, number, group):
+                limits.append(group.dispatch_before)
+                return serve(vm, holder, number, group)
+
+            world.serve = watch
+            await world.ask("a")
+            entry = await world.store.get(f"{bookings.PREFIX}team/key")
+            record = bookings.Record.from_text(entry.value)
+            self.assertEqual([record.dispatch_before], limits)
+
+        self.book(script)
+
     def test_same_key_at_once_in_one_vm_runs_once(self):
         """Guards against a double order by an impatient caller."""
 
--- a/tests/test_holder_faults.py
+++ b/tests/test_holder_faults.py
@@ -85,7 +85,7 @@
         sim, dispatch = self.sim, exchange.dispatch
         if sim.now < self.refuses_until:
             return "connect_failed"
-        if sim.now - CLOCK_OFFSET_S >= dispatch.deadline:
+        if sim.now - CLOCK_OFFSET_S >= dispatch.wall_deadline:
             return "deadline_passed"
         if self.draining_since is not None:
             if sim.now > self.draining_since + LEAVING_NOTICE_S:
@@ -261,6 +261,7 @@
         self.answers = {}
         self.runs = {}
         self.key_runs = {}
+        self.run_limits = {}
         self.steps = {}
         self.exchanges = {}
         self.has_load = False
@@ -312,7 +313,15 @@
 
     # Requests.
 
-    def submit(self, attempts, operation=SEARCH, team="a", remaining_ms=300, to=None):
+    def submit(
+        self,
+        attempts,
+        operation=SEARCH,
+        team="a",
+        remaining_ms=300,
+        to=None,
+        delay_s=0.0,
+    ):
         """Send a group to the present holder and return its arguments."""
         number = next(self._numbers)
         target_ids = list(self.targets)
@@ -320,21 +329,32 @@
             ShardItem(n, f"s{n}", target_ids[n % len(target_ids)]) for n in attempts
         ]
         key = f"key{number}" if operation == BOOKING else None
+        before = self.now + remaining_ms / 1000 if key else None
         group = ShardGroup(
-            f"r{number}", team, "ds", "v1", {}, remaining_ms, items, operation, key
+            f"r{number}",
+            team,
+            "ds",
+            "v1",
+            {},
+            remaining_ms,
+            items,
+            operation,
+            key,
+            before,
         )
         name = to or self.holder or self.route
         for item in items:
             self.submitted[number, item.attempt] = name
-        self.deliver(name, number, group)
+        self.run_limits[number] = before
+        self.deliver(name, number, group, delay_s)
         return name, number, group
 
-    def deliver(self, name, number, group):
+    def deliver(self, name, number, group, delay_s=0.0):
         core = self.cores[name]
-        self.on_core(core, self.now, self._submit, core, number, group)
+        self.on_core(core, self.now + delay_s, self._submit, core, number, group)
 
     def _submit(self, core, number, group):
-        self.perform(core, core.submit("e1", number, group, self.now))
+        self.perform(core, core.submit("e1", number, group, self.now, self.now))
 
     def cancel(self, name, number, group):
         core = self.cores[name]
@@ -364,6 +384,7 @@
             self.report("permission", "sent without permission")
         if core.name in self.told_out:
             self.report("domain", "sent to a failure domain that is out")
+        dispatch.set_wall_deadline(self.now, self.now)
         self.note_step("between check and dispatch", dispatch)
         self.exchanges[dispatch] = Exchange(self, core, dispatch)
 
@@ -463,6 +484,9 @@
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
         if self.runs[attempt] > 1:
             self.report("twice", f"attempt {attempt} ran twice")
+        before = self.run_limits.get(attempt[0])
+        if before is not None and self.now >= before + LONGEST_SHARD_TIME_S + SKEW_S:
+            self.report("late", f"{attempt} ran after its record reads unknown")
         key = dispatch.group.idempotency_key
         if key is not None:
             self.key_runs[key] = self.key_runs.get(key, 0) + 1
@@ -821,6 +845,39 @@
             self.assertIn("leaving", self._drain_and_take_over())
 
 
+class LateBookingTests(testtools.TestCase):
+    """A booking's group that reaches its holder late."""
+
+    def _play(self, delay_s, pause_s):
+        sim = Simulation()
+        # The lease stays valid, so that it does not refuse the group.
+        sim.paused_until["A"] = sim.now + pause_s
+        sent = sim.submit((1,), BOOKING, delay_s=delay_s)
+        sim.run_until(sim.now + 5.0)
+        codes = [answer.code for answer in sim.answers[sent[1], 1]]
+        return codes, [kind for kind, _ in sim.settle()]
+
+    def test_late_group_does_not_run(self):
+        """Guards against a booking that runs after its record reads unknown."""
+        for delay_s, pause_s in ((4.0, 0.0), (0.0, 4.0), (0.35, 0.0)):
+            codes, violations = self._play(delay_s, pause_s)
+            self.assertEqual(["deadline_passed"], codes)
+            self.assertEqual([], violations)
+        self.assertEqual((["ok"], []), self._play(0.1, 0.0))
+
+    def test_oracle_sees_a_holder_that_ignores_the_limit(self):
+        """Guards against an oracle that would pass a late booking."""
+        submit = HolderCore.submit
+
+        def submit_unlimited(core, sender, number, group, now, wall):
+            group.dispatch_before = None
+            return submit(core, sender, number, group, now, wall)
+
+        for delay_s, pause_s in ((4.0, 0.0), (0.0, 4.0)):
+            with mock.patch.object(HolderCore, "submit", submit_unlimited):
+                self.assertIn("late", self._play(delay_s, pause_s)[1])
+
+
 class OverloadTests(testtools.TestCase):
     """Service under more load than the target can bear."""
 
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -502,6 +502,39 @@
         client = _Client()
         self._run(scenario, client)
 
+    def test_booking_that_comes_late_is_not_sent(self):
+        """Guards against a booking that runs after its record reads unknown."""
+
+        async def scenario(holder, link):
+            wall = 1000.0 + trio.current_time()
+            for number, before in ((7, wall), (8, wall + 0.3), (9, wall + 60.0)):
+                more = {"operation": BOOKING, "dispatch_before": before}
+                holder.submit("e1", number, build_group([1], **more))
+                await trio.sleep(0.1)
+            (answer,) = link.sent[0][2][1]
+            self.assertEqual([1, "deadline_passed", "not_run"], answer[:3])
+            deadlines = [request.deadline for request in client.requests]
+            self.assertEqual(2, len(deadlines))
+            self.assertAlmostEqual(wall + 0.3, deadlines[0])
+            self.assertAlmostEqual(wall + 0.2 + 0.5, deadlines[1])
+
+        client = _Client()
+        self._run(scenario, client)
+
+    def test_pause_between_the_clocks_does_not_move_dispatch_before(self):
+        """Guards against a paused holder that sends a booking too late."""
+
+        async def scenario(holder, link):
+            wall = 1000.0 + trio.current_time()
+            holder._clock = lambda: trio.current_time() + 4.0
+            more = {"operation": BOOKING, "dispatch_before": wall + 0.1}
+            holder.submit("e1", 7, build_group([1], **more))
+            await trio.sleep(0.01)
+            self.assertEqual([wall + 0.1], [r.deadline for r in client.requests])
+
+        client = _Client()
+        self._run(scenario, client)
+
     def test_dispatch_past_its_deadline_is_not_sent(self):
         """Guards against sending after a pause between check and write."""
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -25,6 +25,16 @@
         found = [(i.attempt, i.shard, i.target) for i in group.items]
         self.assertEqual([(1, "s0", "cat-0a"), (2, "s1", "cat-1b")], found)
         self.assertEqual("42", group.version)
+        self.assertIsNone(group.dispatch_before)
+
+    def test_time_limit_of_a_booking(self):
+        """Guards against a booking whose time limit is lost on the way."""
+        body = {**build_group().to_body(), "dispatch_before": 1.5}
+        self.assertEqual(1.5, messages.ShardGroup.from_body(body).dispatch_before)
+        del body["dispatch_before"]
+        self.assertIsNone(messages.ShardGroup.from_body(body).dispatch_before)
+        body["dispatch_before"] = "soon"
+        self.assertRaises(errors.ProtocolError, messages.ShardGroup.from_body, body)
 
     def test_answers(self):
         """Guards against a load estimate or version list lost on the way."""
