Free the slot of a timed-out request once its target acknowledged the end

The client returned timed_out both after an acknowledged cancel and after the deadline plus 0.25 s, so the holder counted the slot for 0.25 s in both cases. is_over of TargetAnswer now tells them apart. Only the target's answer to the cancel, or an answer with the id of the request, counts as acknowledgement: before, a lost connection together with a failed cancel also ended a cancelled exchange early, and the holder then freed a slot whose work went on.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -486,7 +486,7 @@
         if dispatch.state != _RUNNING:
             return actions
         row = dispatch.row
-        if answer.code in _FINISHED_CODES:
+        if _is_surely_over(answer):
             self._free_slot(dispatch, actions)
         self._judge(dispatch, answer, now, actions)
         self._answer_exchange(dispatch, answer, actions)
@@ -884,6 +884,11 @@
             self._released_epoch = self._epoch
 
 
+def _is_surely_over(answer):
+    """Whether the target no longer works on the request."""
+    return answer.code in _FINISHED_CODES or answer.is_over
+
+
 _UNFIT_CODES = {DRAINING: "draining", DEAD: "connect_failed"}
 
 
--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -631,9 +631,18 @@
         raise ProtocolError(f"the answer exceeds {MAX_BODY_BYTES} bytes")
 
     async def skip_response(self):
-        """Wait for the end of the response, also of one received in part."""
-        while type(await self._next_event()) is not h11.EndOfMessage:
-            pass
+        """Wait for the end of the response, also of one received in part.
+
+        Returns
+        -------
+        str or None
+            Its `X-Request-Id`; None without one, or if it was received before.
+        """
+        request_id = None
+        while type(event := await self._next_event()) is not h11.EndOfMessage:
+            if type(event) is h11.Response:
+                request_id = dict(event.headers).get(b"x-request-id")
+        return request_id and request_id.decode("latin-1")
 
     def close(self):
         """Close the connection at once."""
--- a/tarragonchute/targets.py
+++ b/tarragonchute/targets.py
@@ -93,16 +93,27 @@
         Changes when the target restarts.
     versions : list of str
         With ``version_missing``: the versions that the target has.
+    is_over : bool
+        With ``timed_out``: whether the target acknowledged that the work has ended.
     """
 
-    __slots__ = ("code", "result", "state", "boot_id", "versions")
+    __slots__ = ("code", "result", "state", "boot_id", "versions", "is_over")
 
-    def __init__(self, code, result=None, state=None, boot_id=None, versions=()):
+    def __init__(
+        self,
+        code,
+        result=None,
+        state=None,
+        boot_id=None,
+        versions=(),
+        is_over=False,
+    ):
         self.code = code
         self.result = result
         self.state = state
         self.boot_id = boot_id
         self.versions = list(versions)
+        self.is_over = is_over
 
     @property
     def is_provably_not_run(self):
@@ -179,7 +190,8 @@
         The request id must be unique to this attempt: a cancel names nothing else.
         A cancelled exchange ends when the target acknowledged the cancel or
         answered, at the latest `CLOCK_SKEW_S` after the deadline. So the caller
-        may count the target's slot as free afterwards.
+        may count the target's slot as free afterwards. An exchange that reaches
+        its deadline ends likewise; `TargetAnswer.is_over` tells the two ends apart.
 
         Raises
         ------
@@ -188,6 +200,7 @@
         """
         remaining = request.deadline - self._wall_clock()
         code = "deadline_passed"
+        is_over = False
         if remaining <= 0:
             return TargetAnswer(code)
         with trio.move_on_after(remaining):
@@ -204,11 +217,11 @@
                 return TargetAnswer("wrong_answer")
             except trio.Cancelled:
                 if connection and connection.is_request_sent:
-                    await self._abandon(connection, request)
+                    is_over = await self._abandon(connection, request)
                 raise
             finally:
                 self._pool.release(connection)
-        return TargetAnswer(code)
+        return TargetAnswer(code, is_over=is_over)
 
     async def fetch_status(self):
         """Return the state that the target reports, or None."""
@@ -238,22 +251,31 @@
         return answer
 
     async def _abandon(self, connection, request):
-        """Hold the connection until the target no longer works on the request."""
+        """Hold the connection until the target no longer works on the request.
+
+        Returns
+        -------
+        bool
+            Whether the target acknowledged the end, by its answer to the cancel or
+            to the request. A lost connection proves no end.
+        """
+        is_over = trio.Event()
         remaining = max(request.deadline - self._wall_clock(), 0)
         with trio.move_on_after(remaining + CLOCK_SKEW_S, shield=True):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_cancel, request, nursery.cancel_scope)
-                with contextlib.suppress(OSError, ProtocolError):
-                    await connection.skip_response()
-                    nursery.cancel_scope.cancel()
+                nursery.start_soon(self._send_cancel, request, is_over)
+                nursery.start_soon(_await_response, connection, request, is_over)
+                await is_over.wait()
+                nursery.cancel_scope.cancel()
+        return is_over.is_set()
 
-    async def _send_cancel(self, request, scope):
+    async def _send_cancel(self, request, is_over):
         body = orjson.dumps({"request_id": request.request_id})
         await self._pool.reserve()
         response = await self._call_reserved("POST", "/v1/cancel", body)
         with contextlib.suppress(ProtocolError, KeyError, TypeError):
-            if response and response.parse_json()["cancelled"]:
-                scope.cancel()
+            if response and response.parse_json()["cancelled"] is True:
+                is_over.set()
 
     async def _call_reserved(self, method, path, body=b""):
         """Call on a connection already reserved; return None if the call fails."""
@@ -268,6 +290,12 @@
         return response if response.status == 200 else None
 
 
+async def _await_response(connection, request, is_over):
+    with contextlib.suppress(OSError, ProtocolError):
+        if await connection.skip_response() == request.request_id:
+            is_over.set()
+
+
 _ROUTES = {SEARCH: "search", BOOKING: "bookings"}
 _REFUSAL_STATUSES = {
     "shedding": 503,
@@ -309,7 +337,8 @@
         return TargetAnswer("wrong_answer", None, state, boot_id)
     versions = body.get("versions")
     versions = versions if isinstance(versions, list) else ()
-    return TargetAnswer(code, None, state, boot_id, versions)
+    is_over = code == "timed_out"
+    return TargetAnswer(code, None, state, boot_id, versions, is_over)
 
 
 class TargetCounters:
@@ -582,7 +611,10 @@
 
     def _answer(self, code, result=None):
         versions = self.versions if code == "version_missing" else ()
-        return TargetAnswer(code, result, self.shown_state, self.boot_id, versions)
+        is_over = code == "timed_out"
+        return TargetAnswer(
+            code, result, self.shown_state, self.boot_id, versions, is_over
+        )
 
 
 class _Work:
@@ -648,7 +680,8 @@
                     return answer
                 finally:
                     self._disconnect(is_whole)
-        return TargetAnswer(code)
+        # The end of the scope has stopped the work at the model.
+        return TargetAnswer(code, is_over=code == "timed_out")
 
     async def fetch_status(self):
         """Return the state that the target reports, or None."""
--- a/tests/test_holder_faults.py
+++ b/tests/test_holder_faults.py
@@ -164,6 +164,8 @@
 
     def finish(self):
         fault = self.fault
+        if fault in ("hang", "acknowledged hang"):
+            return
         if fault in ("late", "connection_lost", "wrong_answer"):
             self.target.leave_work(self)
             if fault == "late":
@@ -176,9 +178,13 @@
                 self._complete("ok")
 
     def time_out(self):
-        if not self.is_ended:
+        if self.is_ended:
+            return
+        if self.fault == "acknowledged hang":
+            self.target.active.discard(self)
+        else:
             self.target.leave_work(self)
-            self.end("timed_out")
+        self.end("timed_out")
 
     def cancel(self):
         """Cancel at the target; without an acknowledgement the work goes on."""
@@ -203,6 +209,7 @@
         answer = target.build_answer(code, result)
         if code in ("connection_lost", "timed_out", "connect_failed", "cancelled"):
             answer = TargetAnswer(code)
+        answer.is_over = code == "timed_out" and self.fault == "acknowledged hang"
         # A client closes its connection after the first end of an exchange, so only
         # that one can tell the holder anything.
         tells_cold = answer.state == "cold" or code == "connection_lost"
@@ -626,6 +633,8 @@
     "answer lost": _set_exchange_fault("connection_lost"),
     "answer doubled": _set_exchange_fault("doubled"),
     "answer with a wrong id": _set_exchange_fault("wrong_answer"),
+    "time-out": _set_exchange_fault("hang"),
+    "time-out acknowledged": _set_exchange_fault("acknowledged hang"),
     "shed": _set_exchange_fault("shedding"),
     "draining": _drain,
     "version missing": _set_exchange_fault("version_missing"),
@@ -742,6 +751,12 @@
         "slots",
         ("answer lost", "answer late", "answer with a wrong id"),
     ),
+    (
+        "slot counted after a time-out without acknowledgement",
+        lambda: mock.patch.object(holders, "_is_surely_over", lambda _: True),
+        "slots",
+        ("time-out",),
+    ),
     (
         "slot counted for the skew of the clocks",
         lambda: mock.patch.object(holders, "SKEW_S", 0.0),
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -227,6 +227,16 @@
             self.core.advance(start + delay + 0.001)
             self.assertEqual(0, self.core.get_row("t1").in_flight)
 
+    def test_acknowledged_time_out_frees_the_slot_at_once(self):
+        """Guards against a slot that counts for work which has surely ended."""
+        for is_over, dispatched in ((True, [2]), (False, [])):
+            self._start_core()
+            (first,) = self._submit([1], remaining_ms=200)
+            self._submit([2], number=2, remaining_ms=900)
+            actions = self._complete(first, "timed_out", after=0.2, is_over=is_over)
+            self.assertIn((1, "timed_out", "unknown"), self._answers(actions))
+            self.assertEqual(dispatched, self._dispatched(actions))
+
     def test_exchange_that_never_ends(self):
         """Guards against a slot that is lost when a client hangs."""
         (dispatch,) = self._submit([1], remaining_ms=200)
@@ -525,12 +535,15 @@
         """Guards against a paused holder that sends a booking too late."""
 
         async def scenario(holder, link):
-            wall = 1000.0 + trio.current_time()
-            holder._clock = lambda: trio.current_time() + 4.0
-            more = {"operation": BOOKING, "dispatch_before": wall + 0.1}
-            holder.submit("e1", 7, build_group([1], **more))
-            await trio.sleep(0.01)
-            self.assertEqual([wall + 0.1], [r.deadline for r in client.requests])
+            holder.submit("e1", 7, build_group([1]))
+            wall = 996.0 + trio.current_time()
+            more = {"operation": BOOKING, "dispatch_before": wall + 0.5}
+            wall_clock, holder._wall_clock = holder._wall_clock, lambda: wall
+            holder.submit("e1", 8, build_group([1], remaining_ms=900, **more))
+            holder._wall_clock = wall_clock
+            self.assertEqual(1, holder.core.count_queued())
+            await trio.sleep(0.1)
+            self.assertEqual(wall + 0.5, client.requests[1].deadline)
 
         client = _Client()
         self._run(scenario, client)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -117,6 +117,7 @@
             answer = await client.exchange(self.request(key=key, ttl_s=ttl_s))
             self.assertEqual(code, answer.code)
             self.assertFalse(answer.is_provably_not_run)
+            self.assertEqual(code == "timed_out", answer.is_over)
 
         target.lose_answers = 1
         await check("connection_lost", "k1")
@@ -215,6 +216,48 @@
         self.assertEqual(0, client.connections)
         self.assertEqual(1, target.counters.connections_peak)
 
+    @with_target(service_s=60.0)
+    async def test_time_out_tells_whether_the_target_acknowledged(self, target, client):
+        """Guards against a slot counted as free while the target still works."""
+
+        async def exchange(request_id):
+            started_at = trio.current_time()
+            answer = await client.exchange(self.request(request_id, ttl_s=0.2))
+            self.assertEqual("timed_out", answer.code)
+            return answer.is_over, trio.current_time() - started_at
+
+        is_over, seconds = await exchange("r1")
+        self.assertTrue(is_over)
+        self.assertLess(seconds, 0.4)
+        # The target is late: it neither ends the work nor acknowledges the cancel.
+        target.wall_clock = lambda: self.wall_clock() - 5.0
+
+        async def refuse(request_id):
+            return False
+
+        target.cancel = refuse
+        is_over, seconds = await exchange("r2")
+        self.assertFalse(is_over)
+        self.assertGreaterEqual(seconds, 0.44)
+        self.assertEqual(1, target.work)
+
+    @with_target(service_s=0.05)
+    async def test_lost_connection_is_no_acknowledgement(self, target, client):
+        """Guards against a cancel that fails and is taken for the end of the work."""
+
+        async def call_reserved(*args):
+            client._pool.release(None)
+
+        client._call_reserved = call_reserved
+        target.lose_answers = 1
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            request = self.request(ttl_s=0.3)
+            nursery.start_soon(client.exchange, request)
+            await target.wait_work()
+            nursery.cancel_scope.cancel()
+        self.assertGreaterEqual(trio.current_time() - started_at, 0.5)
+
     @with_target(max_connections=1)
     async def test_key_that_is_no_header(self, target, client):
         """Guards against a caller's key that adds headers to the request."""
