--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import logging
+import math
 import random
 import time
 from typing import Protocol
@@ -24,7 +25,7 @@
     OverloadedError,
     ProtocolError,
 )
-from .health import TargetHealth
+from .health import FIRST_STATUS_WAIT_S, TargetHealth
 from .limits import COLD, DEAD, DRAINING, TargetLimiter
 from .messages import LoadEstimate, ShardAnswer, ShardAnswers, ShardCancel, ShardGroup
 from .settings import TargetSettings
@@ -159,6 +160,21 @@
         """Whether it was dispatched and has no answer yet."""
         return self.state == _RUNNING
 
+    def set_wall_deadline(self, wall, now):
+        """Set `wall_deadline`; a booking's is at most its `dispatch_before`.
+
+        Parameters
+        ----------
+        wall : float
+            Unix time in seconds, read before `now`. A pause between the readings
+            then makes the deadline earlier and never later.
+        now : float
+            Seconds of the local monotonic clock.
+        """
+        self.wall_deadline = wall + (self.deadline - now)
+        if self.group.dispatch_before is not None:
+            self.wall_deadline = min(self.wall_deadline, self.group.dispatch_before)
+
     def build_request(self):
         """Return the `TargetRequest` to send.
 
@@ -400,6 +416,7 @@
         self._domains_out = set()
         self._epoch = 0
         self._released_epoch = 0
+        self._advanced_at = math.inf
         self.dispatched = 0
         self.cancelled = 0
         self.duplicates = 0
@@ -408,7 +425,7 @@
 
     # Requests.
 
-    def submit(self, sender, number, group, now):
+    def submit(self, sender, number, group, now, wall=None):
         """Take a group of attempts; each gets exactly one `Answer`.
 
         Parameters
@@ -419,12 +436,17 @@
             Its request number.
         group : messages.ShardGroup
         now : float
+        wall : float or None
+            Unix time in seconds, read before `now`; needed if the group has a
+            `dispatch_before`.
         """
         actions = []
         is_booking = group.operation == messages.BOOKING
         key = (sender, number, group.request_id)
         origin = self._get_origin(key, now, is_booking)
         expires_at = now + group.remaining_ms / 1000
+        if group.dispatch_before is not None:
+            expires_at = min(expires_at, now + (group.dispatch_before - wall))
         for item in group.items:
             if item.attempt in origin.attempts:
                 self.duplicates += 1
@@ -464,7 +486,7 @@
         if dispatch.state != _RUNNING:
             return actions
         row = dispatch.row
-        if answer.code in _FINISHED_CODES:
+        if _is_surely_over(answer):
             self._free_slot(dispatch, now, actions)
         self._judge(dispatch, answer, now, actions)
         self._answer_exchange(dispatch, answer, actions)
@@ -487,7 +509,10 @@
         for dispatch in list(self._occupied):
             if now >= dispatch.deadline + SKEW_S:
                 self._end_overdue(dispatch, now, actions)
+        was_paused = now - self._advanced_at >= FIRST_STATUS_WAIT_S
+        self._advanced_at = now
         for row in self._targets:
+            self._health.end_first_wait(row, now, was_paused)
             if row.queue.waiting:
                 self._expire_queue(row, now, actions)
                 self._drain(row, now, actions)
@@ -503,6 +528,8 @@
         """Replace the held targets.
 
         Queued requests to a removed target are refused; those in flight go on.
+        Requests to a gained target wait in its queue until the returned `Probe` is
+        answered or `health.FIRST_STATUS_WAIT_S` is over.
 
         Parameters
         ----------
@@ -600,7 +627,7 @@
             self._refuse(dispatch, code, actions)
             return
         dispatch.row = row
-        if not row.queue.waiting and self._limiter.has_room(row):
+        if not row.queue.waiting and self._has_room(row):
             self._start(dispatch, now, actions)
             return
         code = self._check_permission(row.target_id, now)
@@ -611,6 +638,9 @@
             return
         row.queue.push(dispatch)
 
+    def _has_room(self, row):
+        return row.first_status_by is None and self._limiter.has_room(row)
+
     def _find_refusal(self, dispatch, row, now):
         """Return the code with which a request is refused, or None."""
         cancelled = dispatch.origin.cancelled
@@ -676,7 +706,7 @@
 
     def _drain(self, row, now, actions):
         """Dispatch queued requests while there is room."""
-        while row.queue.waiting and self._limiter.has_room(row):
+        while row.queue.waiting and self._has_room(row):
             dispatch = row.queue.pop()
             if dispatch.expires_at <= now:
                 self._refuse(dispatch, DeadlinePassedError.code, actions)
@@ -816,11 +846,11 @@
             # A target regained while its requests are still in flight keeps
             # counting them, but may have been restarted meanwhile.
             row.is_held = True
-            row.is_probing = False
             row.gained_epoch = epoch
             self._targets.add(target.target_id, row)
             row.state = COLD
-            self._health.begin(row, now, "it was gained")
+            self._health.begin_gained(row, now)
+            actions.append(Probe(row.target_id))
         self._change_settings(row, target, actions)
 
     def _change_settings(self, row, target, actions):
@@ -856,6 +886,11 @@
             self._released_epoch = self._epoch
 
 
+def _is_surely_over(answer):
+    """Whether the target no longer works on the request."""
+    return answer.code in _FINISHED_CODES or answer.is_over
+
+
 _UNFIT_CODES = {DRAINING: "draining", DEAD: "connect_failed"}
 
 
@@ -991,7 +1026,8 @@
         # The wall clock is read first: a pause between the two readings then
         # makes the deadline earlier and never later.
         wall, now = self._wall_clock(), self._clock()
-        self._perform(self.core.submit(sender, number, group, now), wall, now)
+        actions = self.core.submit(sender, number, group, now, wall)
+        self._perform(actions, wall, now)
 
     def cancel(self, sender, number, cancel):
         """Cancel attempts; see `HolderCore.cancel`."""
@@ -1022,7 +1058,7 @@
         for action in actions:
             kind = type(action)
             if kind is Dispatch:
-                action.wall_deadline = wall + (action.deadline - now)
+                action.set_wall_deadline(wall, now)
                 self._begin(action, worker)
                 worker = None
             elif kind is Answer:
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -62,7 +62,13 @@
         self.permission = Permissions()
         self.core = HolderCore(self.permission, random.Random(1))
         self.now = 100.0
-        self.core.set_targets([build_target()], 1, self.now)
+        self._gain(1)
+
+    def _gain(self, epoch, state="warm"):
+        """Gain the target and answer the read of its status at once."""
+        actions = self.core.set_targets([build_target()], epoch, self.now)
+        self.assertEqual([Probe], [type(action) for action in actions])
+        return self.core.handle_status("t1", state, self.now)
 
     def _submit(self, attempts, number=1, **more):
         return self.core.submit("e1", number, build_group(attempts, **more), self.now)
@@ -251,6 +257,16 @@
             self.core.advance(start + delay + 0.001)
             self.assertEqual(0, self.core.get_row("t1").in_flight)
 
+    def test_acknowledged_time_out_frees_the_slot_at_once(self):
+        """Guards against a slot that counts for work which has surely ended."""
+        for is_over, dispatched in ((True, [2]), (False, [])):
+            self._start_core()
+            (first,) = self._submit([1], remaining_ms=200)
+            self._submit([2], number=2, remaining_ms=900)
+            actions = self._complete(first, "timed_out", after=0.2, is_over=is_over)
+            self.assertIn((1, "timed_out", "unknown"), self._answers(actions))
+            self.assertEqual(dispatched, self._dispatched(actions))
+
     def test_exchange_that_never_ends(self):
         """Guards against a slot that is lost when a client hangs."""
         (dispatch,) = self._submit([1], remaining_ms=200)
@@ -324,10 +340,50 @@
         """Guards against forgetting requests that still occupy slots."""
         self._submit([1])
         self.core.set_targets([], 2, self.now)
-        self.core.set_targets([build_target()], 3, self.now)
+        self._gain(3)
         self.assertEqual(3, self.core.released_epoch)
         self.assertEqual([], self._dispatched(self._submit([5], number=5)))
 
+    def test_gained_target_gets_no_work_before_its_status(self):
+        """Guards against new work for a target whose draining is not known yet."""
+        cases = {
+            "draining": [Answer, Answer],
+            "warm": [Dispatch],
+            None: [Dispatch],
+        }
+        for state, expected in cases.items():
+            self.core.set_targets([], 2, self.now)
+            self.core.set_targets([build_target()], 3, self.now)
+            self.assertEqual([], self._submit([1, 2], number=state))
+            self.assertEqual([], self.core.advance(self.now + 0.09))
+            actions = self.core.handle_status("t1", state, self.now + 0.09)
+            self.assertEqual(expected, [type(action) for action in actions], state)
+            self._start_core()
+
+    def test_gained_target_whose_status_does_not_come(self):
+        """Guards against a target that stays unserved while its status hangs."""
+        self.core.set_targets([], 2, self.now)
+        self.core.set_targets([build_target()], 3, self.now)
+        self._submit([2], number=2, remaining_ms=85)
+        self._submit([1])
+        self.core.advance(self.now + 0.05)
+        actions = self.core.advance(self.now + 0.09)
+        self.assertEqual([(2, "deadline_passed", "not_run")], self._answers(actions))
+        actions = self.core.advance(self.now + 0.1)
+        self.assertEqual([1], self._dispatched(actions))
+
+    def test_pause_does_not_count_as_wait_for_the_status(self):
+        """Guards against work for a draining target when a paused VM goes on."""
+        self.core.advance(self.now)
+        self.core.set_targets([], 2, self.now)
+        self.core.set_targets([build_target()], 3, self.now)
+        self.now += 0.7
+        self.assertEqual([], self._submit([1]))
+        self.assertEqual([], self.core.advance(self.now))
+        self.assertEqual([], self.core.advance(self.now + 0.09))
+        actions = self.core.handle_status("t1", "draining", self.now + 0.09)
+        self.assertEqual([(1, "draining", "not_run")], self._answers(actions))
+
     def test_changed_settings_wait_for_requests_in_flight(self):
         """Guards against two clients that together open too many connections."""
         self._warm_up()
@@ -437,6 +493,8 @@
                 nursery.start_soon(service.run)
                 await nursery.start(holder.run, service)
                 holder.set_targets([build_target()], 1)
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertIsNone(holder.core.get_row("t1").first_status_by)
                 await scenario(holder, link)
                 nursery.cancel_scope.cancel()
 
@@ -484,6 +542,42 @@
         client = _Client()
         self._run(scenario, client)
 
+    def test_booking_that_comes_late_is_not_sent(self):
+        """Guards against a booking that runs after its record reads unknown."""
+
+        async def scenario(holder, link):
+            wall = 1000.0 + trio.current_time()
+            for number, before in ((7, wall), (8, wall + 0.3), (9, wall + 60.0)):
+                more = {"operation": BOOKING, "dispatch_before": before}
+                holder.submit("e1", number, build_group([1], **more))
+                await trio.sleep(0.1)
+            (answer,) = link.sent[0][2][1]
+            self.assertEqual([1, "deadline_passed", "not_run"], answer[:3])
+            deadlines = [request.deadline for request in client.requests]
+            self.assertEqual(2, len(deadlines))
+            self.assertAlmostEqual(wall + 0.3, deadlines[0])
+            self.assertAlmostEqual(wall + 0.2 + 0.5, deadlines[1])
+
+        client = _Client()
+        self._run(scenario, client)
+
+    def test_pause_between_the_clocks_does_not_move_dispatch_before(self):
+        """Guards against a paused holder that sends a booking too late."""
+
+        async def scenario(holder, link):
+            holder.submit("e1", 7, build_group([1]))
+            wall = 996.0 + trio.current_time()
+            more = {"operation": BOOKING, "dispatch_before": wall + 0.5}
+            wall_clock, holder._wall_clock = holder._wall_clock, lambda: wall
+            holder.submit("e1", 8, build_group([1], remaining_ms=900, **more))
+            holder._wall_clock = wall_clock
+            self.assertEqual(1, holder.core.count_queued())
+            await trio.sleep(0.1)
+            self.assertEqual(wall + 0.5, client.requests[1].deadline)
+
+        client = _Client()
+        self._run(scenario, client)
+
     def test_dispatch_past_its_deadline_is_not_sent(self):
         """Guards against sending after a pause between check and write."""
 
