--- a/tarragonchute/limits.py
+++ b/tarragonchute/limits.py
@@ -16,11 +16,12 @@
 SHED_FACTOR = 0.5  # multiplicative decrease
 SHED_INCREASE = 1.0  # requests in flight gained for each full round of good answers
 
-SAFE_IDLE_S = 0.1
+SAFE_IDLE_S = 0.05
 """Idle time within which a target cannot have restarted unnoticed.
 
 A restart ends its idle connections, but nobody reads them until the next request, so
-several requests at once would be the first work of a cold target.
+several requests at once would be the first work of a cold target. The time must be
+shorter than the fastest restart; with 0.1 s and restarts of 0.1 s one was missed.
 """
 
 
