Try again for free where a hand-over refused the attempt

Both replicas of a shard were out of reach for some tenths of a second: one in the domain taken out, the other moving to a new holder. Retries after the first pass over the replicas cost tokens, and earlier searches had used them up. Ruled out: sends to the domain; the targets received none. Before: the new test, with an empty budget, gives the shard up; after: it is answered once the new holder serves. No target sees these attempts, so they are no extra load.

--- a/tarragonchute/searches.py
+++ b/tarragonchute/searches.py
@@ -52,6 +52,11 @@
 LOAD_REFUSALS = frozenset({"overloaded", "shedding"})
 """Refusals that must not be sent on freely, since that would add to an overload."""
 
+HOLDER_REFUSALS = frozenset({"not_holder", "no_lease", NOT_SENT})
+"""Refusals during a hand-over. No target saw the attempt, so trying again after a
+short delay costs no retry token; without this, a few searches during a hand-over used
+up the tokens and later ones gave up shards that were served again 0.2 s later."""
+
 
 def split_deadline(deadline_s):
     """Return the seconds until the answer must be merged.
@@ -173,6 +178,7 @@
         "lacking",
         "offered",
         "is_hedged",
+        "is_refused_early",
         "is_answered",
         "result",
     )
@@ -185,6 +191,7 @@
         self.lacking = ()
         self.offered = frozenset()
         self.is_hedged = False
+        self.is_refused_early = False
         self.is_answered = False
         self.result = None
 
@@ -516,6 +523,7 @@
         shard = attempt.state
         self._refusal = answer.code
         self._load_refusals += answer.code in LOAD_REFUSALS
+        shard.is_refused_early = answer.code in HOLDER_REFUSALS
         if answer.code == VERSION_MISSING:
             shard.lacking = (*shard.lacking, attempt.target)
             shard.offered = shard.offered.union(answer.versions)
@@ -632,14 +640,14 @@
             self._retry_shard(shard, now)
 
     def _retry_shard(self, shard, now):
-        if shard.tried and not self._budget.retries.try_spend(now):
+        is_free = shard.is_refused_early or not shard.tried
+        if not is_free and not self._budget.retries.try_spend(now):
             self._wait(shard, now)
             return
         targets = [t for t in shard.replicas if t not in shard.lacking]
-        is_retry = bool(shard.tried)
         if not self._try_send(shard, targets, now):
             self._wait(shard, now)
-        elif is_retry:
+        elif not is_free:
             self.extra_attempts += 1
 
     # End
--- a/tests/test_searches.py
+++ b/tests/test_searches.py
@@ -230,6 +230,21 @@
         runs.answer(third, due + 0.001)
         self.assertEqual(1, runs.run.result().coverage.answered)
 
+    def test_hand_over_costs_no_retry_tokens(self):
+        """Guards against a shard given up in a hand-over that others also saw."""
+        runs = Runs(shards=1)
+        (attempt,) = runs.start()
+        runs.spend(runs.budget.retries)
+        now = 0.001
+        for _ in range(3):
+            retries = runs.answer(attempt, now, "not_holder", "not_run")
+            while not retries and now < DEADLINE_S:
+                now = runs.run.next_due()
+                retries = runs.take(runs.run.advance(now))
+            (attempt,) = retries
+        runs.answer(attempt, now + 0.001)
+        self.assertEqual(1, runs.run.result().coverage.answered)
+
 
 class RestartTests(testtools.TestCase):
     """Another version after one that cannot be obtained."""
