Leave a draining target alone when its settings change

Cause: changed settings (for example the slots) reset a held target to cold, and the next request was dispatched to a target that was leaving. Found by reading the code of the first status wait. Before: the new test sees a dispatch; after: the request is refused as draining until a status says otherwise.

--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -878,8 +878,11 @@
         row.slots = target.slots
         row.max_connections = target.max_connections
         row.boot_id = None
-        row.state = COLD
         self._limiter.restart(row)
+        # Changed settings do not say that a target which drains takes work again;
+        # only its status does.
+        if row.state != DRAINING:
+            row.state = COLD
         actions.append(Retire(row.target_id))
 
     def _note_release(self):
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -384,6 +384,15 @@
         actions = self.core.handle_status("t1", "draining", self.now + 0.09)
         self.assertEqual([(1, "draining", "not_run")], self._answers(actions))
 
+    def test_changed_settings_leave_a_draining_target_alone(self):
+        """Guards against new work for a draining target whose slots were changed."""
+        self.core.handle_status("t1", "draining", self.now)
+        self.core.set_targets([build_target(slots=3)], 2, self.now)
+        actions = self._submit([1])
+        self.assertEqual([(1, "draining", "not_run")], self._answers(actions))
+        self.core.handle_status("t1", "warm", self.now)
+        self.assertEqual([2], self._dispatched(self._submit([2])))
+
     def test_changed_settings_wait_for_requests_in_flight(self):
         """Guards against two clients that together open too many connections."""
         self._warm_up()
