Define the hand-over's time bounds in one place

The longest shard time and the clock skew stood in membership, holders and bookings. A hand-over is safe only while the holder's deadline and the membership's wait-out agree, so a change of one alone would have broken it. Holders and bookings now take them from membership, and the entry takes the longest key from bookings. Values are unchanged.

--- a/tarragonchute/bookings.py
+++ b/tarragonchute/bookings.py
@@ -15,6 +15,7 @@
 import trio
 
 from . import errors
+from .membership import MAX_SHARD_TIME_S, SKEW_S
 from .messages import ANSWERED, BOOKING, ShardGroup, ShardItem
 from .searches import HOP_MS, LOAD_REFUSALS, NOT_SENT, RETRY_SHARE_LEFT, split_deadline
 
@@ -23,12 +24,6 @@
 PREFIX = "operations/"
 RESTORED_PREFIX = "operations_restored/"
 
-MAX_SHARD_TIME_S = 1.0
-"""Longest time that a target may work on a dispatched request."""
-
-SKEW_S = 0.25
-"""Bound of the offset between the wall clocks of two machines."""
-
 LEASE_TTL_S = 25 * 3600.0
 """Life of a record. A lease is shared for an hour, so each record lives 24 h."""
 
--- a/tarragonchute/entry.py
+++ b/tarragonchute/entry.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from .bookings import MAX_KEY_LENGTH
 from .errors import (
     BadRequestError,
     DrainingError,
@@ -18,7 +19,6 @@
 from .httpio import HttpResponse
 
 MIN_DEADLINE_MS = 5
-MAX_KEY_LENGTH = 200
 RETRY_AFTER_S = 1
 
 
--- a/tarragonchute/holders.py
+++ b/tarragonchute/holders.py
@@ -27,6 +27,7 @@
 )
 from .health import FIRST_STATUS_WAIT_S, TargetHealth
 from .limits import COLD, DEAD, DRAINING, TargetLimiter
+from .membership import MAX_SHARD_TIME_S, SKEW_S
 from .messages import LoadEstimate, ShardAnswer, ShardAnswers, ShardCancel, ShardGroup
 from .settings import TargetSettings
 from .tables import Table, TargetRow
@@ -34,8 +35,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_SHARD_TIME_S = 1.0  # longest deadline of a dispatch, counted from its check
-SKEW_S = 0.25  # bound of the error between the wall clocks of two machines
 MAX_QUEUED_PER_TEAM = 64  # requests queued for one target
 SEARCH_MEMORY_S = 10.0  # far longer than a search lives; a repeat is harmless
 BOOKING_MEMORY_S = 600.0  # a repeat would charge twice, and bookings are few
--- a/tarragonchute/membership.py
+++ b/tarragonchute/membership.py
@@ -18,6 +18,7 @@
 HEARTBEAT_PERIOD_S = 0.3
 LEASE_S = 1.5
 MAX_SHARD_TIME_S = 1.0
+"""Longest deadline of a request to a target, counted from its permission check."""
 
 SKEW_S = 0.25
 """Covers the error of clock rates over one lease, and the offset of wall clocks."""
