Share allowances by a list of VMs, start from a peer, count what happens

Cause: shares of the retry slack, of a target's connections and of a cold target's allowance assumed 16 VMs; a VM that started while the store was away knew nothing.

Each VM keeps a key under a lease; the list of keys divides the allowances. A VM that cannot reach the store at its start asks the control addresses of its settings. A reply that ended with its connection left that connection marked as reusable; a new test showed it. Metrics are rendered by aioprometheus when they are read.

--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -50,19 +50,27 @@
     prefixes : tuple of str
         What to follow. They are listed one by one, and followed by one task each.
     handler : FeedHandler
+    peers : peers.PeerSnapshots or None
+        Asked while nothing is known and the store cannot be reached.
     clock : callable or None
         Returns monotonic seconds.
 
     Attributes
     ----------
+    revision : int or None
+        Revision of the store up to which changes are known.
     is_connected : bool
         Whether the latest call succeeded.
     is_loaded : bool
         Whether a snapshot was applied.
     """
 
-    def __init__(self, store, prefixes, handler, clock=None, random_source=None):
+    def __init__(
+        self, store, prefixes, handler, peers=None, clock=None, random_source=None
+    ):
         self._store = store
+        self._peers = peers
+        self._entries = {}
         self._prefixes = tuple(prefixes)
         self._handler = handler
         self._clock = clock or trio.current_time
@@ -85,11 +93,22 @@
                 self.revision = None
             except TarragonchuteError as error:
                 self._note_failure(error)
+                await self._ask_peers()
                 await trio.sleep(self._retry_delay())
 
-    def reset(self):
-        """List everything again at the next call."""
-        self.revision = None
+    def list_entries(self):
+        """Return all entries that are known."""
+        return list(self._entries.values())
+
+    async def _ask_peers(self):
+        if self.is_loaded or self._peers is None:
+            return
+        try:
+            entries = await self._peers.fetch()
+        except TarragonchuteError as error:
+            logger.info("nothing to start with: %s", error)
+            return
+        self._apply_snapshot(entries, is_after_outage=True)
 
     async def _load(self):
         entries = []
@@ -100,8 +119,12 @@
             # Later changes to the first listing must come with the watch.
             revision = listed_at if revision is None else min(revision, listed_at)
         is_after_outage = self._note_success()
-        self._handler.apply_snapshot(entries, is_after_outage)
+        self._apply_snapshot(entries, is_after_outage)
         self.revision = revision
+
+    def _apply_snapshot(self, entries, is_after_outage):
+        self._entries = {entry.key: entry for entry in entries}
+        self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
 
     async def _watch(self):
@@ -116,11 +139,18 @@
             raise HistoryLostError(f"the store went back to revision {revision}")
         for entry in entries:
             if entry.key.startswith(self._prefixes):
-                self._handler.apply_change(entry.key, entry.value)
+                self._apply_change(entry)
         self.revision = revision
         if entries:
             await trio.sleep(BATCH_S)
 
+    def _apply_change(self, entry):
+        if entry.value is None:
+            self._entries.pop(entry.key, None)
+        else:
+            self._entries[entry.key] = entry
+        self._handler.apply_change(entry.key, entry.value)
+
     def _note_success(self):
         """Return whether the store was away for long before this call."""
         now = self._clock()
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -18,20 +18,26 @@
     RouteNotFoundError,
     TarragonchuteError,
 )
+from .fleet import Fleet
+from .gatewaymetrics import (
+    CONFIGURATION_VERSION,
+    CONNECTIONS,
+    NO_ROUTE,
+    SEARCH,
+    SEARCH_COVERAGE,
+    SINGLE,
+    TARGETS,
+    VMS,
+    GatewayMetrics,
+)
 from .queries import QueryContext, SearchQuery, SingleQuery
-from .registry import COLD_SHARE, Registry
+from .registry import Registry
 from .routes import WeightedChoice
+from .shares import ColdLimits, FleetShares
 
 logger = logging.getLogger(__name__)
 decisions = logging.getLogger("tarragonchute.decisions")
 
-ASSUMED_VMS = 16
-"""VMs that share fleet-wide allowances while the real number is unknown."""
-
-RETRY_SLACK_SHARE = 0.5
-"""Part of the retry slack that is used. A VM that restarts has forgotten what its
-predecessor spent within the window."""
-
 SEARCH_TIMES_WEIGHT = 0.02
 SINGLE_TIMES_WEIGHT = 0.1
 """Weight of one reply in a route's usual reply time; a search gives many at once."""
@@ -46,10 +52,10 @@
     Parameters
     ----------
     vm_id, domain, host : str
-    caller_address, ready_address, store_address : str
+    caller_address, ready_address, peer_address, store_address : str
         ``host:port``.
-    peer_ports : tuple of (int, int)
-        First and last port for the traffic between VMs.
+    peers : tuple of str
+        Peer addresses of some VMs; they may be stale.
     max_descriptors : int
     stop_grace_s : float
         Time from the request to stop until the process is killed.
@@ -67,7 +73,8 @@
         "host",
         "caller_address",
         "ready_address",
-        "peer_ports",
+        "peer_address",
+        "peers",
         "store_address",
         "max_descriptors",
         "stop_grace_s",
@@ -98,19 +105,27 @@
     ----------
     table : routes.RouteTable or None
         Newest configuration that was received.
-    vms : int
-        VMs that share the fleet-wide allowances.
+    fleet : fleet.Fleet
+        The VMs that share the fleet-wide allowances.
     """
 
     def __init__(self, settings, dialect, server_options, random_source=None):
         self.settings = settings
         self.table = None
-        self.vms = ASSUMED_VMS
+        self.fleet = Fleet(settings.vm_id)
+        self.metrics = GatewayMetrics()
+        self.metrics.read_gauges = self._list_gauges
         self.is_draining = False
         self._dialect = dialect
         self._server_options = server_options
         self._random = random_source or random.Random()
-        self._window = WindowLimits(settings.retry_share, 0.0, settings.retry_window_s)
+        cold_limits = ColdLimits(settings.cold_factor, settings.cold_slack)
+        self._shares = FleetShares(settings.vm_id, settings.retry_slack, cold_limits)
+        self._window = WindowLimits(
+            settings.retry_share,
+            self._shares.count_retry_slack(),
+            settings.retry_window_s,
+        )
         self._budgets = {}
         self._times = {}
         self._weighted = {}
@@ -119,20 +134,14 @@
             settings.domain, self._allow_cold, self._random
         )
         self.registry = Registry(
-            self._open_link, self.reactor.close_link, self.chooser.observe
+            self._open_link,
+            self.reactor.close_link,
+            self._arrange,
+            self.chooser.observe,
         )
         self._context = QueryContext(
             self.registry, self.chooser, dialect, self._find_budget
         )
-        self.set_vms(ASSUMED_VMS)
-
-    def set_vms(self, count):
-        """Take the number of VMs that share the allowances."""
-        self.vms = max(count, 1)
-        slack = self.settings.retry_slack * RETRY_SLACK_SHARE / self.vms
-        self._window.slack = slack
-        for target in self.registry.list_targets():
-            target.link.max_connections = self._count_connections(target.registration)
 
     def apply_table(self, table):
         """Take a configuration; an older one than that in force is ignored."""
@@ -141,8 +150,9 @@
         before = None if self.table is None else self.table.version
         self.table = table
         self._weighted.clear()
+        self._forget_removed(table)
         self._apply_limits(table.limits)
-        self.set_vms(self.vms)
+        self.registry.rearrange()
         logger.info(
             "configuration in force",
             extra={
@@ -160,6 +170,10 @@
         """Run the systems over the tables; called by the timer service."""
         self.reactor.sweep(now)
         self.registry.sweep(now)
+        if self._shares.set_vms(self.fleet.list_vms(now)):
+            self._window.slack = self._shares.count_retry_slack()
+            self.registry.rearrange()
+            logger.info("fleet changed", extra={"vms": self._shares.vms})
 
     async def handle(self, request):
         """Answer one caller's `httpio.HttpRequest`."""
@@ -176,7 +190,9 @@
             error = caught
             raise
         finally:
-            self._log_end(request, request_id, query, response, error, started_at)
+            elapsed_s = trio.current_time() - started_at
+            self._log_end(request, request_id, query, response, error, elapsed_s)
+            self._count_end(query, response, error, elapsed_s)
 
     def _build_query(self, request, request_id, now):
         table = self.table
@@ -236,6 +252,14 @@
             budget = self._budgets[service] = WindowBudget(self._window)
         return budget
 
+    def _forget_removed(self, table):
+        """Drop what is kept for routes and services that no longer exist."""
+        routes = {(route.name, route.goal_s) for route in table.routes}
+        for key in [key for key in self._times if key not in routes]:
+            del self._times[key]
+        for service in [name for name in self._budgets if name not in table.services]:
+            del self._budgets[service]
+
     def _apply_limits(self, limits):
         options = self._server_options
         if limits is None:
@@ -246,16 +270,20 @@
         options.idle_timeout_s = limits.idle_timeout_s
 
     def _open_link(self, registration):
-        count = self._count_connections(registration)
-        return self.reactor.open_link(registration.address, count)
+        return self.reactor.open_link(registration.address, 1)
 
-    def _count_connections(self, registration):
-        """Return this VM's part of the connections that a target accepts."""
+    def _arrange(self, service, targets):
+        """Set which targets this VM prefers and how many connections it opens."""
         table = self.table
-        policy = table and table.services.get(registration.service)
+        policy = table and table.services.get(service)
         if not policy:
-            return 1
-        return max(policy.max_connections // self.vms, 1)
+            return
+        limit = policy.max_connections
+        preferred = self._shares.prefer(service, targets, limit)
+        connections = self._shares.count_connections(limit, len(targets))
+        for target in targets:
+            target.is_preferred = target in preferred
+            target.link.max_connections = connections if target.is_preferred else 1
 
     def _allow_cold(self, target, now):
         """Whether this VM's part of a cold target's allowance permits a request."""
@@ -264,15 +292,39 @@
         table = self.table
         policy = table and table.services.get(target.registration.service)
         rate = policy.cold_rate if policy else 0.0
-        settings = self.settings
-        allowed = (rate * settings.cold_factor + settings.cold_slack) * COLD_SHARE
-        if allowed <= 0:
+        interval_s = self._shares.find_cold_interval_s(rate)
+        if interval_s is None:
             return False
-        interval_s = self.vms / allowed
         target.next_cold_send = now + interval_s * (0.8 + 0.4 * self._random.random())
         return True
 
-    def _log_end(self, request, request_id, query, response, error, started_at):
+    def _count_end(self, query, response, error, elapsed_s):
+        result = "caller_left"
+        if response is not None:
+            result = "ok" if response.status < 400 else "target_error"
+        elif error is not None:
+            result = error.code
+        kind = NO_ROUTE
+        if query is not None:
+            kind = SEARCH if query.route.is_search else SINGLE
+            self.metrics.count_legs(query.legs)
+        self.metrics.observe_request(kind, result, elapsed_s)
+        if kind is SEARCH and response is not None:
+            coverage = query.included / len(query.legs)
+            self.metrics.observe(SEARCH_COVERAGE, (), coverage)
+
+    def _list_gauges(self):
+        links = self.reactor.links
+        connections = sum(link.count_connections() for link in links)
+        version = self.table.version if self.table else 0
+        return [
+            (CONFIGURATION_VERSION, (), version),
+            (TARGETS, (), len(self.registry)),
+            (VMS, (), self._shares.vms),
+            (CONNECTIONS, (), connections),
+        ]
+
+    def _log_end(self, request, request_id, query, response, error, elapsed_s):
         fields = {"request_id": request_id or "", "path": request.path}
         if query is not None:
             fields["route"] = query.route.name
@@ -286,5 +338,5 @@
             fields["cause"] = str(error)
         else:
             fields["code"] = "caller_left"
-        fields["ms"] = round((trio.current_time() - started_at) * 1000, 1)
+        fields["ms"] = round(elapsed_s * 1000, 1)
         decisions.info("request ended", extra=fields)
--- /dev/null
+++ b/tarragonchute/gatewaymetrics.py
@@ -0,0 +1,134 @@
+"""Counters and histograms of the gateway."""
+
+import resource
+
+from . import __version__
+from .metrics import (
+    ATTEMPTS,
+    BUILD_INFO,
+    COVERAGE_BUCKETS,
+    CPU_SECONDS,
+    FIRST,
+    HEDGE,
+    LATENCY_BUCKETS_S,
+    RESIDENT_MEMORY,
+    RETRY,
+    STORE_CALLS,
+    MetricKind,
+    MetricSet,
+    MetricSpec,
+    read_resident_memory,
+)
+
+REQUEST_DURATION = MetricSpec(
+    "gateway_request_duration_seconds",
+    MetricKind.HISTOGRAM,
+    "Time from a caller's request to its answer.",
+    ("kind", "result"),
+    LATENCY_BUCKETS_S,
+)
+SEARCH_COVERAGE = MetricSpec(
+    "gateway_search_coverage_ratio",
+    MetricKind.HISTOGRAM,
+    "Shards in the answer of a search divided by the shards of its route.",
+    (),
+    COVERAGE_BUCKETS,
+)
+TARGET_REPLIES = MetricSpec(
+    "gateway_target_results_total",
+    MetricKind.COUNTER,
+    "Exchanges with targets by the targets' failure domain and how they ended.",
+    ("domain", "result"),
+)
+CONFIGURATION_VERSION = MetricSpec(
+    "gateway_configuration_version",
+    MetricKind.GAUGE,
+    "Version of the configuration in force.",
+)
+TARGETS = MetricSpec(
+    "gateway_targets",
+    MetricKind.GAUGE,
+    "Registered targets.",
+)
+VMS = MetricSpec(
+    "gateway_vms",
+    MetricKind.GAUGE,
+    "VMs that share the fleet-wide allowances.",
+)
+CONNECTIONS = MetricSpec(
+    "gateway_target_connections",
+    MetricKind.GAUGE,
+    "Open connections to targets.",
+)
+LOG_LINES_DROPPED = MetricSpec(
+    "gateway_log_lines_dropped",
+    MetricKind.GAUGE,
+    "Log lines dropped because their reader is slow, since the start.",
+)
+
+SPECS = (
+    REQUEST_DURATION,
+    SEARCH_COVERAGE,
+    TARGET_REPLIES,
+    CONFIGURATION_VERSION,
+    TARGETS,
+    VMS,
+    CONNECTIONS,
+    LOG_LINES_DROPPED,
+    ATTEMPTS,
+    STORE_CALLS,
+    CPU_SECONDS,
+    RESIDENT_MEMORY,
+    BUILD_INFO,
+)
+
+SEARCH = "search"
+SINGLE = "single"
+NO_ROUTE = "none"
+
+
+class GatewayMetrics(MetricSet):
+    """What a gateway counts.
+
+    Attributes
+    ----------
+    read_gauges : callable or None
+        Returns ``(spec, labels, value)`` tuples when the metrics are read.
+    """
+
+    def __init__(self):
+        super().__init__(SPECS)
+        self.read_gauges = None
+
+    def observe_request(self, kind, result, seconds):
+        """Record one caller's request.
+
+        Parameters
+        ----------
+        kind : str
+            `SEARCH`, `SINGLE` or `NO_ROUTE`.
+        result : str
+            ``ok`` or the code of the error.
+        seconds : float
+        """
+        self.observe(REQUEST_DURATION, (kind, result), seconds)
+
+    def count_legs(self, legs):
+        """Record the attempts of all legs of a request."""
+        self.count(ATTEMPTS, (FIRST,), len(legs))
+        self.count(ATTEMPTS, (HEDGE,), sum(leg.hedges for leg in legs))
+        self.count(ATTEMPTS, (RETRY,), sum(leg.retries for leg in legs))
+
+    def count_store_call(self, operation, result):
+        """Record one call to the key-value service."""
+        self.count(STORE_CALLS, (operation, result))
+
+    def list_gauges(self):
+        """See `MetricSet`."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        gauges = [
+            (CPU_SECONDS, (), usage.ru_utime + usage.ru_stime),
+            (RESIDENT_MEMORY, (), read_resident_memory()),
+            (BUILD_INFO, (__version__,), 1),
+        ]
+        return gauges + (self.read_gauges() if self.read_gauges else [])
--- a/tarragonchute/metrics.py
+++ b/tarragonchute/metrics.py
@@ -11,9 +11,6 @@
 import os
 import resource
 
-import aioprometheus
-from aioprometheus.histogram import Histogram as HistogramValue
-
 from . import __version__
 
 LATENCY_BUCKETS_S = (
@@ -244,6 +241,8 @@
         self.sum += value
 
     def to_value(self):
+        from aioprometheus.histogram import Histogram as HistogramValue
+
         value = HistogramValue(*self.bounds)
         totals = itertools.accumulate(self.counts)
         for bound, total in zip(value.buckets, totals, strict=True):
@@ -253,7 +252,64 @@
         return value
 
 
-class Metrics:
+class MetricSet:
+    """Counters and histograms by specification and label values.
+
+    aioprometheus is imported when they are read: a VM whose metrics are not read
+    does not need its memory.
+
+    Parameters
+    ----------
+    specs : tuple of MetricSpec
+    """
+
+    def __init__(self, specs):
+        self._specs = specs
+        self._counts = collections.defaultdict(int)
+        self._buckets = {}
+
+    def count(self, spec, labels=(), count=1):
+        """Add to a counter."""
+        self._counts[spec, labels] += count
+
+    def observe(self, spec, labels, value):
+        """Add an observation to a histogram."""
+        buckets = self._buckets.get((spec, labels))
+        if buckets is None:
+            buckets = self._buckets[spec, labels] = _Buckets(spec.buckets)
+        buckets.observe(value)
+
+    def get_count(self, spec, *labels):
+        """Return the value of one counter."""
+        return self._counts.get((spec, labels), 0)
+
+    def list_gauges(self):
+        """Return ``(spec, labels, value)`` of what is read only now."""
+        return []
+
+    def render_metrics(self):
+        """Return the body of /metrics in the text format and its content type.
+
+        Returns
+        -------
+        tuple of (bytes, str)
+        """
+        import aioprometheus
+
+        registry = aioprometheus.Registry()
+        collectors = {spec: _add_collector(registry, spec) for spec in self._specs}
+        for (spec, labels), count in self._counts.items():
+            collectors[spec].set(_join_labels(spec, labels), count)
+        for (spec, labels), buckets in self._buckets.items():
+            value = buckets.to_value()
+            collectors[spec].set_value(_join_labels(spec, labels), value)
+        for spec, labels, value in self.list_gauges():
+            collectors[spec].set(_join_labels(spec, labels), value)
+        body, headers = aioprometheus.render(registry, ())
+        return body, headers["Content-Type"]
+
+
+class Metrics(MetricSet):
     """Counters of one VM.
 
     Label values come from settings and from error codes, never from callers'
@@ -266,9 +322,8 @@
     """
 
     def __init__(self, read_gauges=None):
+        super().__init__(METRIC_SPECS)
         self.read_gauges = read_gauges
-        self._counts = collections.defaultdict(int)
-        self._buckets = {}
 
     def observe_search(self, team, seconds, code, answered=0, total=0):
         """Record a search that was answered.
@@ -284,13 +339,13 @@
             Shards that answered and shards of the layout; total is 0 if no
             version was pinned, and then no coverage is recorded.
         """
-        self._observe(SEARCH_DURATION, (team, code), seconds)
+        self.observe(SEARCH_DURATION, (team, code), seconds)
         if total:
-            self._observe(COVERAGE, (team,), answered / total)
+            self.observe(COVERAGE, (team,), answered / total)
 
     def observe_booking(self, team, seconds, code):
         """Record a booking that was answered; parameters as for a search."""
-        self._observe(BOOKING_DURATION, (team, code), seconds)
+        self.observe(BOOKING_DURATION, (team, code), seconds)
 
     def count_attempts(self, kind, count=1):
         """Record shard requests that were started.
@@ -331,42 +386,14 @@
         """
         self._counts[STORE_CALLS, (operation, result)] += 1
 
-    def get_count(self, spec, *labels):
-        """Return the value of one counter."""
-        return self._counts.get((spec, labels), 0)
-
     def compute_extra_load(self):
         """Return hedges and retries as a fraction of first attempts."""
         extra = self.get_count(ATTEMPTS, HEDGE) + self.get_count(ATTEMPTS, RETRY)
         first = self.get_count(ATTEMPTS, FIRST)
         return extra / first if first else 0.0
 
-    def render_metrics(self):
-        """Return the body of /metrics in the text format and its content type.
-
-        Returns
-        -------
-        tuple of (bytes, str)
-        """
-        registry = aioprometheus.Registry()
-        collectors = {spec: _add_collector(registry, spec) for spec in METRIC_SPECS}
-        for (spec, labels), count in self._counts.items():
-            collectors[spec].set(_join_labels(spec, labels), count)
-        for (spec, labels), buckets in self._buckets.items():
-            value = buckets.to_value()
-            collectors[spec].set_value(_join_labels(spec, labels), value)
-        for spec, labels, value in self._list_gauges():
-            collectors[spec].set(_join_labels(spec, labels), value)
-        body, headers = aioprometheus.render(registry, ())
-        return body, headers["Content-Type"]
-
-    def _observe(self, spec, labels, value):
-        buckets = self._buckets.get((spec, labels))
-        if buckets is None:
-            buckets = self._buckets[spec, labels] = _Buckets(spec.buckets)
-        buckets.observe(value)
-
-    def _list_gauges(self):
+    def list_gauges(self):
+        """See `MetricSet`."""
         values = GaugeValues()
         if self.read_gauges is not None:
             self.read_gauges(values)
@@ -380,7 +407,7 @@
             (ADMISSION_LIMIT, (), values.admission_limit),
             (EXTRA_LOAD, (), self.compute_extra_load()),
             (CPU_SECONDS, (), usage.ru_utime + usage.ru_stime),
-            (RESIDENT_MEMORY, (), _read_resident_memory()),
+            (RESIDENT_MEMORY, (), read_resident_memory()),
             (BUILD_INFO, (__version__,), 1),
         ]
         for subtree, version in values.settings_versions.items():
@@ -390,15 +417,15 @@
         return gauges
 
 
-_COLLECTORS = {
-    MetricKind.COUNTER: aioprometheus.Counter,
-    MetricKind.GAUGE: aioprometheus.Gauge,
-    MetricKind.HISTOGRAM: aioprometheus.Histogram,
-}
-
-
 def _add_collector(registry, spec):
-    return _COLLECTORS[spec.kind](spec.name, spec.help, registry=registry)
+    import aioprometheus
+
+    collectors = {
+        MetricKind.COUNTER: aioprometheus.Counter,
+        MetricKind.GAUGE: aioprometheus.Gauge,
+        MetricKind.HISTOGRAM: aioprometheus.Histogram,
+    }
+    return collectors[spec.kind](spec.name, spec.help, registry=registry)
 
 
 def _join_labels(spec, labels):
@@ -413,7 +440,7 @@
     return text.replace("\n", "\\n")
 
 
-def _read_resident_memory():
+def read_resident_memory():
     """Return the resident memory of this process in bytes."""
     with open("/proc/self/statm", encoding="ascii") as file:
         pages = int(file.read().split()[1])
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -8,9 +8,12 @@
 
 from ..errors import FindingsError
 from ..feeds import Feed, FeedHandler
+from ..fleet import VM_PREFIX, FleetMember, decode_vm_key
 from ..gateway import Gateway
 from ..logs import NonBlockingStream, configure_logging
+from ..peers import PeerSnapshots, SnapshotServer
 from ..process import GatewayProcess, build_server_options
+from ..store import ObservedStore
 from .decoding import (
     decode_configuration,
     decode_evacuated_domain,
@@ -48,9 +51,14 @@
     def apply_snapshot(self, entries, is_after_outage):
         """See `FeedHandler`."""
         registrations = {}
+        vm_ids = []
         self._evacuated = set()
         for entry in entries:
             target_id = decode_target_key(entry.key)
+            vm_id = decode_vm_key(entry.key)
+            if vm_id is not None:
+                vm_ids.append(vm_id)
+                continue
             if target_id is None:
                 self.apply_change(entry.key, entry.value)
                 continue
@@ -61,13 +69,18 @@
                 registrations[target_id] = registration
         self._gateway.registry.set_evacuated(self._evacuated)
         now = trio.current_time()
+        self._gateway.fleet.replace_all(vm_ids, now)
         self._gateway.registry.replace_all(registrations, now, is_after_outage)
 
     def apply_change(self, key, value):
         """See `FeedHandler`."""
         target_id = decode_target_key(key)
         domain = decode_evacuated_domain(key)
-        if target_id is not None:
+        vm_id = decode_vm_key(key)
+        if vm_id is not None:
+            now = trio.current_time()
+            self._gateway.fleet.apply(vm_id, value is not None, now)
+        elif target_id is not None:
             self._apply_target(target_id, key, value)
         elif key == CONFIGURATION_KEY and value is not None:
             table = decode_configuration(value)
@@ -153,6 +166,18 @@
     options = build_server_options(settings.stop_grace_s)
     gateway = Gateway(settings, DIALECT, options)
     store = PlatformStore(settings.store_address)
-    feed = Feed(store, (OPERATOR_PREFIX, TARGET_PREFIX), StoreUpdates(gateway))
-    process = GatewayProcess(gateway, options, [feed], READY_PATH, file.reload)
+    prefixes = (OPERATOR_PREFIX, TARGET_PREFIX, VM_PREFIX)
+    store = ObservedStore(store, gateway.metrics.count_store_call)
+    peers = PeerSnapshots(settings.peers, settings.peer_address)
+    feed = Feed(store, prefixes, StoreUpdates(gateway), peers)
+    details = {"domain": settings.domain, "address": settings.peer_address}
+    member = FleetMember(store, gateway.fleet, settings.vm_id, details)
+    process = GatewayProcess(
+        gateway,
+        options,
+        [feed, member],
+        SnapshotServer(feed).handle,
+        READY_PATH,
+        file.reload,
+    )
     await process.run()
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -44,8 +44,9 @@
         host=read("", "ip", str),
         caller_address=read("listen-addrs", "front", str),
         ready_address=read("listen-addrs", "ready", str),
-        # First and last port for traffic between VMs.
-        peer_ports=tuple(read("", "port-range", list, [0, 0])),
+        # The address that nobody outside calls serves the traffic between VMs.
+        peer_address=read("listen-addrs", "control", str),
+        peers=tuple(read("", "seeds", list, [])),
         store_address=read("platform", "address", str),
         max_descriptors=read("limits", "max-fds", int, 1024),
         # Time from SIGTERM to SIGKILL.
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -19,6 +19,9 @@
 EXIT_MARGIN_S = 0.4
 """Time before the kill at which the process ends even if requests are in flight."""
 
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+
 SETTINGS_CHECK_S = 2.0
 """Period at which the settings file is compared with what is in force."""
 
@@ -38,20 +41,32 @@
     gateway : gateway.Gateway
     server_options : httpio.ServerOptions
         Those that the gateway changes.
-    feeds : list
+    tasks : list
         Objects with an async `run`, started before the listeners.
+    peer_handler : callable
+        Answers requests of other VMs.
     ready_path : str
     reload_settings : callable
         Reads the settings file again and reports what changed.
     """
 
-    def __init__(self, gateway, server_options, feeds, ready_path, reload_settings):
+    def __init__(
+        self,
+        gateway,
+        server_options,
+        tasks,
+        peer_handler,
+        ready_path,
+        reload_settings,
+    ):
         self._gateway = gateway
         self._options = server_options
-        self._feeds = feeds
+        self._tasks = tasks
+        self._peer_handler = peer_handler
         self._ready_path = ready_path
         self._reload_settings = reload_settings
         self._shutdown = trio.Event()
+        self._scope = None
 
     async def run(self):
         """Serve until SIGTERM, then finish what is in flight."""
@@ -62,13 +77,16 @@
         timers.subscribe("sweep", SWEEP_PERIOD_S, gateway.sweep)
         timers.subscribe("settings", SETTINGS_CHECK_S, self._check_settings)
         async with trio.open_nursery() as nursery:
+            self._scope = nursery.cancel_scope
             nursery.start_soon(self._handle_signals)
             nursery.start_soon(timers.run)
             nursery.start_soon(gateway.reactor.run)
-            for feed in self._feeds:
-                nursery.start_soon(feed.run)
-            ready_listeners = await bind_listeners(settings.ready_address)
-            nursery.start_soon(serve_http, self._answer_probe, ready_listeners)
+            for task in self._tasks:
+                nursery.start_soon(task.run)
+            await self._listen(nursery, settings.ready_address, self._answer_probe)
+            await self._listen(nursery, settings.peer_address, self._peer_handler)
+            metrics_address = f"{settings.host}:{METRICS_PORT}"
+            await self._listen(nursery, metrics_address, self._answer_metrics)
             listeners = await bind_listeners(settings.caller_address)
             # Start-up objects live as long as the process; the collector need not
             # visit them again.
@@ -78,6 +96,16 @@
             nursery.cancel_scope.cancel()
         logger.info("stopped")
 
+    async def _listen(self, nursery, address, handler):
+        listeners = await bind_listeners(address)
+        nursery.start_soon(serve_http, handler, listeners)
+
+    async def _answer_metrics(self, request):
+        if request.path != METRICS_PATH:
+            return HttpResponse(404)
+        body, content_type = self._gateway.metrics.render_metrics()
+        return HttpResponse(200, body, {"Content-Type": content_type})
+
     async def _answer_probe(self, request):
         if request.path != self._ready_path:
             return HttpResponse(404)
@@ -92,6 +120,8 @@
                     logger.info("stop requested")
                     self._gateway.is_draining = True
                     self._shutdown.set()
+                    grace_s = self._gateway.settings.stop_grace_s
+                    self._scope.deadline = trio.current_time() + grace_s - EXIT_MARGIN_S
 
     def _check_settings(self, _now):
         self._reload_settings()
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -9,10 +9,6 @@
 """Time after the store's return within which live targets register again. Until then
 a registration that is missing may have lapsed while the store was away."""
 
-COLD_SHARE = 0.5
-"""Part of a cold target's allowance that the VMs use together. The rest covers VMs
-that count other VMs wrongly and requests that arrive bunched."""
-
 
 class Registration:
     """What a target says about itself.
@@ -101,6 +97,8 @@
         When this VM may send it the next request while it is cold.
     observer : callable or None
         Called with the target, an ended exchange and the time.
+    is_preferred : bool
+        Whether this VM normally uses it; others serve when these fail.
     """
 
     __slots__ = (
@@ -116,6 +114,7 @@
         "next_cold_send",
         "identity",
         "observer",
+        "is_preferred",
     )
 
     def __init__(self, registration, link):
@@ -131,6 +130,7 @@
         self.next_cold_send = -math.inf
         self.identity = registration.target_id.encode("latin-1", "replace")
         self.observer = None
+        self.is_preferred = True
 
     def note_end(self, exchange, now):
         """Pass an ended exchange to the observer."""
@@ -145,6 +145,9 @@
     ----------
     open_link : callable
         Takes a `Registration`; returns the `TargetLink` to its address.
+    arrange : callable
+        Takes a service and its usable targets, whenever they have changed; sets
+        `is_preferred` and the limits of their links.
     close_link : callable
         Takes the link and the time.
     observer : callable or None
@@ -156,8 +159,9 @@
         Failure domains that operators have taken out.
     """
 
-    def __init__(self, open_link, close_link, observer=None):
+    def __init__(self, open_link, close_link, arrange, observer=None):
         self._open_link = open_link
+        self._arrange = arrange
         self._close_link = close_link
         self._observer = observer
         self._targets = {}
@@ -187,9 +191,15 @@
                 for target in self._targets.values()
                 if target.registration.service == service and self._is_usable(target)
             ]
+            usable.sort(key=lambda target: target.registration.target_id)
+            self._arrange(service, usable)
             self._usable[service] = usable
         return usable
 
+    def rearrange(self):
+        """Arrange the targets of each service again when it is next used."""
+        self._usable.clear()
+
     def apply(self, target_id, registration, now):
         """Take a change of one registration.
 
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -27,6 +27,12 @@
 """First and longest time for which a target that failed is avoided; it doubles."""
 
 
+SUSPECT_PENALTY = 1000.0
+COLD_PENALTY = 100.0
+OTHERS_PENALTY = 50.0
+"""Added to a score, so that such a target is chosen after all others, in this order."""
+
+
 class ReplicaChooser:
     """Chooses targets and learns from the exchanges with them.
 
@@ -92,9 +98,11 @@
             score *= REMOTE_DOMAIN_FACTOR
         score *= 1 + JITTER * self._random.random()
         if now < target.suspect_until or link.is_broken:
-            score += 1000.0
+            score += SUSPECT_PENALTY
         if now < target.cold_until:
-            score += 100.0
+            score += COLD_PENALTY
+        if not target.is_preferred:
+            score += OTHERS_PENALTY
         return score
 
 
--- a/tarragonchute/replies.py
+++ b/tarragonchute/replies.py
@@ -51,9 +51,10 @@
 class ReplyReader:
     """Reads the replies that arrive on one connection, one request at a time.
 
-    Parameters
+    Attributes
     ----------
-    None
+    is_reusable : bool
+        Whether another request may follow the latest reply.
     """
 
     __slots__ = ("_method", "_buffer", "_head", "_fallback", "is_reusable")
@@ -110,6 +111,7 @@
         reply = self._read_fallback()
         if reply is None:
             raise ProtocolError("the connection ended within a reply")
+        self.is_reusable = False
         return reply
 
     def _read_buffer(self):
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,115 @@
+"""Tests of the table of registered targets."""
+
+import testtools
+
+from tarragonchute.registry import LAPSE_GRACE_S, Registration, Registry
+
+
+class RecordingLinks:
+    """Stands for the links to targets."""
+
+    def __init__(self):
+        self.opened = []
+        self.closed = []
+
+    def open(self, registration):
+        self.opened.append(registration.target_id)
+        return object()
+
+    def close(self, link, now):
+        self.closed.append(link)
+
+    def arrange(self, service, targets):
+        pass
+
+
+def build_registration(target_id="i-1", **values):
+    """Return a registration of a ready target."""
+    fields = {"service": "s", "address": ("10.0.0.1", 80), "domain": "d"}
+    return Registration(target_id, **{**fields, **values})
+
+
+class RegistryTests(testtools.TestCase):
+    """Which targets may take requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.links = RecordingLinks()
+        links = self.links
+        self.registry = Registry(links.open, links.close, links.arrange)
+
+    def list_ids(self, service="s"):
+        usable = self.registry.list_usable(service)
+        return [target.registration.target_id for target in usable]
+
+    def test_draining_target_gets_nothing(self):
+        """Guards against new work on a target that is leaving."""
+        self.registry.apply("i-1", build_registration(), 0.0)
+        self.assertEqual(["i-1"], self.list_ids())
+        self.registry.apply("i-1", build_registration(is_draining=True), 1.0)
+        self.assertEqual([], self.list_ids())
+
+    def test_removed_target_gets_nothing(self):
+        """Guards against requests to a target that is gone."""
+        self.registry.apply("i-1", build_registration(), 0.0)
+        self.registry.apply("i-1", None, 1.0)
+        self.assertEqual([], self.list_ids())
+        self.assertEqual(1, len(self.links.closed))
+
+    def test_evacuated_domain_gets_nothing(self):
+        """Guards against requests to a domain that operators took out."""
+        self.registry.apply("i-1", build_registration(domain="d"), 0.0)
+        self.registry.apply("i-2", build_registration("i-2", domain="e"), 0.0)
+        self.registry.set_evacuated({"d"})
+        self.assertEqual(["i-2"], self.list_ids())
+        self.registry.set_evacuated(())
+        self.assertEqual(["i-1", "i-2"], self.list_ids())
+
+    def test_new_lifetime_starts_afresh(self):
+        """Guards against state of a predecessor that had the same id."""
+        self.registry.apply("i-1", build_registration(started_ms=1), 0.0)
+        before = self.registry.get("i-1")
+        self.registry.apply("i-1", build_registration(started_ms=2), 1.0)
+        self.assertIsNot(before, self.registry.get("i-1"))
+        self.assertEqual([before.link], self.links.closed)
+
+    def test_address_of_another_service_is_left(self):
+        """Guards against a target that keeps getting another service's requests."""
+        self.registry.apply("i-1", build_registration(), 0.0)
+        target = self.registry.get("i-1")
+        self.registry.note_wrong_process(target, 1.0)
+        self.registry.note_wrong_process(target, 1.0)
+        self.assertEqual([], self.list_ids())
+        self.assertEqual(1, len(self.links.closed))
+
+    def test_lapse_in_an_outage_is_bridged(self):
+        """Guards against a fleet without targets after the store's return."""
+        registration = build_registration()
+        self.registry.apply("i-1", registration, 0.0)
+        self.registry.replace_all({}, 10.0, is_after_outage=True)
+        self.registry.sweep(10.0 + LAPSE_GRACE_S / 2)
+        self.assertEqual(["i-1"], self.list_ids())
+        self.registry.sweep(10.0 + LAPSE_GRACE_S * 1.1)
+        self.assertEqual([], self.list_ids())
+
+    def test_target_that_is_back_stays(self):
+        """Guards against the removal of a target that registered again."""
+        registration = build_registration()
+        self.registry.apply("i-1", registration, 0.0)
+        self.registry.replace_all({}, 10.0, is_after_outage=True)
+        self.registry.apply("i-1", registration, 11.0)
+        self.registry.sweep(10.0 + LAPSE_GRACE_S * 1.1)
+        self.assertEqual(["i-1"], self.list_ids())
+
+    def test_listing_without_an_outage_is_final(self):
+        """Guards against requests to a target that left in a gap of the history."""
+        self.registry.apply("i-1", build_registration(), 0.0)
+        self.registry.replace_all({}, 10.0, is_after_outage=False)
+        self.assertEqual([], self.list_ids())
+
+    def test_cold_report_sets_and_ends_the_cold_time(self):
+        """Guards against a flood on a target that turned cold again."""
+        self.registry.apply("i-1", build_registration(cold_left_s=3.0), 5.0)
+        self.assertEqual(8.0, self.registry.get("i-1").cold_until)
+        self.registry.apply("i-1", build_registration(), 6.0)
+        self.assertLess(self.registry.get("i-1").cold_until, 6.0)
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,164 @@
+"""Tests of the choice among a service's targets.
+
+Patterns of load that are answered here: one slow replica in each shard, a pause of a
+target, a target that fails, and targets that return cold.
+"""
+
+import collections
+import random
+
+import testtools
+
+from tarragonchute import replicas
+from tarragonchute.registry import RegisteredTarget, Registration
+from tarragonchute.replicas import ReplicaChooser, ReplyTimes
+
+USUAL_S = 0.010
+
+
+class FakeLink:
+    """A link with no connections."""
+
+    def __init__(self):
+        self.in_flight = {}
+        self.is_broken = False
+        self.wait_s = 0.0
+
+    def oldest_wait(self, now):
+        return self.wait_s
+
+
+class FakeExchange:
+    """An exchange that was sent at a time."""
+
+    def __init__(self, sent_at):
+        self.sent_at = sent_at
+        self.usual_s = USUAL_S
+
+
+def build_targets(*domains):
+    """Return one target for each failure domain named."""
+    return [
+        RegisteredTarget(
+            Registration(f"i-{number}", "s", ("10.0.0.1", number), domain), FakeLink()
+        )
+        for number, domain in enumerate(domains)
+    ]
+
+
+class ReplicaChooserTests(testtools.TestCase):
+    """Where requests go."""
+
+    def setUp(self):
+        super().setUp()
+        self.cold_sends = []
+        self.chooser = ReplicaChooser("d", self.allow_cold, random.Random(1))
+        self.is_cold_allowed = True
+
+    def allow_cold(self, target, now):
+        self.cold_sends.append(target)
+        return self.is_cold_allowed
+
+    def count(self, targets, now=100.0, tries=200):
+        """Return how often each target is chosen."""
+        chosen = collections.Counter()
+        for _ in range(tries):
+            target = self.chooser.choose(targets, now, USUAL_S)
+            chosen[target and target.registration.target_id] += 1
+        return chosen
+
+    def observe(self, target, elapsed_s, now=100.0):
+        self.chooser.observe(target, FakeExchange(now - elapsed_s), now)
+
+    def test_equal_targets_share(self):
+        """Guards against all VMs that choose the same replica."""
+        chosen = self.count(build_targets("d", "d"))
+        self.assertGreater(min(chosen.values()), 60)
+
+    def test_slow_target_is_avoided_and_tried_again(self):
+        """One slow replica in each shard: guards against waiting for it each time."""
+        slow, quick = build_targets("d", "d")
+        self.observe(slow, 8 * USUAL_S)
+        self.observe(quick, USUAL_S)
+        self.assertEqual(0, self.count([slow, quick])["i-0"])
+        later = 100.0 + 10 * replicas.FORGET_S
+        self.assertGreater(self.count([slow, quick], later)["i-0"], 40)
+
+    def test_silent_target_is_avoided_before_it_answers(self):
+        """A pause of 100 ms: guards against sending into it until a reply is late."""
+        paused, other = build_targets("d", "d")
+        paused.link.wait_s = 5 * USUAL_S
+        self.assertEqual(0, self.count([paused, other])["i-0"])
+
+    def test_near_target_is_preferred_if_as_quick(self):
+        """Guards against traffic between domains without a gain."""
+        near, far = build_targets("d", "e")
+        chosen = self.count([near, far])
+        self.assertGreater(chosen["i-0"], 150)
+
+    def test_loaded_near_target_is_relieved(self):
+        """Guards against a queue in one domain while another is free."""
+        near, far = build_targets("d", "e")
+        near.link.in_flight = {1: None, 2: None}
+        self.assertEqual(200, self.count([near, far])["i-1"])
+
+    def test_failing_target_is_used_only_alone(self):
+        """Guards against requests to a dead target while its twin serves."""
+        dead, alive = build_targets("d", "d")
+        replicas.note_failure(dead, 100.0)
+        self.assertEqual(200, self.count([dead, alive])["i-1"])
+        self.assertEqual(200, self.count([dead])["i-0"])
+        replicas.note_success(dead)
+        self.assertGreater(self.count([dead, alive])["i-0"], 60)
+
+    def test_suspicion_doubles_up_to_its_bound(self):
+        """Guards against a dead target that is tried four times a second."""
+        (target,) = build_targets("d")
+        for _ in range(10):
+            replicas.note_failure(target, 100.0)
+        self.assertEqual(100.0 + replicas.SUSPECT_MAX_S, target.suspect_until)
+
+    def test_cold_target_needs_an_allowance(self):
+        """A mass cold start: guards against more than a cold target bears."""
+        (cold,) = build_targets("d")
+        cold.cold_until = 101.0
+        self.is_cold_allowed = False
+        self.assertEqual(200, self.count([cold])[None])
+        self.assertEqual(200, len(self.cold_sends))
+
+    def test_warm_target_goes_before_a_cold_one(self):
+        """Guards against spending the allowance where a warm target serves."""
+        cold, warm = build_targets("d", "d")
+        cold.cold_until = 101.0
+        self.assertEqual(200, self.count([cold, warm])["i-1"])
+        self.assertEqual([], self.cold_sends)
+
+    def test_others_serve_when_the_preferred_fail(self):
+        """Guards against a shard that is missing although a replica is free."""
+        preferred, other = build_targets("d", "d")
+        other.is_preferred = False
+        self.assertEqual(200, self.count([preferred, other])["i-0"])
+        replicas.note_failure(preferred, 100.0)
+        self.assertEqual(200, self.count([preferred, other])["i-1"])
+
+
+class ReplyTimesTests(testtools.TestCase):
+    """When a reply counts as late."""
+
+    def test_hedge_follows_the_usual_time(self):
+        """Guards against hedges for replies that are merely usual."""
+        times = ReplyTimes(0.1, 0.05)
+        source = random.Random(1)
+        samples = [source.lognormvariate(0, 0.35) * 0.010 for _ in range(2000)]
+        for sample in samples:
+            times.note(sample)
+        late = sum(sample > times.hedge_after_s() for sample in samples)
+        self.assertLess(late / len(samples), 0.05)
+        self.assertGreater(times.hedge_after_s(), 0.010)
+
+    def test_hedge_leaves_time_for_the_second_reply(self):
+        """Guards against a hedge that is sent when the goal has passed."""
+        times = ReplyTimes(0.1, 0.5)
+        for _ in range(50):
+            times.note(1.0)
+        self.assertLessEqual(times.hedge_after_s(), 0.0401)
--- /dev/null
+++ b/tests/test_replies.py
@@ -0,0 +1,106 @@
+"""Tests of reading targets' replies."""
+
+import testtools
+
+from tarragonchute.errors import ProtocolError
+from tarragonchute.replies import ReplyReader, list_end_to_end
+
+PLAIN = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+)
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nhello"
+
+
+class ReplyReaderTests(testtools.TestCase):
+    """Framing, faults and reuse."""
+
+    def read(self, data, method=b"GET"):
+        reader = ReplyReader()
+        reader.start(method)
+        return reader, reader.receive(data)
+
+    def test_every_split_gives_the_same_reply(self):
+        """Guards against a reply that is lost at a packet boundary."""
+        for data in (PLAIN, CHUNKED):
+            for cut in range(1, len(data)):
+                reader, reply = self.read(data[:cut])
+                self.assertIsNone(reply, cut)
+                reply = reader.receive(data[cut:])
+                self.assertEqual((200, b"hello"), (reply.status, reply.body))
+                self.assertTrue(reader.is_reusable)
+                self.assertFalse(reader.has_data)
+
+    def test_reply_without_length_ends_with_its_connection(self):
+        """Guards against a cut reply that looks complete."""
+        reader, reply = self.read(UNFRAMED)
+        self.assertIsNone(reply)
+        reply = reader.finish()
+        self.assertEqual(b"hello", reply.body)
+        self.assertFalse(reader.is_reusable)
+
+    def test_end_within_a_reply_is_an_error(self):
+        """Guards against a short body that is passed on as whole."""
+        for data in (PLAIN, CHUNKED):
+            for cut in range(1, len(data)):
+                reader, _ = self.read(data[:cut])
+                self.assertRaises(ProtocolError, reader.finish)
+
+    def test_end_before_a_reply_is_an_error(self):
+        """Guards against an empty answer after a closed connection."""
+        reader = ReplyReader()
+        reader.start(b"GET")
+        self.assertRaises(ProtocolError, reader.finish)
+
+    def test_bytes_that_are_no_reply(self):
+        """Guards against garbage that is taken for a reply."""
+        for data in (b"\x00\x01\x02garbage\r\n\r\n", b"HTTP/1.1 abc OK\r\n\r\n"):
+            reader = ReplyReader()
+            reader.start(b"GET")
+            self.assertRaises(ProtocolError, reader.receive, data)
+
+    def test_conflicting_lengths(self):
+        """Guards against a smuggled second reply."""
+        data = PLAIN.replace(b"\r\n\r\n", b"\r\nContent-Length: 9\r\n\r\n")
+        reader = ReplyReader()
+        reader.start(b"GET")
+        self.assertRaises(ProtocolError, reader.receive, data)
+
+    def test_close_makes_the_connection_unusable(self):
+        """Guards against a request on a connection that is being closed."""
+        data = PLAIN.replace(b"\r\n\r\n", b"\r\nConnection: Close\r\n\r\n")
+        reader, reply = self.read(data)
+        self.assertEqual(b"hello", reply.body)
+        self.assertFalse(reader.is_reusable)
+
+    def test_extra_bytes_stay_visible(self):
+        """Guards against a second reply that is taken for the next request's."""
+        reader, reply = self.read(PLAIN + PLAIN)
+        self.assertEqual(b"hello", reply.body)
+        self.assertTrue(reader.has_data)
+
+    def test_interim_responses_are_skipped(self):
+        """Guards against 100 or 103 that is taken for the reply."""
+        reader, reply = self.read(b"HTTP/1.1 100 Continue\r\n\r\n" + PLAIN)
+        self.assertEqual((200, b"hello"), (reply.status, reply.body))
+
+    def test_head_has_no_body(self):
+        """Guards against waiting for a body that does not come."""
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+        _, reply = self.read(data, b"HEAD")
+        self.assertEqual(b"", reply.body)
+
+
+class EndToEndTests(testtools.TestCase):
+    """Headers that are passed on."""
+
+    def test_connection_headers_are_dropped(self):
+        """Guards against headers of one connection on another."""
+        lines = [
+            (b"Connection", b"close, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Kept", b"1"),
+        ]
+        self.assertEqual([(b"X-Kept", b"1")], list_end_to_end(lines))
