Follow another VM instead of the store; prefer targets in the own failure domain

Each VM watched the store itself; each VM used two of three replicas by its rank alone.

One VM of eight in each failure domain watches the store and answers the others, at least every 0.8 s and only while the store answers. A follower that hears nothing, or that its relay lost the store, watches the store itself. Preferred targets include one in the VM's own domain where the targets' connections allow it. The list of VMs is believed two seconds after the start: VMs that started together saw only themselves and opened 974 connections over the targets' limits.

--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -198,6 +198,12 @@
     code = "history_lost"
 
 
+class RelayUnavailableError(NotRunError):
+    """The VM that this VM follows does not answer or does not watch the store."""
+
+    code = "relay_unavailable"
+
+
 class StoreUnavailableError(NotRunError):
     """The key-value service could not be reached, or refused the call."""
 
--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -1,15 +1,24 @@
 """Keeps a VM's configuration and registrations equal to the store's.
 
-One watch covers everything. After a gap in the history, or when the watch fails for
-long, all keys are listed again.
+One listing and one watch cover all keys. A few VMs of the fleet watch the store; the
+others follow one of these, because each call to the store has a price and its rates
+grow more slowly than the fleet. A VM whose relay is silent or has lost the store
+watches the store itself.
 """
 
+import collections
 import logging
+import math
 import random
 
 import trio
 
-from .errors import HistoryLostError, StoreUnavailableError, TarragonchuteError
+from .errors import (
+    HistoryLostError,
+    RelayUnavailableError,
+    StoreUnavailableError,
+    TarragonchuteError,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -19,21 +28,33 @@
 WATCH_WAIT_S = 25.0
 """Longest wait of one watch. A watch that fell silent is noticed by the probes."""
 
-PROBE_S = 3.0
+PROBE_S = 0.8
 """Period of reads that may be stale and cost little. After one that failed, the first
 that succeeds restarts the watch, which the store may have forgotten."""
 
+PROBE_TIMEOUT_S = 0.6
+"""Longest wait for a probe. Followers must change to the store themselves in time for
+a configuration to be in force."""
+
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 """Wait before another call after a failure, with jitter so that VMs spread."""
 
-BATCH_S = 0.7
-"""Pause after a watch that returned changes. Changes come in bursts, and each call has
-a price; configurations and drains must be in force within seconds."""
+BATCH_MIN_S = 0.3
+BATCH_MAX_S = 1.2
+"""Pause after a watch that returned changes; it doubles while they keep coming. Each
+call has a price, and configurations and drains must be in force within seconds."""
+
+BURST_S = 0.2
+"""A watch that returned changes within this time is part of a burst."""
 
-OUTAGE_S = 4.0
+OUTAGE_S = 2.5
 """Time without a successful call after which registrations may have lapsed because the
-store was away, and not because the targets ended. Longer than `PROBE_S`."""
+store was away, and not because the targets ended. Longer than a probe takes to fail,
+and shorter than three heartbeats of a target."""
+
+HISTORY_ENTRIES = 4000
+"""Changes that are kept for followers; a follower that missed more starts anew."""
 
 
 class FeedHandler:
@@ -55,6 +76,8 @@
     ----------
     store : store.Store
     handler : FeedHandler
+    relays : peers.Relays or None
+        Chooses another VM to follow.
     peers : peers.PeerSnapshots or None
         Asked while nothing is known and the store cannot be reached.
     clock : callable or None
@@ -65,23 +88,39 @@
     revision : int or None
         Revision of the store up to which changes are known.
     is_connected : bool
-        Whether the latest call succeeded.
+        Whether the store, or the VM that is followed, answers.
+    is_direct : bool
+        Whether this VM watches the store itself.
     is_loaded : bool
         Whether a snapshot was applied.
     """
 
-    def __init__(self, store, handler, peers=None, clock=None, random_source=None):
+    def __init__(
+        self,
+        store,
+        handler,
+        relays=None,
+        peers=None,
+        clock=None,
+        random_source=None,
+    ):
         self._store = store
-        self._peers = peers
-        self._entries = {}
         self._handler = handler
+        self._relays = relays
+        self._peers = peers
         self._clock = clock or trio.current_time
         self._random = random_source or random.Random()
+        self._entries = {}
+        self._history = collections.deque(maxlen=HISTORY_ENTRIES)
+        self._history_start = math.inf
+        self._changed = trio.Event()
+        self._batch_s = BATCH_MIN_S
         self._last_success = None
         self._failures = 0
         self._may_have_lapsed = False
         self.revision = None
         self.is_connected = False
+        self.is_direct = False
         self.is_loaded = False
 
     async def run(self):
@@ -90,19 +129,38 @@
             try:
                 if self.revision is None:
                     await self._load()
-                await self._watch()
+                await self._follow()
             except HistoryLostError as error:
                 logger.info("listing the store again: %s", error)
                 self.revision = None
+            except RelayUnavailableError as error:
+                logger.info("not following another VM any more: %s", error)
+                self._relays.note_failure(self._clock())
             except TarragonchuteError as error:
                 self._note_failure(error)
                 await self._ask_peers()
-                await trio.sleep(self._retry_delay())
+                await self._wait_for_store()
 
     def list_entries(self):
         """Return all entries that are known."""
         return list(self._entries.values())
 
+    def list_changes(self, after):
+        """Return the entries that changed after a revision.
+
+        Raises
+        ------
+        HistoryLostError
+            If the history does not reach so far back.
+        """
+        if after < self._history_start:
+            raise HistoryLostError(f"history starts at {self._history_start}")
+        return [entry for entry in self._history if entry.revision > after]
+
+    async def wait_for_change(self):
+        """Return at the next change, or when the store is lost or found."""
+        await self._changed.wait()
+
     async def _ask_peers(self):
         if self.is_loaded or self._peers is None:
             return
@@ -118,6 +176,8 @@
         self._note_success()
         self._apply_snapshot(entries, self._may_have_lapsed)
         self._may_have_lapsed = False
+        self._history.clear()
+        self._history_start = revision
         self.revision = revision
 
     def _apply_snapshot(self, entries, is_after_outage):
@@ -125,29 +185,57 @@
         self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
 
-    async def _watch(self):
-        entries, revision = await self._watch_or_restart()
-        self._note_success()
-        if revision < self.revision:
+    async def _follow(self):
+        relay = self._relays.choose(self._clock()) if self._relays else None
+        started_at = self._clock()
+        if relay is None:
+            self.is_direct = True
+            entries, revision = await self._watch_or_restart()
+        else:
+            self.is_direct = False
+            entries, revision = await relay.watch(self.revision)
+        if relay is None and revision < self.revision:
             raise HistoryLostError(f"the store went back to revision {revision}")
+        if not self.is_connected and self._was_away_long():
+            self._expect_lapses()
+            return
+        self._note_success()
+        self._apply_changes(entries, max(revision, self.revision))
+        if entries and relay is None:
+            is_burst = self._clock() - started_at < BURST_S
+            await self._pause_for_batch(is_burst)
+
+    async def _pause_for_batch(self, is_burst):
+        longer_s = min(2 * self._batch_s, BATCH_MAX_S)
+        self._batch_s = longer_s if is_burst else BATCH_MIN_S
+        await trio.sleep(self._batch_s)
+
+    def _apply_changes(self, entries, revision):
         for entry in entries:
-            self._apply_change(entry)
+            if entry.value is None:
+                self._entries.pop(entry.key, None)
+            else:
+                self._entries[entry.key] = entry
+            self._handler.apply_change(entry.key, entry.value)
+            self._remember(entry)
         self.revision = revision
         if entries:
-            await trio.sleep(BATCH_S)
+            self._wake_followers()
 
-    def _apply_change(self, entry):
-        if entry.value is None:
-            self._entries.pop(entry.key, None)
-        else:
-            self._entries[entry.key] = entry
-        self._handler.apply_change(entry.key, entry.value)
+    def _remember(self, entry):
+        if len(self._history) == HISTORY_ENTRIES:
+            self._history_start = self._history[0].revision
+        self._history.append(entry)
+
+    def _wake_followers(self):
+        self._changed.set()
+        self._changed = trio.Event()
 
     async def _watch_or_restart(self):
         """Watch until changes come, or until the store is back from an outage."""
         failure = StoreUnavailableError("the store was away during a watch")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._probe, nursery.cancel_scope)
+            nursery.start_soon(self._probe_during_watch, nursery.cancel_scope)
             try:
                 return await self._store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
             except TarragonchuteError as error:
@@ -157,16 +245,16 @@
                 nursery.cancel_scope.cancel()
         raise failure
 
-    async def _probe(self, watch_scope):
+    async def _probe_during_watch(self, watch_scope):
         """End the watch when the store answers again after it did not."""
         is_away = False
         while True:
-            await trio.sleep(PROBE_S if not is_away else RETRY_MAX_S)
+            await trio.sleep(PROBE_S)
             try:
-                await self._store.probe()
+                await self._probe()
             except TarragonchuteError as error:
                 if not is_away:
-                    logger.warning("store not reached: %s", error)
+                    self._note_lost(error)
                 is_away = True
                 continue
             if is_away:
@@ -174,28 +262,53 @@
                 return
             self._last_success = self._clock()
 
+    async def _probe(self):
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            await self._store.probe()
+            return
+        raise StoreUnavailableError(f"no answer within {PROBE_TIMEOUT_S} s")
+
+    async def _wait_for_store(self):
+        """Return once the store answers; probes cost less than the lost call."""
+        while True:
+            await trio.sleep(self._retry_delay())
+            try:
+                await self._probe()
+                return
+            except TarragonchuteError as error:
+                self._failures += 1
+                logger.debug("store still away: %s", error)
+
     def _note_success(self):
         now = self._clock()
         last = self._last_success
         if not self.is_connected:
-            logger.info(
-                "store reached",
-                extra={"away_s": None if last is None else round(now - last, 3)},
-            )
+            away_s = None if last is None else round(now - last, 3)
+            logger.info("store reached", extra={"away_s": away_s})
         self.is_connected = True
         self._failures = 0
         self._last_success = now
 
-    def _note_failure(self, error):
+    def _note_lost(self, error):
         if self.is_connected or not self._failures:
             logger.warning("store not reached: %s", error)
         self.is_connected = False
+        self._wake_followers()
+
+    def _note_failure(self, error):
+        self._note_lost(error)
         self._failures += 1
+        if self._was_away_long():
+            self._expect_lapses()
+
+    def _was_away_long(self):
         last = self._last_success
-        if last is not None and self._clock() - last > OUTAGE_S:
-            # Removals in the history may be lapses; a listing tells what is back.
-            self._may_have_lapsed = True
-            self.revision = None
+        return last is not None and self._clock() - last > OUTAGE_S
+
+    def _expect_lapses(self):
+        """List again: removals in the history may be lapses."""
+        self._may_have_lapsed = True
+        self.revision = None
 
     def _retry_delay(self):
         delay_s = min(RETRY_MIN_S * 2 ** min(self._failures, 8), RETRY_MAX_S)
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -36,13 +36,33 @@
 the store only, and still send requests."""
 
 
+class VmInfo:
+    """What a VM tells the others about itself.
+
+    Parameters
+    ----------
+    vm_id : str
+    domain : str
+        Failure domain; empty if it is unknown.
+    address : str
+        ``host:port`` for other VMs; empty if it is unknown.
+    """
+
+    __slots__ = ("vm_id", "domain", "address")
+
+    def __init__(self, vm_id, domain="", address=""):
+        self.vm_id = vm_id
+        self.domain = domain
+        self.address = address
+
+
 class Fleet:
     """The VMs that may be at work.
 
     Parameters
     ----------
-    vm_id : str
-        This VM; always counted.
+    own : VmInfo
+        This VM; always in the list.
 
     Attributes
     ----------
@@ -50,38 +70,62 @@
         Whether this VM's key was seen to vanish.
     """
 
-    __slots__ = ("_vm_id", "_present", "_vanished", "is_own_key_missing")
+    __slots__ = ("own", "_present", "_vanished", "_sorted", "is_own_key_missing")
 
-    def __init__(self, vm_id):
-        self._vm_id = vm_id
-        self._present = {vm_id}
+    def __init__(self, own):
+        self.own = own
+        self._present = {own.vm_id: own}
         self._vanished = {}
+        self._sorted = None
         self.is_own_key_missing = False
 
-    def apply(self, vm_id, is_present, now):
-        """Take a change of one VM's key; `now` is in monotonic seconds."""
-        if is_present:
-            self._present.add(vm_id)
+    def apply(self, vm_id, value, now):
+        """Take a change of one VM's key.
+
+        Parameters
+        ----------
+        vm_id : str
+        value : str or None
+            Content of the key; None if it was removed.
+        now : float
+            Monotonic seconds.
+        """
+        self._sorted = None
+        if vm_id == self.own.vm_id:
+            self.is_own_key_missing = value is None
+        elif value is not None:
+            self._present[vm_id] = decode_vm(vm_id, value)
             self._vanished.pop(vm_id, None)
-        elif vm_id == self._vm_id:
-            self.is_own_key_missing = True
         elif vm_id in self._present:
-            self._present.discard(vm_id)
-            self._vanished[vm_id] = now
+            self._vanished[vm_id] = (now, self._present.pop(vm_id))
 
-    def replace_all(self, vm_ids, now):
-        """Take a whole listing."""
-        for vm_id in self._present - set(vm_ids):
-            self.apply(vm_id, False, now)
-        for vm_id in vm_ids:
-            self.apply(vm_id, True, now)
+    def replace_all(self, values, now):
+        """Take a whole listing, of content by id."""
+        for vm_id in set(self._present) - set(values):
+            self.apply(vm_id, None, now)
+        for vm_id, value in values.items():
+            self.apply(vm_id, value, now)
 
     def list_vms(self, now):
-        """Return the ids of the VMs seen within `HOLD_S`, sorted."""
-        for vm_id, since in list(self._vanished.items()):
+        """Return the VMs seen within `HOLD_S`, sorted by their ids."""
+        for vm_id, (since, _) in list(self._vanished.items()):
             if now - since > HOLD_S:
                 del self._vanished[vm_id]
-        return sorted(self._present.union(self._vanished))
+                self._sorted = None
+        if self._sorted is None:
+            vms = [*self._present.values(), *(vm for _, vm in self._vanished.values())]
+            self._sorted = sorted(vms, key=lambda vm: vm.vm_id)
+        return self._sorted
+
+
+def decode_vm(vm_id, value):
+    """Return the `VmInfo` in a key's content; unknown parts are empty."""
+    try:
+        body = orjson.loads(value)
+        return VmInfo(vm_id, str(body["domain"]), str(body["address"]))
+    except (ValueError, KeyError, TypeError) as error:
+        logger.warning("the key of VM %s cannot be read: %r", vm_id, error)
+        return VmInfo(vm_id)
 
 
 class FleetMember:
@@ -91,17 +135,16 @@
     ----------
     store : store.Store
     fleet : Fleet
-        Shows if the key vanished.
-    vm_id : str
-    details : dict
-        What other VMs may read: JSON values.
+        Knows what to write, and whether the key vanished.
     """
 
-    def __init__(self, store, fleet, vm_id, details):
+    def __init__(self, store, fleet):
         self._store = store
         self._fleet = fleet
-        self._key = VM_PREFIX + vm_id
-        self._value = orjson.dumps(details).decode()
+        own = fleet.own
+        self._key = VM_PREFIX + own.vm_id
+        body = {"domain": own.domain, "address": own.address}
+        self._value = orjson.dumps(body).decode()
         self._lease = None
         self._revision = 0
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -19,7 +19,7 @@
     RouteNotFoundError,
     TarragonchuteError,
 )
-from .fleet import Fleet
+from .fleet import Fleet, VmInfo
 from .gatewaymetrics import (
     CONFIGURATION_VERSION,
     CONNECTIONS,
@@ -46,6 +46,10 @@
 REFRESH_PER_TICK = 40
 """Services whose changed targets are arranged at each tick, before a request does."""
 
+SETTLE_S = 2.0
+"""Time after the start before the list of VMs is believed. VMs that start together see
+each other's keys only after a moment."""
+
 WARM_UP_PER_TICK = 10
 """Connections that are opened ahead of use at each tick. A target may hold a slot for
 each new connection, so they must not all come at once."""
@@ -120,7 +124,9 @@
     def __init__(self, settings, dialect, server_options, random_source=None):
         self.settings = settings
         self.table = None
-        self.fleet = Fleet(settings.vm_id)
+        self._started_at = trio.current_time()
+        own = VmInfo(settings.vm_id, settings.domain, settings.peer_address)
+        self.fleet = Fleet(own)
         self.metrics = GatewayMetrics()
         self.metrics.read_gauges = self._list_gauges
         self.is_draining = False
@@ -128,7 +134,9 @@
         self._server_options = server_options
         self._random = random_source or random.Random()
         cold_limits = ColdLimits(settings.cold_factor, settings.cold_slack)
-        self._shares = FleetShares(settings.vm_id, settings.retry_slack, cold_limits)
+        self._shares = FleetShares(
+            settings.vm_id, settings.domain, settings.retry_slack, cold_limits
+        )
         self._window = WindowLimits(
             settings.retry_share,
             self._shares.count_retry_slack(),
@@ -183,6 +191,8 @@
         """Run the systems over the tables; called by the timer service."""
         self.reactor.sweep(now)
         self.registry.sweep(now)
+        if now - self._started_at < SETTLE_S:
+            return
         self.registry.refresh(REFRESH_PER_TICK)
         self._warm_up(now)
         if self._shares.set_vms(self.fleet.list_vms(now)):
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -1,31 +1,56 @@
-"""Lets a VM that starts while the store is away begin with another VM's knowledge.
+"""What VMs tell each other about the store's content.
 
-A VM serves the entries that its feed holds on its control address. A starting VM that
-cannot reach the store asks the addresses in its settings and starts with the newest
-answer; its feed goes on trying the store.
+A VM that watches the store serves the changes to others. Each answer comes within
+`HEARTBEAT_S`, with or without changes, and only while the store answers; so a follower
+notices in about a second that its relay has ended or has lost the store. A VM that
+starts while the store is away begins with the newest snapshot of another VM.
 """
 
 import logging
+import zlib
 
 import orjson
 import trio
 
-from .errors import ProtocolError, StoreUnavailableError
+from .errors import (
+    HistoryLostError,
+    ProtocolError,
+    RelayUnavailableError,
+    StoreUnavailableError,
+)
 from .httpio import HttpConnection, HttpResponse
 from .store import Entry
 
 logger = logging.getLogger(__name__)
 
 SNAPSHOT_PATH = "/v1/snapshot"
+CHANGES_PATH = "/v1/changes"
 
 PEER_TIMEOUT_S = 0.5
-"""Longest wait for one peer; within a region it answers in milliseconds."""
+"""Longest wait for a peer beyond what it was asked to wait; within a region it answers
+in milliseconds."""
 
+HEARTBEAT_S = 0.8
+"""Longest time between two answers of a relay."""
 
-_PEER_ERRORS = (OSError, ProtocolError, trio.TooSlowError, ValueError, KeyError)
+VMS_PER_RELAY = 8
+"""In each failure domain, one VM in so many watches the store; its answers to others
+stay below the 5 KB/s that a node may use for control."""
 
+RELAY_PENALTY_S = 10.0
+"""Time for which a relay that failed is not asked again."""
 
-class SnapshotServer:
+_PEER_ERRORS = (
+    OSError,
+    ProtocolError,
+    trio.TooSlowError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+
+
+class PeerServer:
     """Answers other VMs.
 
     Parameters
@@ -40,16 +65,45 @@
 
     async def handle(self, request):
         """Answer one `HttpRequest`."""
-        if request.path != SNAPSHOT_PATH:
-            return HttpResponse(404)
-        if self._feed.revision is None:
+        if request.path == SNAPSHOT_PATH:
+            return self._answer_snapshot()
+        if request.path == CHANGES_PATH:
+            return await self._answer_changes(request)
+        return HttpResponse(404)
+
+    def _answer_snapshot(self):
+        feed = self._feed
+        if feed.revision is None:
             return HttpResponse(503)
-        rows = [[entry.key, entry.value] for entry in self._feed.list_entries()]
+        rows = [_encode_entry(entry) for entry in feed.list_entries()]
+        return HttpResponse.from_json({"revision": feed.revision, "rows": rows})
+
+    async def _answer_changes(self, request):
+        text = request.query.get("after", "")
+        if not text.isdecimal():
+            return HttpResponse(400)
+        after = int(text)
+        if self._can_relay() and self._feed.revision <= after:
+            with trio.move_on_after(HEARTBEAT_S):
+                await self._feed.wait_for_change()
+        if not self._can_relay():
+            return HttpResponse(503)
+        try:
+            entries = self._feed.list_changes(after)
+        except HistoryLostError as error:
+            logger.info("a follower starts anew: %s", error)
+            return HttpResponse(410)
+        rows = [_encode_entry(entry) for entry in entries]
         return HttpResponse.from_json({"revision": self._feed.revision, "rows": rows})
 
+    def _can_relay(self):
+        """Only a VM that watches the store itself; chains could go in circles."""
+        feed = self._feed
+        return feed.is_direct and feed.is_connected and feed.revision is not None
+
 
 class PeerSnapshots:
-    """Asks other VMs for what they know.
+    """Asks other VMs for all that they know.
 
     Parameters
     ----------
@@ -77,9 +131,9 @@
                 nursery.start_soon(self._ask, address, answers)
         if not answers:
             raise StoreUnavailableError("no other VM has a snapshot")
-        _, address, rows = max(answers)
+        _, address, entries = max(answers, key=lambda answer: answer[0])
         logger.info("starting with the snapshot of another VM", extra={"peer": address})
-        return [Entry(key, value, 0) for key, value in rows]
+        return entries
 
     async def _ask(self, address, answers):
         connection = None
@@ -88,16 +142,140 @@
                 connection = await HttpConnection.open(address, PEER_TIMEOUT_S)
                 response = await connection.exchange("GET", SNAPSHOT_PATH)
             if response.status == 200:
-                body = orjson.loads(response.body)
-                answers.append((body["revision"], address, body["rows"]))
-        except (
-            OSError,
-            ProtocolError,
-            trio.TooSlowError,
-            ValueError,
-            KeyError,
-        ) as error:
-            logger.info("no snapshot from %s: %s", address, error)
+                entries, revision = _decode_answer(response)
+                answers.append((revision, address, entries))
+        except _PEER_ERRORS as error:
+            logger.info("no snapshot from %s: %r", address, error)
         finally:
             if connection is not None:
                 connection.close()
+
+
+class Relay:
+    """Another VM that this VM follows.
+
+    Parameters
+    ----------
+    address : str
+    """
+
+    __slots__ = ("address", "failed_at", "_connection")
+
+    def __init__(self, address):
+        self.address = address
+        self.failed_at = None
+        self._connection = None
+
+    async def watch(self, after):
+        """Return ``(entries, revision)`` of changes after a revision, maybe none.
+
+        Raises
+        ------
+        RelayUnavailableError
+            If the VM does not answer in time or does not watch the store.
+        HistoryLostError
+            If the VM does not have the history any more.
+        """
+        path = f"{CHANGES_PATH}?after={after}"
+        try:
+            with trio.fail_after(HEARTBEAT_S + PEER_TIMEOUT_S):
+                response = await self._exchange(path)
+            if response.status == 410:
+                raise HistoryLostError(f"{self.address} has no such history")
+            if response.status != 200:
+                raise RelayUnavailableError(f"{self.address} does not watch the store")
+            return _decode_answer(response)
+        except _PEER_ERRORS as error:
+            text = f"{self.address} does not answer: {error!r}"
+            raise RelayUnavailableError(text) from error
+
+    def close(self):
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _exchange(self, path):
+        connection = self._connection
+        self._connection = None
+        try:
+            if connection is None or not connection.is_reusable:
+                connection = await HttpConnection.open(self.address, PEER_TIMEOUT_S)
+            response = await connection.exchange("GET", path)
+            self._connection, connection = connection, None
+            return response
+        finally:
+            if connection is not None:
+                connection.close()
+
+
+class Relays:
+    """Chooses the VM to follow, in the same failure domain, or the store.
+
+    Parameters
+    ----------
+    fleet : fleet.Fleet
+    vm_id : str
+    """
+
+    __slots__ = ("_fleet", "_vm_id", "_relays", "_current")
+
+    def __init__(self, fleet, vm_id):
+        self._fleet = fleet
+        self._vm_id = vm_id
+        self._relays = {}
+        self._current = None
+
+    def choose(self, now):
+        """Return the `Relay` to follow, or None to watch the store.
+
+        A relay that was chosen before and is asked for again has answered; one that
+        failed must have been reported with `note_failure`.
+        """
+        domain = self._fleet.own.domain
+        vms = [vm for vm in self._fleet.list_vms(now) if vm.domain == domain]
+        count = max(1, len(vms) // VMS_PER_RELAY)
+        leading = sorted(vms, key=lambda vm: _hash_id(vm.vm_id))[:count]
+        if any(vm.vm_id == self._vm_id for vm in leading):
+            self._forget_except(())
+            return None
+        candidates = [vm for vm in leading if vm.address and self._is_usable(vm, now)]
+        if not candidates:
+            return None
+        # Each VM prefers another relay, and stays with it while the list is the same.
+        best = min(candidates, key=lambda vm: _hash_id(vm.vm_id + self._vm_id))
+        self._forget_except([vm.vm_id for vm in leading])
+        relay = self._relays.get(best.vm_id)
+        if relay is None or relay.address != best.address:
+            relay = self._relays[best.vm_id] = Relay(best.address)
+        self._current = relay
+        return relay
+
+    def note_failure(self, now):
+        """Do not ask the VM that was chosen last for some time."""
+        if self._current is not None:
+            self._current.failed_at = now
+            self._current.close()
+
+    def _is_usable(self, vm, now):
+        relay = self._relays.get(vm.vm_id)
+        if relay is None or relay.failed_at is None:
+            return True
+        return now - relay.failed_at > RELAY_PENALTY_S
+
+    def _forget_except(self, vm_ids):
+        for vm_id in [key for key in self._relays if key not in vm_ids]:
+            self._relays.pop(vm_id).close()
+
+
+def _hash_id(text):
+    return zlib.crc32(text.encode())
+
+
+def _encode_entry(entry):
+    return [entry.key, entry.value, entry.revision]
+
+
+def _decode_answer(response):
+    body = orjson.loads(response.body)
+    return [Entry(*row) for row in body["rows"]], body["revision"]
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -11,7 +11,7 @@
 from ..fleet import FleetMember, decode_vm_key
 from ..gateway import Gateway
 from ..logs import NonBlockingStream, configure_logging
-from ..peers import PeerSnapshots, SnapshotServer
+from ..peers import PeerServer, PeerSnapshots, Relays
 from ..process import GatewayProcess, build_server_options
 from ..store import ObservedStore
 from .decoding import (
@@ -49,13 +49,13 @@
     def apply_snapshot(self, entries, is_after_outage):
         """See `FeedHandler`."""
         registrations = {}
-        vm_ids = []
+        vms = {}
         self._evacuated = set()
         for entry in entries:
             target_id = decode_target_key(entry.key)
             vm_id = decode_vm_key(entry.key)
             if vm_id is not None:
-                vm_ids.append(vm_id)
+                vms[vm_id] = entry.value
                 continue
             if target_id is None:
                 self.apply_change(entry.key, entry.value)
@@ -67,7 +67,7 @@
                 registrations[target_id] = registration
         self._gateway.registry.set_evacuated(self._evacuated)
         now = trio.current_time()
-        self._gateway.fleet.replace_all(vm_ids, now)
+        self._gateway.fleet.replace_all(vms, now)
         self._gateway.registry.replace_all(registrations, now, is_after_outage)
 
     def apply_change(self, key, value):
@@ -77,7 +77,7 @@
         vm_id = decode_vm_key(key)
         if vm_id is not None:
             now = trio.current_time()
-            self._gateway.fleet.apply(vm_id, value is not None, now)
+            self._gateway.fleet.apply(vm_id, value, now)
         elif target_id is not None:
             self._apply_target(target_id, key, value)
         elif key == CONFIGURATION_KEY and value is not None:
@@ -166,14 +166,14 @@
     store = PlatformStore(settings.store_address)
     store = ObservedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
-    feed = Feed(store, StoreUpdates(gateway), peers)
-    details = {"domain": settings.domain, "address": settings.peer_address}
-    member = FleetMember(store, gateway.fleet, settings.vm_id, details)
+    relays = Relays(gateway.fleet, settings.vm_id)
+    feed = Feed(store, StoreUpdates(gateway), relays, peers)
+    member = FleetMember(store, gateway.fleet)
     process = GatewayProcess(
         gateway,
         options,
         [feed, member],
-        SnapshotServer(feed).handle,
+        PeerServer(feed).handle,
         READY_PATH,
         file.reload,
     )
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -128,7 +128,7 @@
         "request_id",
         "times",
         "started_at",
-        "caller_limit_at",
+        "target_limit_at",
         "limit_at",
         "legs",
         "is_finished",
@@ -148,8 +148,10 @@
         self.request_id = request_id
         self.times = times
         self.started_at = now
-        self.caller_limit_at = now + min(time_limit_s, route.timeout_s)
-        self.limit_at = self.caller_limit_at - REPLY_MARGIN_S
+        self.target_limit_at = now + min(time_limit_s, route.timeout_s)
+        # The caller does not wait longer than its limit; the route's limit only
+        # bounds how long it is kept waiting.
+        self.limit_at = now + min(time_limit_s - REPLY_MARGIN_S, route.timeout_s)
         self.legs = []
         self.is_finished = False
         self._context = context
@@ -232,7 +234,7 @@
 
     def build_message(self, target, now):
         """Return the bytes of the request to one target."""
-        left_ms = max(int((self.caller_limit_at - now) * 1000), 1)
+        left_ms = max(int((self.target_limit_at - now) * 1000), 1)
         dialect = self._context.dialect
         return b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
             self._head,
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -4,6 +4,7 @@
 that VMs with lists of different age stay within it together.
 """
 
+import collections
 import zlib
 
 ASSUMED_VMS = 16
@@ -45,7 +46,7 @@
 
     Parameters
     ----------
-    vm_id : str
+    vm_id, domain : str
     retry_slack : float
         Extra requests of one service in a window, for all VMs together.
     cold_limits : ColdLimits
@@ -56,23 +57,36 @@
         VMs that share the allowances.
     """
 
-    __slots__ = ("vms", "_vm_id", "_rank", "_retry_slack", "_cold_limits")
-
-    def __init__(self, vm_id, retry_slack, cold_limits):
+    __slots__ = (
+        "vms",
+        "_vm_id",
+        "_domain",
+        "_rank",
+        "_vms_by_domain",
+        "_retry_slack",
+        "_cold_limits",
+    )
+
+    def __init__(self, vm_id, domain, retry_slack, cold_limits):
         self._vm_id = vm_id
+        self._domain = domain
+        self._vms_by_domain = collections.Counter()
         self._retry_slack = retry_slack
         self._cold_limits = cold_limits
         self.vms = ASSUMED_VMS
         self._rank = zlib.crc32(vm_id.encode())
 
-    def set_vms(self, vm_ids):
-        """Take the sorted ids of all VMs; return whether anything changed."""
+    def set_vms(self, vms):
+        """Take the `fleet.VmInfo` of all VMs, sorted; return whether it matters."""
+        vm_ids = [vm.vm_id for vm in vms]
         if self._vm_id not in vm_ids:
             return False
         rank = vm_ids.index(self._vm_id)
-        if (rank, len(vm_ids)) == (self._rank, self.vms):
+        by_domain = collections.Counter(vm.domain for vm in vms)
+        if rank == self._rank and by_domain == self._vms_by_domain:
             return False
         self._rank = rank
+        self._vms_by_domain = by_domain
         self.vms = len(vm_ids)
         return True
 
@@ -111,13 +125,14 @@
     def prefer(self, service, targets, max_connections):
         """Return those targets of a service that this VM normally uses.
 
-        With more VMs than a target has connections, each VM uses some of the targets.
-        The ranks of the VMs deal the targets out evenly.
+        With more VMs than a target has connections, each VM uses some of the targets:
+        one in its own failure domain, if that leaves enough connections, and others
+        by the ranks of the VMs, which deal the targets out evenly.
 
         Parameters
         ----------
         service : str
-        targets : list
+        targets : list of RegisteredTarget
             All targets of the service, in an order that all VMs share.
         max_connections : int
         """
@@ -126,8 +141,32 @@
         if chosen >= total:
             return list(targets)
         first = self._rank + zlib.crc32(service.encode())
-        return [targets[(first + step) % total] for step in range(chosen)]
+        local = [t for t in targets if t.registration.domain == self._domain]
+        if local and self._fits_local_first(targets, chosen, max_connections):
+            near = local[first % len(local)]
+            rest = [target for target in targets if target is not near]
+            return [near, *_take_cyclic(rest, first, chosen - 1)]
+        return _take_cyclic(targets, first, chosen)
+
+    def _fits_local_first(self, targets, chosen, max_connections):
+        """Whether each target bears it if all VMs prefer one in their domain."""
+        total = len(targets)
+        per_domain = collections.Counter(t.registration.domain for t in targets)
+        near_vms = sum(self._vms_by_domain[domain] for domain in per_domain)
+        far_vms = self.vms - near_vms
+        for domain, count in per_domain.items():
+            own_vms = self._vms_by_domain[domain]
+            expected = own_vms / count
+            expected += (near_vms - own_vms) * (chosen - 1) / (total - 1)
+            expected += far_vms * chosen / total
+            if expected > max_connections * CONNECTION_SHARE:
+                return False
+        return True
 
     def _count_preferred(self, max_connections, replicas):
         usable = max_connections * CONNECTION_SHARE * replicas
         return max(min(int(usable // self.vms), replicas), 1)
+
+
+def _take_cyclic(items, first, count):
+    return [items[(first + step) % len(items)] for step in range(count)]
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -62,7 +62,7 @@
 
     async def start(self, nursery, store, peers=None):
         handler = RecordingHandler()
-        feed = Feed(store, handler, peers)
+        feed = Feed(store, handler, peers=peers)
         nursery.start_soon(feed.run)
         await trio.sleep(0.1)
         return feed, handler
@@ -78,7 +78,7 @@
             await trio.sleep(0.1)
             self.assertEqual({"a": "1", "b": "2"}, handler.values)
             await store.delete("b", revision)
-            await trio.sleep(feeds.BATCH_S + 0.1)
+            await trio.sleep(feeds.BATCH_MAX_S + 0.1)
             self.assertEqual({"a": "1"}, handler.values)
             nursery.cancel_scope.cancel()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,36 +3,63 @@
 import testtools
 import trio
 
-from tarragonchute.fleet import HOLD_S, LEASE_S, RENEW_S, VM_PREFIX, Fleet, FleetMember
+from tarragonchute.fleet import (
+    HOLD_S,
+    LEASE_S,
+    RENEW_S,
+    VM_PREFIX,
+    Fleet,
+    FleetMember,
+    VmInfo,
+)
 from tarragonchute.store import MemoryStore
 
 from .trial import run_in_virtual_time
 
+KEY = '{"domain": "d", "address": "10.0.0.1:80"}'
+
+
+def build_fleet():
+    """Return the fleet as VM ``a`` sees it at its start."""
+    return Fleet(VmInfo("a", "d", "10.0.0.1:80"))
+
+
+def list_ids(fleet, now):
+    """Return the ids of the VMs that count."""
+    return [vm.vm_id for vm in fleet.list_vms(now)]
+
 
 class FleetTests(testtools.TestCase):
     """Who counts."""
 
     def test_vanished_vm_counts_for_a_while(self):
         """Guards against shares that grow while a cut-off VM still sends."""
-        fleet = Fleet("a")
-        fleet.replace_all(["a", "b", "c"], 0.0)
-        fleet.apply("b", False, 1.0)
-        self.assertEqual(["a", "b", "c"], fleet.list_vms(HOLD_S))
-        self.assertEqual(["a", "c"], fleet.list_vms(HOLD_S + 2.0))
+        fleet = build_fleet()
+        fleet.replace_all({"a": KEY, "b": KEY, "c": KEY}, 0.0)
+        fleet.apply("b", None, 1.0)
+        self.assertEqual(["a", "b", "c"], list_ids(fleet, HOLD_S))
+        self.assertEqual(["a", "c"], list_ids(fleet, HOLD_S + 2.0))
 
     def test_own_id_always_counts(self):
         """Guards against a VM without a share after its key was removed."""
-        fleet = Fleet("a")
-        fleet.replace_all(["b"], 0.0)
-        self.assertEqual(["a", "b"], fleet.list_vms(0.0))
+        fleet = build_fleet()
+        fleet.replace_all({"b": KEY}, 0.0)
+        self.assertEqual(["a", "b"], list_ids(fleet, 0.0))
         self.assertTrue(fleet.is_own_key_missing)
 
+    def test_unreadable_key_still_counts(self):
+        """Guards against a share that is too large beside a VM of another release."""
+        fleet = build_fleet()
+        fleet.apply("b", "{not json", 0.0)
+        self.assertEqual(["a", "b"], list_ids(fleet, 0.0))
+        self.assertEqual("", fleet.list_vms(0.0)[1].address)
+
 
 class FleetMemberTests(testtools.TestCase):
     """The VM's key in the store."""
 
     async def start(self, nursery, store, fleet):
-        member = FleetMember(store, fleet, "a", {"domain": "d"})
+        member = FleetMember(store, fleet)
         nursery.start_soon(member.run)
         await trio.sleep(0.1)
         return member
@@ -42,7 +69,7 @@
         """Guards against VMs that count for ever, or lapse while they live."""
         store = MemoryStore()
         async with trio.open_nursery() as nursery:
-            await self.start(nursery, store, Fleet("a"))
+            await self.start(nursery, store, build_fleet())
             await trio.sleep(3 * LEASE_S)
             self.assertIsNotNone(await store.get(VM_PREFIX + "a"))
             nursery.cancel_scope.cancel()
@@ -56,7 +83,7 @@
         lease = await store.grant_lease(LEASE_S)
         await store.put(VM_PREFIX + "a", "old", 0, lease)
         async with trio.open_nursery() as nursery:
-            await self.start(nursery, store, Fleet("a"))
+            await self.start(nursery, store, build_fleet())
             await trio.sleep(2 * LEASE_S)
             entry = await store.get(VM_PREFIX + "a")
             self.assertIn("domain", entry.value)
@@ -68,7 +95,7 @@
         store = MemoryStore()
         store.lose_answers = 1
         async with trio.open_nursery() as nursery:
-            await self.start(nursery, store, Fleet("a"))
+            await self.start(nursery, store, build_fleet())
             await trio.sleep(3 * LEASE_S)
             self.assertIsNotNone(await store.get(VM_PREFIX + "a"))
             nursery.cancel_scope.cancel()
@@ -77,12 +104,12 @@
     async def test_key_that_vanished_is_written_again(self):
         """Guards against a key that the store dropped while the lease is renewed."""
         store = MemoryStore()
-        fleet = Fleet("a")
+        fleet = build_fleet()
         async with trio.open_nursery() as nursery:
             await self.start(nursery, store, fleet)
             entry = await store.get(VM_PREFIX + "a")
             await store.delete(VM_PREFIX + "a", entry.revision)
-            fleet.apply("a", False, trio.current_time())
+            fleet.apply("a", None, trio.current_time())
             await trio.sleep(2 * RENEW_S)
             self.assertIsNotNone(await store.get(VM_PREFIX + "a"))
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,193 @@
+"""Tests of what VMs tell each other, over loopback sockets."""
+
+import contextlib
+
+import testtools
+import trio
+
+from tarragonchute import httpio, peers
+from tarragonchute.errors import HistoryLostError, RelayUnavailableError
+from tarragonchute.feeds import Feed, FeedHandler
+from tarragonchute.fleet import Fleet, VmInfo
+from tarragonchute.peers import PeerServer, PeerSnapshots, Relay, Relays
+from tarragonchute.store import MemoryStore
+
+from .test_httpio import close_port, start_server
+from .trial import run_async
+
+
+class RecordingHandler(FeedHandler):
+    """Keeps the values that a feed delivers."""
+
+    def __init__(self):
+        self.values = {}
+
+    def apply_snapshot(self, entries, is_after_outage):
+        self.values = {entry.key: entry.value for entry in entries}
+
+    def apply_change(self, key, value):
+        self.values[key] = value
+
+
+@contextlib.asynccontextmanager
+async def open_relay():
+    """Yield ``(store, feed, address)`` of a VM that watches a store."""
+    store = MemoryStore()
+    await store.put("a", "1", 0)
+    feed = Feed(store, RecordingHandler())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(feed.run)
+        while feed.revision is None or not feed.is_direct:
+            await trio.sleep(0.01)
+        async with start_server(PeerServer(feed).handle) as address:
+            yield store, feed, address
+        nursery.cancel_scope.cancel()
+
+
+def build_fleet(own, others=0):
+    """Return a fleet of VMs named ``vm-0`` and up, as one of them sees it."""
+    fleet = Fleet(VmInfo(own, "d", f"10.0.0.1:{own[3:]}"))
+    for number in range(others):
+        key = f'{{"domain": "d", "address": "10.0.0.1:{number}"}}'
+        fleet.apply(f"vm-{number}", key, 0.0)
+    return fleet
+
+
+class RelayTests(testtools.TestCase):
+    """Following another VM."""
+
+    @run_async
+    async def test_changes_come_through(self):
+        """Guards against a follower that misses a configuration."""
+        async with open_relay() as (store, feed, address):
+            relay = Relay(address)
+            after = feed.revision
+            await store.put("b", "2", 0)
+            entries, revision = await relay.watch(after)
+            self.assertEqual([("b", "2")], [(e.key, e.value) for e in entries])
+            self.assertGreater(revision, after)
+            relay.close()
+
+    @run_async
+    async def test_heartbeat_without_changes(self):
+        """Guards against a follower that cannot tell silence from calm."""
+        async with open_relay() as (_, feed, address):
+            relay = Relay(address)
+            entries, _ = await relay.watch(feed.revision)
+            self.assertEqual([], entries)
+            relay.close()
+
+    @run_async
+    async def test_relay_that_lost_the_store_says_so_at_once(self):
+        """Guards against followers that stay behind a cut-off relay."""
+        async with open_relay() as (store, feed, address):
+            relay = Relay(address)
+            with trio.fail_after(5.0):
+                store.is_unavailable = True
+                while feed.is_connected:
+                    await trio.sleep(0.05)
+                error = None
+                try:
+                    await relay.watch(feed.revision or 10)
+                except RelayUnavailableError as caught:
+                    error = caught
+            self.assertIsNotNone(error)
+            relay.close()
+
+    @run_async
+    async def test_relay_that_is_gone_is_noticed(self):
+        """Guards against waiting for a VM that was killed."""
+        relay = Relay(await close_port())
+        with trio.fail_after(peers.HEARTBEAT_S + 2 * peers.PEER_TIMEOUT_S):
+            try:
+                await relay.watch(1)
+            except RelayUnavailableError:
+                return
+        self.fail("the relay answered")
+
+    @run_async
+    async def test_missing_history_is_told(self):
+        """Guards against changes that are lost between a listing and a relay."""
+        async with open_relay() as (_, _, address):
+            relay = Relay(address)
+            try:
+                await relay.watch(0)
+            except HistoryLostError:
+                relay.close()
+                return
+        self.fail("the relay has no history before its listing")
+
+
+class RelaysTests(testtools.TestCase):
+    """Who watches the store, and who follows whom."""
+
+    def test_few_vms_watch_the_store(self):
+        """Guards against store calls that grow with the fleet."""
+        for size in (9, 79, 400):
+            choices = [
+                Relays(build_fleet(f"vm-{n}", size), f"vm-{n}").choose(0.0)
+                for n in range(size)
+            ]
+            direct = choices.count(None)
+            self.assertEqual(max(1, size // peers.VMS_PER_RELAY), direct)
+
+    def test_domains_do_not_follow_each_other(self):
+        """Guards against heartbeats that cross domains, and domains that share fate."""
+        fleet = build_fleet("vm-0", 1)
+        for number in range(1, 9):
+            key = f'{{"domain": "e", "address": "10.0.0.1:{number}"}}'
+            fleet.apply(f"vm-{number}", key, 0.0)
+        self.assertIsNone(Relays(fleet, "vm-0").choose(0.0))
+
+    def test_followers_spread_over_relays(self):
+        """Guards against one relay that answers the whole fleet."""
+        followed = []
+        for number in range(79):
+            relays = Relays(build_fleet(f"vm-{number}", 79), f"vm-{number}")
+            relay = relays.choose(0.0)
+            if relay is not None:
+                followed.append(relay.address)
+        busiest = max(followed.count(address) for address in set(followed))
+        self.assertLessEqual(busiest, 3 * peers.VMS_PER_RELAY)
+
+    def test_failed_relay_is_replaced(self):
+        """Guards against asking a dead VM again and again."""
+        fleets = (build_fleet(f"vm-{n}", 9) for n in range(9))
+        for fleet in fleets:
+            relays = Relays(fleet, fleet.own.vm_id)
+            first = relays.choose(0.0)
+            if first is None:
+                continue
+            relays.note_failure(0.0)
+            self.assertIsNone(relays.choose(1.0))
+            self.assertIs(first, relays.choose(peers.RELAY_PENALTY_S + 0.5))
+
+    def test_lone_vm_watches_the_store(self):
+        """Guards against a VM without peers that follows nobody."""
+        self.assertIsNone(Relays(build_fleet("vm-0"), "vm-0").choose(0.0))
+
+
+class PeerSnapshotsTests(testtools.TestCase):
+    """Starting without the store."""
+
+    @run_async
+    async def test_newest_snapshot_is_taken(self):
+        """Guards against starting with an older configuration than is known."""
+        async with open_relay() as (store, feed, address):
+            await store.put("b", "2", 0)
+            while "b" not in {entry.key for entry in feed.list_entries()}:
+                await trio.sleep(0.05)
+            dead = await close_port()
+            snapshots = PeerSnapshots((dead, address), "10.0.0.1:1")
+            entries = await snapshots.fetch()
+            self.assertEqual({"a", "b"}, {entry.key for entry in entries})
+
+    @run_async
+    async def test_bad_requests_are_refused(self):
+        """Guards against a handler that fails on a peer of another release."""
+        async with open_relay() as (_, _, address):
+            connection = await httpio.HttpConnection.open(address, 1.0)
+            for path, status in (("/v1/changes", 400), ("/other", 404)):
+                response = await connection.exchange("GET", path)
+                self.assertEqual(status, response.status)
+            connection.close()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -4,20 +4,33 @@
 
 import testtools
 
+from tarragonchute.fleet import VmInfo
+from tarragonchute.registry import RegisteredTarget, Registration
 from tarragonchute.shares import ColdLimits, FleetShares
 
 
-def build_fleet(size, retry_slack=58.0):
-    """Return the shares of each VM of a fleet."""
-    vm_ids = [f"vm-{number:03}" for number in range(size)]
+def build_fleet(size, retry_slack=58.0, domains=("a", "b", "c", "d")):
+    """Return the shares of each VM of a fleet that is spread over domains."""
+    vms = [
+        VmInfo(f"vm-{number:03}", domains[number % len(domains)])
+        for number in range(size)
+    ]
     fleet = []
-    for vm_id in vm_ids:
-        shares = FleetShares(vm_id, retry_slack, ColdLimits(1.5, 5.0))
-        shares.set_vms(vm_ids)
+    for vm in vms:
+        shares = FleetShares(vm.vm_id, vm.domain, retry_slack, ColdLimits(1.5, 5.0))
+        shares.set_vms(vms)
         fleet.append(shares)
     return fleet
 
 
+def build_targets(*domains):
+    """Return a target in each of the failure domains."""
+    return [
+        RegisteredTarget(Registration(f"i-{n}", "s", ("10.0.0.1", n), domain), None)
+        for n, domain in enumerate(domains)
+    ]
+
+
 class FleetSharesTests(testtools.TestCase):
     """Parts that add up to less than the whole."""
 
@@ -35,15 +48,15 @@
 
     def test_no_allowance_means_never(self):
         """Guards against a division by an allowance of zero."""
-        shares = FleetShares("vm", 0.0, ColdLimits(1.0, 0.0))
+        shares = FleetShares("vm", "d", 0.0, ColdLimits(1.0, 0.0))
         self.assertIsNone(shares.find_cold_interval_s(0.0))
 
     def test_connections_of_a_target_add_up(self):
         """Guards against connections that targets reset, in a large fleet."""
         for size, limit, replicas in ((9, 26, 2), (13, 26, 2), (79, 62, 3)):
             fleet = build_fleet(size)
+            targets = build_targets(*"abc"[:replicas])
             for service in ("a", "b", "c"):
-                targets = [f"{service}-{n}" for n in range(replicas)]
                 opened = collections.Counter()
                 for vm in fleet:
                     for target in vm.prefer(service, targets, limit):
@@ -51,14 +64,31 @@
                 self.assertEqual(replicas, len(opened))
                 self.assertLessEqual(max(opened.values()), limit)
 
+    def test_vms_of_one_domain_are_spread(self):
+        """Guards against a fleet in one domain that overloads the target there."""
+        targets = build_targets("a", "b", "c")
+        opened = collections.Counter()
+        for vm in build_fleet(79, domains=("a",)):
+            opened.update(vm.prefer("s", targets, 62))
+        self.assertLessEqual(max(opened.values()), 62)
+
+    def test_near_target_is_among_the_preferred(self):
+        """Guards against traffic between domains that a choice could avoid."""
+        targets = build_targets("a", "b", "c")
+        for number, vm in enumerate(build_fleet(79)):
+            preferred = vm.prefer("s", targets, 62)
+            domains = [target.registration.domain for target in preferred]
+            if number % 4 < 3:
+                self.assertIn("abcd"[number % 4], domains)
+
     def test_every_vm_has_a_target(self):
         """Guards against a VM that cannot serve in a very large fleet."""
         for vm in build_fleet(300):
-            self.assertEqual(1, len(vm.prefer("a", ["x", "y"], 26)))
+            self.assertEqual(1, len(vm.prefer("s", build_targets("a", "b"), 26)))
 
     def test_change_is_reported_once(self):
         """Guards against rearranging all targets at each tick."""
-        shares = FleetShares("a", 1.0, ColdLimits(1.0, 1.0))
-        self.assertTrue(shares.set_vms(["a", "b"]))
-        self.assertFalse(shares.set_vms(["a", "b"]))
-        self.assertFalse(shares.set_vms(["b"]))
+        shares = FleetShares("a", "d", 1.0, ColdLimits(1.0, 1.0))
+        self.assertTrue(shares.set_vms([VmInfo("a"), VmInfo("b")]))
+        self.assertFalse(shares.set_vms([VmInfo("a"), VmInfo("b")]))
+        self.assertFalse(shares.set_vms([VmInfo("b")]))
