Test requests in flight, the adapter and the whole process; know the fleet when ready

The process test failed first: a VM reported ready before it had counted the VMs, gave each target one connection, and orders queued behind each other past their limits.

--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,303 @@
+"""Stand-in of the users' platform: its store, and targets of its services.
+
+The store speaks the platform's key-value protocol over the same twin as the other
+stand-in. It has the faults of that protocol: a dropped history, lost answers, refusals.
+Targets run in the same process, each on an address of its own; they register under a
+lease and answer with digests.
+"""
+
+import argparse
+import base64
+import secrets
+
+import orjson
+import trio
+
+from tarragonchute.errors import (
+    LeaseNotFoundError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from tarragonchute.httpio import (
+    HttpResponse,
+    bind_listeners,
+    get_address,
+    serve_http,
+)
+from tarragonchute.store import MemoryStore
+
+PAGE_ITEMS = 50
+RECORDS = 20
+RECORD_BYTES = 16
+HEARTBEAT_S = 1.2
+LEASE_HEARTBEATS = 3
+
+
+class PlatformStoreServer:
+    """HTTP routes of the platform's store over a `MemoryStore`.
+
+    Attributes
+    ----------
+    store : MemoryStore
+    first_revision : int
+        Changes up to this revision were dropped from the history.
+    refuses : bool
+        Answer 503 to every call.
+    """
+
+    def __init__(self):
+        self.store = MemoryStore()
+        self.first_revision = 0
+        self.refuses = False
+
+    def compact(self):
+        """Drop the history."""
+        self.first_revision = self.store.revision
+
+    async def handle(self, request):
+        """Answer one `HttpRequest`."""
+        if self.refuses:
+            return HttpResponse(503)
+        try:
+            return await self._route(request)
+        except StoreOutcomeUnknownError:
+            return None
+        except StoreUnavailableError:
+            return HttpResponse(503)
+        except LeaseNotFoundError:
+            return HttpResponse(404)
+        except StoreConflictError as error:
+            items = [_encode_item(error.entry)] if error.entry else []
+            return HttpResponse.from_json({"items": items}, 412)
+
+    async def _route(self, request):
+        path = request.path
+        if path == "/kv-key":
+            return await self._answer_key(request.query["key"])
+        if path == "/kv-range":
+            return await self._answer_range(request.query)
+        if path == "/kv-watch":
+            return await self._answer_watch(request.query)
+        if path == "/kv-txn":
+            return await self._answer_commit(request.parse_json())
+        if path == "/kv-lease":
+            ttl_ms = request.parse_json()["ttl-ms"]
+            lease = await self.store.grant_lease(ttl_ms / 1000)
+            return HttpResponse.from_json({"lease": lease, "ttl-ms": ttl_ms})
+        if path.startswith("/kv-keep/"):
+            await self.store.renew_lease(path.rpartition("/")[2])
+            return HttpResponse.from_json({"ttl-ms": 0})
+        return HttpResponse(404)
+
+    async def _answer_key(self, key):
+        entry = await self.store.get(key)
+        if entry is None:
+            return HttpResponse.from_json({"store-revision": self.store.revision}, 404)
+        item = _encode_item(entry)
+        return HttpResponse.from_json({**item, "store-revision": self.store.revision})
+
+    async def _answer_range(self, query):
+        entries, revision = await self.store.list(query.get("prefix", ""))
+        after = query.get("after", "")
+        entries = [entry for entry in entries if entry.key > after or not after]
+        page = entries[:PAGE_ITEMS]
+        body = {
+            "items": [_encode_item(entry) for entry in page],
+            "truncated": len(entries) > len(page),
+            "store-revision": revision,
+        }
+        return HttpResponse.from_json(body)
+
+    async def _answer_watch(self, query):
+        after = int(query["after"])
+        if after < self.first_revision:
+            return HttpResponse(410)
+        wait_s = int(query["wait-ms"]) / 1000
+        entries, revision = await self.store.watch(query["prefix"], after, wait_s)
+        events = [_encode_event(entry) for entry in entries]
+        return HttpResponse.from_json({"events": events, "store-revision": revision})
+
+    async def _answer_commit(self, body):
+        (expected,) = body["expected-rev"]
+        if body["deletes"]:
+            revision = await self.store.delete(expected["key"], expected["revision"])
+        else:
+            (write,) = body["writes"]
+            revision = await self.store.put(
+                write["key"],
+                base64.b64decode(write["value"]).decode(),
+                expected["revision"],
+                write.get("lease"),
+            )
+        return HttpResponse.from_json({"revision": revision})
+
+
+class PlatformTarget:
+    """One target of a service.
+
+    Parameters
+    ----------
+    service : str
+    domain : str
+
+    Attributes
+    ----------
+    ran : list of str
+        Ids of the requests that ran, in their order.
+    delay_s : float
+    refuses : bool
+        Refuse every request as not run.
+    """
+
+    def __init__(self, service, domain):
+        self.target_id = f"i-{secrets.token_hex(5)}"
+        self.service = service
+        self.domain = domain
+        self.address = ""
+        self.ran = []
+        self.delay_s = 0.0
+        self.refuses = False
+        self._started_ms = int(trio.current_time() * 1000)
+
+    async def handle(self, request):
+        """Answer one `HttpRequest`."""
+        expected = request.headers.get("expect-instance")
+        if expected is not None and expected != self.target_id:
+            return HttpResponse(421, b"", {"Instance-Id": self.target_id})
+        request_id = request.headers.get("request-id", "")
+        echoed = {"Request-Id": request_id}
+        if self.refuses:
+            return HttpResponse(503, b"", {**echoed, "Not-Executed": "1"})
+        self.ran.append(request_id)
+        await trio.sleep(self.delay_s)
+        digest = f"{self.target_id}.{request_id}"
+        body = request.body or secrets.token_bytes(RECORDS * RECORD_BYTES)
+        return HttpResponse(200, body, {**echoed, "Response-Stamp": digest})
+
+    def describe(self, state="ready", cold_ms=0):
+        """Return the content of its registration."""
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "capacity": 2,
+            "state": state,
+            "warmup-left-ms": cold_ms,
+            "call-seq": 1,
+            "born": self._started_ms,
+        }
+        return orjson.dumps(body).decode()
+
+    async def register(self, store):
+        """Keep the registration alive until cancelled."""
+        lease = await store.grant_lease(LEASE_HEARTBEATS * HEARTBEAT_S)
+        key = f"servers/{self.target_id}"
+        await store.put(key, self.describe(), 0, lease)
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            await store.renew_lease(lease)
+
+
+def build_configuration(version, shards, single):
+    """Return a configuration with one search route and one single route.
+
+    Parameters
+    ----------
+    version : int
+    shards : list of str
+    single : str
+        Service of the single route.
+    """
+    common = {"timeout-ms": 1000, "goal-ms": 200, "priority": 1, "max-attempts": 2}
+    search = {
+        "name": "search",
+        "host": "h.example",
+        "prefix": "/search/",
+        "kind": "idempotent",
+        "gather": shards,
+        "top-k": 5,
+        "min-coverage": 0.5,
+        **common,
+    }
+    order = {
+        "name": "order",
+        "host": "h.example",
+        "prefix": "/order/",
+        "kind": "non_idempotent",
+        "service": single,
+        **common,
+    }
+    services = [
+        {
+            "name": name,
+            "health-path": "/health",
+            "max-conns": 26,
+            "protocol": "h1",
+            "tls": False,
+            "warmup-s": 3.0,
+            "warmup-per-s": 0.0,
+        }
+        for name in [*shards, single]
+    ]
+    limits = {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 262144,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    }
+    body = {
+        "version": version,
+        "routes": [search, order],
+        "services": services,
+        "limits": limits,
+    }
+    return orjson.dumps(body).decode()
+
+
+def _encode_item(entry):
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value.encode()).decode(),
+        "revision": entry.revision,
+        "create-revision": entry.revision,
+        "lease": 0,
+    }
+
+
+def _encode_event(entry):
+    if entry.value is None:
+        return {"key": entry.key, "revision": entry.revision, "removed": True}
+    return _encode_item(entry)
+
+
+async def serve(address, shards):
+    """Serve a store with targets for some shards until cancelled."""
+    server = PlatformStoreServer()
+    names = [f"shard-{number}" for number in range(shards)]
+    await server.store.put("op/config", build_configuration(1, names, "desk"), 0)
+    listeners = await bind_listeners(address)
+    async with trio.open_nursery() as nursery:
+        for name in [*names, "desk"]:
+            for domain in ("a", "b"):
+                target = PlatformTarget(name, domain)
+                target_listeners = await bind_listeners("127.0.0.1:0")
+                target.address = get_address(target_listeners)
+                nursery.start_soon(serve_http, target.handle, target_listeners)
+                nursery.start_soon(target.register, server.store)
+        print(f"ready {get_address(listeners)}", flush=True)
+        await serve_http(server.handle, listeners)
+
+
+def main(arguments=None):
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(prog="standins.platform")
+    parser.add_argument("--address", required=True, help="e.g. 127.0.0.1:7000")
+    parser.add_argument("--shards", type=int, default=4)
+    options = parser.parse_args(arguments)
+    trio.run(serve, options.address, options.shards)
+
+
+if __name__ == "__main__":
+    main()
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -47,8 +47,8 @@
 """Services whose changed targets are arranged at each tick, before a request does."""
 
 SETTLE_S = 2.0
-"""Time after the start before the list of VMs is believed. VMs that start together see
-each other's keys only after a moment."""
+"""Time after the start before connections are opened ahead. VMs that start together see
+each other's keys only after a moment, and would open too many."""
 
 WARM_UP_PER_TICK = 10
 """Connections that are opened ahead of use at each tick. A target may hold a slot for
@@ -174,6 +174,7 @@
         self._forget_removed(table)
         self._apply_limits(table.limits)
         self.registry.rearrange()
+        self._update_shares(trio.current_time())
         logger.info(
             "configuration in force",
             extra={
@@ -191,14 +192,12 @@
         """Run the systems over the tables; called by the timer service."""
         self.reactor.sweep(now)
         self.registry.sweep(now)
-        if now - self._started_at < SETTLE_S:
+        if self.table is None:
             return
-        self.registry.refresh(REFRESH_PER_TICK)
-        self._warm_up(now)
-        if self._shares.set_vms(self.fleet.list_vms(now)):
-            self._window.slack = self._shares.count_retry_slack()
-            self.registry.rearrange()
-            logger.info("fleet changed", extra={"vms": self._shares.vms})
+        self._update_shares(now)
+        if now - self._started_at > SETTLE_S:
+            self.registry.refresh(REFRESH_PER_TICK)
+            self._warm_up(now)
 
     async def handle(self, request):
         """Answer one caller's `httpio.HttpRequest`."""
@@ -277,6 +276,13 @@
             budget = self._budgets[service] = WindowBudget(self._window)
         return budget
 
+    def _update_shares(self, now):
+        """Take the list of VMs, if it has changed."""
+        if self._shares.set_vms(self.fleet.list_vms(now)):
+            self._window.slack = self._shares.count_retry_slack()
+            self.registry.rearrange()
+            logger.info("fleet changed", extra={"vms": self._shares.vms})
+
     def _forget_removed(self, table):
         """Drop what is kept for routes and services that no longer exist."""
         routes = {(route.name, route.goal_s) for route in table.routes}
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -50,25 +50,26 @@
         """See `FeedHandler`."""
         registrations = {}
         vms = {}
+        others = []
         self._evacuated = set()
         for entry in entries:
             target_id = decode_target_key(entry.key)
             vm_id = decode_vm_key(entry.key)
             if vm_id is not None:
                 vms[vm_id] = entry.value
-                continue
-            if target_id is None:
-                self.apply_change(entry.key, entry.value)
-                continue
-            registration = decode_registration(target_id, entry.value)
-            if registration is None:
-                _log_unreadable(entry.key)
-            else:
+            elif target_id is None:
+                others.append(entry)
+            elif registration := decode_registration(target_id, entry.value):
                 registrations[target_id] = registration
-        self._gateway.registry.set_evacuated(self._evacuated)
+            else:
+                _log_unreadable(entry.key)
         now = trio.current_time()
         self._gateway.fleet.replace_all(vms, now)
         self._gateway.registry.replace_all(registrations, now, is_after_outage)
+        # The configuration comes last: with it, this VM is ready for callers.
+        for entry in others:
+            self.apply_change(entry.key, entry.value)
+        self._gateway.registry.set_evacuated(self._evacuated)
 
     def apply_change(self, key, value):
         """See `FeedHandler`."""
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,409 @@
+"""Tests of the adapter: decoding, the store client, and the whole process."""
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import orjson
+import testtools
+import trio
+
+from standins.platform import (
+    PlatformStoreServer,
+    PlatformTarget,
+    build_configuration,
+)
+from tarragonchute.errors import (
+    FindingsError,
+    HistoryLostError,
+    LeaseNotFoundError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from tarragonchute.httpio import HttpConnection, bind_listeners, get_address, serve_http
+from tarragonchute.platform import decoding, settings
+from tarragonchute.platform.store import PlatformStore
+
+from .test_httpio import close_port, start_server
+from .trial import run_async
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PATIENCE_S = 20
+
+REGISTRATION = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "d",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "call-seq": 4,
+    "born": 1770000000000,
+}
+
+
+class DecodingTests(testtools.TestCase):
+    """Registrations and configurations of any writer."""
+
+    def test_registration(self):
+        """Guards against a field that is read as another."""
+        found = decoding.decode_registration("i-1", orjson.dumps(REGISTRATION))
+        self.assertEqual(("10.0.0.1", 80), found.address)
+        self.assertEqual(("s", "d", 2), (found.service, found.domain, found.slots))
+        self.assertEqual(1.5, found.cold_left_s)
+        self.assertFalse(found.is_draining)
+
+    def test_entry_of_another_writer_names_no_target(self):
+        """Guards against requests to an address that a stranger wrote."""
+        broken = [
+            {**REGISTRATION, "state": "sleepy"},
+            {**REGISTRATION, "capacity": "2"},
+            {**REGISTRATION, "address": "nowhere"},
+            {**REGISTRATION, "address": 7},
+            {**REGISTRATION, "service": None},
+            {**REGISTRATION, "born": 1.5},
+            {**REGISTRATION, "warmup-left-ms": True},
+            [REGISTRATION],
+            "text",
+        ]
+        for name in ("service", "address", "zone", "capacity", "state", "born"):
+            broken.append({k: v for k, v in REGISTRATION.items() if k != name})
+        for body in broken:
+            text = orjson.dumps(body).decode()
+            self.assertIsNone(decoding.decode_registration("i-1", text), body)
+        self.assertIsNone(decoding.decode_registration("i-1", ""))
+
+    def test_configuration(self):
+        """Guards against a route that loses its kind, shards or limits."""
+        table = decoding.decode_configuration(build_configuration(7, ["a", "b"], "c"))
+        search, order = table.routes
+        self.assertEqual(7, table.version)
+        self.assertEqual((("a", "b"), 5, 0.5), (search.shards, search.top, 0.5))
+        self.assertFalse(order.is_idempotent)
+        self.assertEqual([("c", 1.0)], order.parts)
+        self.assertEqual(26, table.services["a"].max_connections)
+        self.assertEqual(3.0, table.limits.header_timeout_s)
+
+    def test_unreadable_configuration(self):
+        """Guards against a configuration that is lost to a bad one."""
+        for text in ("", "{", "[]", '{"version": 1}'):
+            self.assertIsNone(decoding.decode_configuration(text))
+
+    def test_keys(self):
+        """Guards against a key that is taken for one of another kind."""
+        self.assertEqual("i-1", decoding.decode_target_key("servers/i-1"))
+        self.assertIsNone(decoding.decode_target_key("op/config"))
+        self.assertEqual("d", decoding.decode_evacuated_domain("op/evacuate/d"))
+        self.assertIsNone(decoding.decode_evacuated_domain("op/config"))
+
+
+class SettingsTests(testtools.TestCase):
+    """The platform's settings file."""
+
+    def test_all_findings_are_reported_together(self):
+        """Guards against a start that fails once for each missing field."""
+        try:
+            settings.decode_settings({"zone": 5})
+        except FindingsError as error:
+            places = [finding.place for finding in error.findings]
+        self.assertIn("settings: zone", places)
+        self.assertIn("settings: platform.address", places)
+
+    def test_unreadable_file(self):
+        """Guards against a traceback in place of a finding."""
+        self.assertRaises(FindingsError, settings.load_settings, "/nonexistent")
+
+
+@contextlib.asynccontextmanager
+async def open_store():
+    """Yield ``(client, server)``."""
+    server = PlatformStoreServer()
+    async with start_server(server.handle) as address:
+        store = PlatformStore(address)
+        yield store, server
+        store.close()
+
+
+class PlatformStoreTests(testtools.TestCase):
+    """The client against the stand-in."""
+
+    @run_async
+    async def test_compare_and_swap(self):
+        """Guards against a lost update and a conflict without its entry."""
+        async with open_store() as (store, _):
+            self.assertIsNone(await store.get("a"))
+            first = await store.put("a", "1", 0)
+            try:
+                await store.put("a", "2", 0)
+            except StoreConflictError as error:
+                self.assertEqual(first, error.entry.revision)
+            else:
+                self.fail("no conflict")
+            second = await store.put("a", "2", first)
+            await store.delete("a", second)
+            self.assertIsNone(await store.get("a"))
+
+    @run_async
+    async def test_listing_reads_all_pages(self):
+        """Guards against targets beyond the first page that are taken as gone."""
+        async with open_store() as (store, server):
+            for number in range(120):
+                await server.store.put(f"k{number:03}", "v", 0)
+            entries, revision = await store.list("k")
+            self.assertEqual(120, len(entries))
+            self.assertEqual(server.store.revision, revision)
+
+    @run_async
+    async def test_watch_gives_changes_and_removals(self):
+        """Guards against a removal that is read as an empty value."""
+        async with open_store() as (store, server):
+            revision = await server.store.put("a", "1", 0)
+            await server.store.delete("a", revision)
+            await server.store.put("b", "2", 0)
+            entries, _ = await store.watch("", 0, 1.0)
+            values = {entry.key: entry.value for entry in entries}
+            self.assertEqual({"a": None, "b": "2"}, values)
+
+    @run_async
+    async def test_dropped_history_is_told(self):
+        """Guards against changes that are lost silently."""
+        async with open_store() as (store, server):
+            await server.store.put("a", "1", 0)
+            server.compact()
+            try:
+                await store.watch("", 0, 1.0)
+            except HistoryLostError:
+                return
+        self.fail("the history was there")
+
+    @run_async
+    async def test_refusal_did_nothing(self):
+        """Guards against a refused call that is taken as done."""
+        async with open_store() as (store, server):
+            server.refuses = True
+            try:
+                await store.put("a", "1", 0)
+            except StoreUnavailableError:
+                return
+        self.fail("the call was not refused")
+
+    @run_async
+    async def test_ended_lease_is_told(self):
+        """Guards against a key that nobody keeps alive."""
+        async with open_store() as (store, server):
+            lease = await store.grant_lease(5.0)
+            await store.renew_lease(lease)
+            server.store.expire_leases()
+            try:
+                await store.renew_lease(lease)
+            except LeaseNotFoundError:
+                return
+        self.fail("the lease was there")
+
+    @run_async
+    async def test_probe(self):
+        """Guards against a probe that fails because its key does not exist."""
+        async with open_store() as (store, server):
+            await store.probe()
+            server.refuses = True
+            try:
+                await store.probe()
+            except StoreUnavailableError:
+                return
+        self.fail("the probe was answered")
+
+
+class Deployment:
+    """The stand-in store, targets in this process, and one gateway process."""
+
+    def __init__(self, nursery, folder):
+        self.nursery = nursery
+        self.folder = folder
+        self.server = PlatformStoreServer()
+        self.targets = []
+        self.process = None
+        self.callers = self.ready = ""
+
+    async def start(self, services):
+        """Start everything; the gateway is ready at the end."""
+        listeners = await bind_listeners("127.0.0.1:0")
+        self.nursery.start_soon(serve_http, self.server.handle, listeners)
+        for service in services:
+            for domain in ("a", "b"):
+                await self.add_target(service, domain)
+        shards = [name for name in services if name != "desk"]
+        configuration = build_configuration(1, shards, "desk")
+        await self.server.store.put("op/config", configuration, 0)
+        await self.start_gateway(get_address(listeners))
+        await self.wait_until_ready()
+
+    async def add_target(self, service, domain):
+        """Start a target and its registration."""
+        target = PlatformTarget(service, domain)
+        listeners = await bind_listeners("127.0.0.1:0")
+        target.address = get_address(listeners)
+        self.nursery.start_soon(serve_http, target.handle, listeners)
+        self.nursery.start_soon(target.register, self.server.store)
+        self.targets.append(target)
+        return target
+
+    async def start_gateway(self, store_address):
+        """Start the gateway process."""
+        self.callers = await close_port()
+        self.ready = await close_port()
+        control = await close_port()
+        path = self.folder / "node.toml"
+        path.write_text(
+            f"""node-name = "vm-1"
+zone = "a"
+ip = "127.0.0.1"
+seeds = []
+[listen-addrs]
+front = "{self.callers}"
+ready = "{self.ready}"
+control = "{control}"
+[bounds]
+grace-s = 3
+retry-ratio = 0.2
+retry-slack = 50
+warmup-slack = 5
+[platform]
+address = "{store_address}"
+"""
+        )
+        self.process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "tarragonchute", "gateway"],
+            cwd=ROOT,
+            env={"TARRAGONCHUTE_NODE_FILE": str(path), "PATH": ""},
+            stdout=subprocess.DEVNULL,
+        )
+
+    async def wait_until_ready(self):
+        """Return once the gateway reports that it is ready."""
+        with trio.fail_after(PATIENCE_S):
+            while await self.probe() != 200:
+                await trio.sleep(0.05)
+
+    async def probe(self):
+        """Return the status of the readiness probe, or 0."""
+        try:
+            connection = await HttpConnection.open(self.ready, 1.0)
+            response = await connection.exchange("GET", "/ready")
+            connection.close()
+        except OSError:
+            return 0
+        return response.status
+
+    async def call(self, path, method="GET", body=b"", request_id="r1"):
+        """Send one caller's request and return the response."""
+        connection = await HttpConnection.open(self.callers, 1.0)
+        headers = [
+            ("Host", "h.example"),
+            ("Request-Id", request_id),
+            ("Request-Deadline", "900"),
+        ]
+        connection._host = b"h.example"
+        try:
+            return await connection.exchange(method, path, headers[1:], body)
+        finally:
+            connection.close()
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(services=("s0", "s1", "s2", "desk")):
+    """Yield a `Deployment` that is ready, and end its process."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            deployment = Deployment(nursery, pathlib.Path(folder))
+            try:
+                await deployment.start(services)
+                yield deployment
+            finally:
+                if deployment.process and deployment.process.returncode is None:
+                    deployment.process.kill()
+                    await deployment.process.wait()
+                nursery.cancel_scope.cancel()
+
+
+class ProcessTests(testtools.TestCase):
+    """The gateway as a process, between callers, store and targets."""
+
+    @run_async
+    async def test_search_and_order(self):
+        """Guards against a path that is cut somewhere between caller and target."""
+        async with open_deployment() as deployment:
+            response = await deployment.call("/search/1")
+            self.assertEqual(200, response.status)
+            self.assertEqual(3, len(response.headers["part-stamps"].split(",")))
+            self.assertEqual(5 * 16, len(response.body))
+            response = await deployment.call("/order/1", "POST", b"book")
+            self.assertEqual((200, b"book"), (response.status, response.body))
+            self.assertIn("response-stamp", response.headers)
+            response = await deployment.call("/none/1")
+            self.assertEqual(404, response.status)
+
+    @run_async
+    async def test_changes_of_the_store_take_effect(self):
+        """Guards against drains, evacuations and versions that are not followed."""
+        async with open_deployment() as deployment:
+            store = deployment.server.store
+            await store.put("op/evacuate/a", "{}", 0)
+            await trio.sleep(1.0)
+            before = [len(target.ran) for target in deployment.targets]
+            for number in range(4):
+                await deployment.call("/search/1", request_id=f"e{number}")
+            for target, count in zip(deployment.targets, before, strict=True):
+                if target.domain == "a":
+                    self.assertEqual(count, len(target.ran))
+            entry = await store.get("op/config")
+            text = entry.value.replace("/order/", "/moved/")
+            text = text.replace('"version":1', '"version":3')
+            await store.put("op/config", text, entry.revision)
+            await trio.sleep(1.5)
+            self.assertEqual(404, (await deployment.call("/order/1", "POST")).status)
+            self.assertEqual(200, (await deployment.call("/moved/1", "POST")).status)
+
+    @run_async
+    async def test_stop_cuts_nothing_in_flight(self):
+        """Guards against a restart that loses a caller's request."""
+        async with open_deployment() as deployment:
+            for target in deployment.targets:
+                target.delay_s = 0.5
+            answers = []
+
+            async def order(number):
+                answers.append(
+                    await deployment.call("/order/1", "POST", b"x", f"o{number}")
+                )
+
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    nursery.start_soon(order, number)
+                await trio.sleep(0.2)
+                deployment.process.send_signal(signal.SIGTERM)
+                await trio.sleep(0.1)
+                self.assertEqual(503, await deployment.probe())
+            self.assertEqual([200] * 4, [answer.status for answer in answers])
+            with trio.fail_after(4.0):
+                self.assertEqual(0, await deployment.process.wait())
+
+    @run_async
+    async def test_no_configuration_is_not_404(self):
+        """Guards against callers that are told a route does not exist."""
+        with tempfile.TemporaryDirectory() as folder:
+            async with trio.open_nursery() as nursery:
+                deployment = Deployment(nursery, pathlib.Path(folder))
+                await deployment.start_gateway(await close_port())
+                with trio.fail_after(PATIENCE_S):
+                    while await deployment.probe() == 0:
+                        await trio.sleep(0.05)
+                response = await deployment.call("/search/1")
+                self.assertEqual(503, response.status)
+                self.assertIn("retry-after", response.headers)
+                deployment.process.kill()
+                await deployment.process.wait()
+                nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_queries.py
@@ -0,0 +1,454 @@
+"""Tests of callers' requests in flight, with scripted targets and no network.
+
+Patterns of load that are answered here: one slow replica in each shard, a pause of a
+target in a search, all replicas of a shard down, targets that refuse, replies that are
+lost, and callers that leave.
+"""
+
+import random
+
+import testtools
+
+from tarragonchute import errors, queries
+from tarragonchute.budgets import WindowBudget, WindowLimits
+from tarragonchute.dialects import Dialect
+from tarragonchute.exchanges import FailureKind
+from tarragonchute.httpio import HttpRequest
+from tarragonchute.queries import QueryContext, RecordMerge, SearchQuery, SingleQuery
+from tarragonchute.registry import Registration, Registry
+from tarragonchute.replicas import ReplicaChooser, ReplyTimes
+from tarragonchute.replies import Reply
+from tarragonchute.routes import Route
+
+from .trial import run_in_virtual_time
+
+DIALECT = Dialect(
+    b"Request-Id",
+    b"Time-Limit",
+    b"Expected",
+    b"Not-Run",
+    b"Digest",
+    b"Digests",
+    b"Missing",
+    b"Identity",
+    b"Cold-Left",
+)
+
+
+def build_reply(status=200, digest=b"d", body=b"", **headers):
+    """Return a reply; header names are written with underscores."""
+    lines = [b"Request-Id: r1"]
+    if digest is not None:
+        lines.append(b"Digest: " + digest)
+    for name, value in headers.items():
+        lines.append(f"{name.replace('_', '-')}: {value}".encode())
+    head = b"\r\n" + b"\r\n".join(lines) + b"\r\n"
+    return Reply(status, head, body)
+
+
+class FakeLink:
+    """Records the exchanges that are started on it."""
+
+    def __init__(self, started):
+        self.started = started
+        self.in_flight = {}
+        self.is_broken = False
+        self.abandoned = []
+
+    def start(self, exchange, now):
+        exchange.link = self
+        exchange.sent_at = now
+        self.started.append(exchange)
+
+    def abandon(self, exchange, now):
+        self.abandoned.append(exchange)
+
+    def oldest_wait(self, now):
+        return 0.0
+
+
+class Bench:
+    """A registry of fake targets and a context around it."""
+
+    def __init__(self, services, replicas=2, slack=100.0):
+        self.started = []
+        self.registry = Registry(
+            lambda registration: FakeLink(self.started),
+            lambda link, now: None,
+            lambda service, targets: None,
+        )
+        for service in services:
+            for number in range(replicas):
+                name = f"{service}-{number}"
+                address = ("10.0.0.1", 80)
+                registration = Registration(name, service, address, "d")
+                self.registry.apply(name, registration, 0.0)
+        limits = WindowLimits(0.0, slack, 10.0)
+        self.budgets = {service: WindowBudget(limits) for service in services}
+        chooser = ReplicaChooser("d", lambda target, now: True, random.Random(1))
+        self.context = QueryContext(
+            self.registry, chooser, DIALECT, self.budgets.get, lambda now: None
+        )
+
+    def reply(self, exchange, now, **values):
+        """End an exchange with a reply."""
+        exchange.finished_at = now
+        if exchange.owner is not None:
+            exchange.owner.handle_reply(exchange, build_reply(**values))
+
+    def fail(self, exchange, now, kind=FailureKind.LOST):
+        """End an exchange with a failure."""
+        exchange.finished_at = now
+        exchange.owner.handle_failure(exchange, kind, "reset")
+
+
+def build_request(method="GET", body=b"", extra=()):
+    """Return a caller's request."""
+    lines = [(b"host", b"h"), (b"request-id", b"r1"), (b"time-limit", b"400"), *extra]
+    return HttpRequest(method, "/x/1", None, {}, body, b"/x/1?q=%2F", lines)
+
+
+def build_single(bench, is_idempotent=True, max_attempts=2, request=None):
+    """Return a started request to one target of service ``s``."""
+    route = Route(
+        "r",
+        "h",
+        "/x/",
+        is_idempotent,
+        timeout_s=1.0,
+        goal_s=0.2,
+        max_attempts=max_attempts,
+        parts=[("s", 1.0)],
+    )
+    times = ReplyTimes(route.goal_s, 0.1)
+    request = request or build_request()
+    query = SingleQuery("s", bench.context, route, 1, request, b"r1", 0.4, times, 0.0)
+    query.start(0.0)
+    return query
+
+
+def build_search(bench, shards, least_coverage=0.8, top=3):
+    """Return a started search."""
+    route = Route(
+        "r",
+        "h",
+        "/x/",
+        timeout_s=0.4,
+        goal_s=0.1,
+        max_attempts=2,
+        shards=shards,
+        top=top,
+        least_coverage=least_coverage,
+    )
+    times = ReplyTimes(route.goal_s, 0.1)
+    query = SearchQuery(
+        bench.context, route, 1, build_request(), b"r1", 0.4, times, 0.0
+    )
+    query.start(0.0)
+    return query
+
+
+def finish(query, now):
+    """Close a request and return its response, or the error that it raised."""
+    query.close(now)
+    try:
+        return query.build_response()
+    except errors.TarragonchuteError as error:
+        return error
+
+
+class SingleQueryTests(testtools.TestCase):
+    """Requests to one target: what is repeated and what the caller is told."""
+
+    def test_message_is_forwarded_unchanged(self):
+        """Guards against a changed method, path, query, header or body."""
+        bench = Bench(["s"])
+        extra = [(b"x-kept", b"1"), (b"connection", b"x-hop"), (b"x-hop", b"1")]
+        request = build_request("POST", b"order", extra)
+        build_single(bench, request=request)
+        head, _, body = bench.started[0].request.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        self.assertEqual(b"POST /x/1?q=%2F HTTP/1.1", lines[0])
+        self.assertEqual(b"order", body)
+        self.assertIn(b"x-kept: 1", lines)
+        self.assertIn(b"Content-Length: 5", lines)
+        self.assertIn(b"Time-Limit: 400", lines)
+        self.assertNotIn(b"x-hop: 1", lines)
+        target = bench.started[0].target.registration.target_id
+        self.assertIn(f"Expected: {target}".encode(), lines)
+
+    def test_lost_reply_is_not_repeated_unless_idempotent(self):
+        """Guards against an order that runs twice."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        bench.fail(bench.started[0], 0.01)
+        self.assertEqual(1, len(bench.started))
+        error = finish(query, 0.01)
+        self.assertEqual(502, error.status)
+
+    def test_lost_reply_of_an_idempotent_request_is_repeated(self):
+        """Guards against a failed search that another target could answer."""
+        bench = Bench(["s"])
+        query = build_single(bench)
+        bench.fail(bench.started[0], 0.01)
+        first, second = bench.started
+        self.assertIsNot(first.target, second.target)
+        bench.reply(second, 0.02, body=b"ok")
+        self.assertEqual(b"ok", finish(query, 0.02).body)
+
+    def test_refused_request_is_offered_again(self):
+        """Guards against giving up an order that certainly has not run."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        bench.reply(bench.started[0], 0.01, status=503, digest=None, Not_Run="1")
+        self.assertEqual(2, len(bench.started))
+        bench.reply(bench.started[1], 0.02, status=503, digest=None, Not_Run="1")
+        error = finish(query, 0.02)
+        self.assertEqual((503, errors.Outcome.NOT_RUN), (error.status, error.outcome))
+        self.assertIsNotNone(error.retry_after_s)
+
+    def test_wrong_process_is_not_asked_again(self):
+        """Guards against an address that belongs to another service now."""
+        bench = Bench(["s"])
+        build_single(bench, is_idempotent=False)
+        target = bench.started[0].target
+        bench.reply(bench.started[0], 0.01, status=421, digest=None)
+        self.assertTrue(target.is_wrong_process)
+        self.assertIsNot(target, bench.started[1].target)
+
+    def test_unsent_request_is_offered_to_another(self):
+        """Guards against 502 for a request that never left."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        bench.fail(bench.started[0], 0.01, FailureKind.UNSENT)
+        bench.fail(bench.started[1], 0.02, FailureKind.UNSENT)
+        self.assertEqual(503, finish(query, 0.02).status)
+
+    def test_plain_503_does_not_promise_that_nothing_ran(self):
+        """Guards against a promise that only the target could give."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        bench.reply(bench.started[0], 0.01, status=503, digest=None)
+        self.assertEqual(502, finish(query, 0.01).status)
+
+    def test_failure_of_the_target_is_passed_on(self):
+        """Guards against a changed status beside the target's digest."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        bench.reply(bench.started[0], 0.01, status=500, body=b"no")
+        response = finish(query, 0.01)
+        self.assertEqual((500, b"no"), (response.status, response.body))
+
+    def test_success_without_digest_is_no_success(self):
+        """Guards against bytes that the target did not vouch for."""
+        for values in ({"digest": None}, {"Content_Encoding": "gzip"}):
+            bench = Bench(["s"])
+            query = build_single(bench, is_idempotent=False)
+            bench.reply(bench.started[0], 0.01, **values)
+            self.assertEqual(502, finish(query, 0.01).status)
+
+    def test_attempts_are_bounded(self):
+        """Guards against a request that runs on more targets than its route allows."""
+        bench = Bench(["s"], replicas=4)
+        query = build_single(bench, max_attempts=2)
+        for exchange in bench.started:
+            bench.fail(exchange, 0.01)
+        self.assertEqual(2, len(bench.started))
+        self.assertEqual(502, finish(query, 0.01).status)
+
+    def test_retry_budget_is_kept(self):
+        """Guards against retries that double the load of a failing service."""
+        bench = Bench(["s"], slack=0.0)
+        build_single(bench)
+        bench.fail(bench.started[0], 0.01)
+        self.assertEqual(1, len(bench.started))
+
+    def test_time_limit_ends_the_request(self):
+        """Guards against a caller that is kept waiting beyond its time."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        self.assertLess(query.limit_at, 0.4)
+        query.advance(query.limit_at)
+        self.assertTrue(query.is_finished)
+        self.assertEqual(504, finish(query, query.limit_at).status)
+        self.assertEqual(bench.started, bench.started[0].link.abandoned)
+
+    def test_no_target_is_refused_at_once(self):
+        """Guards against a caller that waits for what cannot come."""
+        bench = Bench(["s"], replicas=0)
+        query = build_single(bench)
+        self.assertTrue(query.is_finished)
+        self.assertEqual(503, finish(query, 0.0).status)
+
+    def test_unsafe_request_is_never_hedged(self):
+        """Guards against a second copy of an order."""
+        bench = Bench(["s"])
+        query = build_single(bench, is_idempotent=False)
+        query.advance(0.3)
+        self.assertEqual(1, len(bench.started))
+
+
+class SearchQueryTests(testtools.TestCase):
+    """Searches: hedges, partial answers and their truth."""
+
+    SHARDS = [f"s{number}" for number in range(10)]
+
+    def answer(self, bench, exchanges, now, body=b""):
+        for exchange in exchanges:
+            service = exchange.target.registration.service
+            bench.reply(exchange, now, digest=service.encode(), body=body)
+
+    @run_in_virtual_time
+    async def test_answer_names_its_parts(self):
+        """Guards against a coverage that is not true."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        self.answer(bench, bench.started[:9], 0.01)
+        query.advance(query.goal_at)
+        response = finish(query, query.goal_at)
+        lines = dict(response.header_lines)
+        self.assertEqual(b"1", lines[b"Missing"])
+        digests = lines[b"Digests"].split(b", ")
+        self.assertEqual(sorted(s.encode() for s in self.SHARDS[:9]), sorted(digests))
+
+    @run_in_virtual_time
+    async def test_late_reply_is_hedged(self):
+        """One slow replica in each shard: guards against waiting for it."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        self.answer(bench, bench.started[:9], 0.01)
+        query.advance(query.next_due())
+        self.assertEqual(11, len(bench.started))
+        late, hedge = bench.started[9], bench.started[10]
+        self.assertIsNot(late.target, hedge.target)
+        self.answer(bench, [hedge], 0.05)
+        self.assertTrue(query.is_finished)
+        self.assertEqual([late], late.link.abandoned)
+        self.assertEqual(10, query.included)
+
+    @run_in_virtual_time
+    async def test_hedge_waits_for_the_connection(self):
+        """Guards against hedges that are sent because connections were opened."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        late_s = query.times.hedge_after_s()
+        for exchange in bench.started:
+            exchange.sent_at = late_s / 2
+        query.advance(late_s * 1.1)
+        self.assertEqual(10, len(bench.started))
+        query.advance(late_s * 1.6)
+        self.assertEqual(20, len(bench.started))
+
+    @run_in_virtual_time
+    async def test_hedges_keep_the_budget(self):
+        """Guards against hedges that flood a service that slowed down as a whole."""
+        bench = Bench(self.SHARDS, slack=0.0)
+        query = build_search(bench, self.SHARDS)
+        query.advance(0.05)
+        self.assertEqual(10, len(bench.started))
+        self.assertIn("no budget", query.legs[0].reason)
+
+    @run_in_virtual_time
+    async def test_shard_without_targets_is_missing(self):
+        """All replicas of a shard down: guards against a search that waits for it."""
+        bench = Bench(self.SHARDS[:9])
+        query = build_search(bench, self.SHARDS)
+        self.answer(bench, bench.started, 0.01)
+        self.assertTrue(query.is_finished)
+        self.assertEqual(9, query.included)
+
+    @run_in_virtual_time
+    async def test_hopeless_search_sends_nothing(self):
+        """Guards against work on a search whose answer cannot suffice."""
+        bench = Bench(self.SHARDS[:7])
+        error = None
+        try:
+            build_search(bench, self.SHARDS)
+        except errors.NoTargetError as caught:
+            error = caught
+        self.assertEqual(503, error.status)
+        self.assertEqual([], bench.started)
+
+    @run_in_virtual_time
+    async def test_too_few_parts_are_no_answer(self):
+        """Guards against an answer below the coverage that the route requires."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        self.answer(bench, bench.started[:7], 0.01)
+        query.advance(query.goal_at)
+        self.assertFalse(query.is_finished)
+        query.advance(query.limit_at)
+        self.assertEqual(504, finish(query, query.limit_at).status)
+
+    @run_in_virtual_time
+    async def test_sufficient_answer_after_the_goal_goes_at_once(self):
+        """Guards against a late answer that waits for more parts."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        self.answer(bench, bench.started[:7], 0.01)
+        query.advance(query.goal_at)
+        self.answer(bench, bench.started[7:8], query.goal_at + 0.01)
+        self.assertTrue(query.is_finished)
+
+    @run_in_virtual_time
+    async def test_one_digest_twice_is_no_answer(self):
+        """Guards against a part that counts for two shards."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        for exchange in list(bench.started):
+            bench.reply(exchange, 0.01, digest=b"same")
+        self.assertEqual(502, finish(query, 0.01).status)
+
+    @run_in_virtual_time
+    async def test_failure_of_a_target_is_no_part(self):
+        """Guards against a failure that is counted because it has a digest."""
+        bench = Bench(self.SHARDS, slack=0.0)
+        query = build_search(bench, self.SHARDS)
+        bench.reply(bench.started[0], 0.01, status=500, digest=b"f")
+        self.answer(bench, bench.started[1:], 0.01)
+        self.assertEqual(9, query.included)
+        digests = dict(finish(query, 0.01).header_lines)[b"Digests"]
+        self.assertNotIn(b"f", digests.split(b", "))
+
+    @run_in_virtual_time
+    async def test_caller_that_leaves_ends_all_work(self):
+        """Guards against targets at work for a caller that has left."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS)
+        query.close(0.02)
+        abandoned = [e for exchange in bench.started for e in exchange.link.abandoned]
+        self.assertEqual(10, len(abandoned))
+
+    @run_in_virtual_time
+    async def test_late_timers_bring_the_answer_forward(self):
+        """Guards against answers that miss the goal on a busy processor."""
+        bench = Bench(self.SHARDS)
+        calm = build_search(bench, self.SHARDS)
+        for _ in range(50):
+            bench.context.note_lag(0.010)
+        busy = build_search(bench, self.SHARDS)
+        self.assertAlmostEqual(0.010, calm.goal_at - busy.goal_at, delta=0.001)
+
+
+class RecordMergeTests(testtools.TestCase):
+    """The greatest records of all parts."""
+
+    def test_result_equals_a_sort_of_everything(self):
+        """Guards against a record that is lost or out of order."""
+        source = random.Random(5)
+        for top in (0, 1, 5, 50, 5000):
+            merge = RecordMerge(top)
+            records = []
+            for _ in range(30):
+                part = [source.randbytes(16) for _ in range(source.randrange(90))]
+                records += part
+                merge.add(b"".join(part) + b"short")
+            expected = b"".join(sorted(records, reverse=True)[:top])
+            self.assertEqual(expected, merge.build())
+
+    def test_equal_records_all_count(self):
+        """Guards against records that are dropped because they are equal."""
+        merge = RecordMerge(3)
+        for _ in range(4):
+            merge.add(b"a" * queries.RECORD_BYTES)
+        self.assertEqual(b"a" * 48, merge.build())
