Take the earliest end of a cold time; send nothing where too few shards have targets

A report says how long a target stays cold from when it was written, and it was read late; each later report moved the end. Searches sent to the few shards that allowed it and then failed.

--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -40,8 +40,8 @@
 RETRY_MAX_S = 1.0
 """Wait before another call after a failure, with jitter so that VMs spread."""
 
-BATCH_MIN_S = 0.3
-BATCH_MAX_S = 1.2
+BATCH_MIN_S = 0.2
+BATCH_MAX_S = 0.7
 """Pause after a watch that returned changes; it doubles while they keep coming. Each
 call has a price, and configurations and drains must be in force within seconds."""
 
--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -77,6 +77,7 @@
         "_query",
         "_context",
         "_budget",
+        "_first",
         "_open",
         "_tried",
     )
@@ -96,6 +97,7 @@
         self._query = query
         self._context = context
         self._budget = context.find_budget(service)
+        self._first = None
         self._open = []
         self._tried = []
 
@@ -104,14 +106,18 @@
         """Whether the request may have run on a target."""
         return self.runs > 0
 
+    def prepare(self, now):
+        """Choose the first target; return whether there is one."""
+        self._first = self._choose(now)
+        return self._first is not None
+
     def start(self, now):
-        """Send the first attempt."""
-        target = self._choose(now)
-        if target is None:
+        """Send the first attempt to the target that `prepare` chose."""
+        if self._first is None:
             self._fail("no target may take the request")
             return
         self._budget.note_first(now)
-        self._send(target, now)
+        self._send(self._first, now)
 
     def hedge(self, now):
         """Send a second attempt if the reply is late and the budget allows it."""
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -188,15 +188,21 @@
 
     def start(self, now):
         """Send the first attempts."""
-        self.legs = [
-            Leg(service, self, self._context) for service in self.list_services()
-        ]
+        services = self.list_services()
+        self.legs = [Leg(service, self, self._context) for service in services]
         self._open_legs = len(self.legs)
+        prepared = sum(leg.prepare(now) for leg in self.legs)
+        self.check_prepared(prepared)
         for leg in self.legs:
             if self.is_finished:
                 break
             leg.start(now)
 
+    def check_prepared(self, prepared):
+        """Refuse the request, before anything is sent, if it cannot be answered."""
+        if not prepared:
+            raise _build_refusal("no target may take the request")
+
     def next_due(self):
         """Return the time at which `advance` has something to do."""
         due = self.limit_at
@@ -283,9 +289,7 @@
         if leg.reply is not None and not self._is_false_promise(leg.reply):
             return self._forward(leg.reply)
         if not leg.has_run:
-            error = NoTargetError(leg.reason)
-            error.retry_after_s = RETRY_AFTER_S
-            raise error
+            raise _build_refusal(leg.reason)
         if leg.is_given_up:
             raise TargetTimeoutError("the target did not answer in time")
         raise TargetFailedError(leg.reason)
@@ -331,16 +335,12 @@
         """See `Query`."""
         return self.route.shards
 
-    def start(self, now):
-        """See `Query`; nothing is sent if the answer could not suffice."""
-        services = self.list_services()
-        registry = self._context.registry
-        available = sum(bool(registry.list_usable(service)) for service in services)
-        if available < count_least(self.route.least_coverage, len(services)):
-            error = NoTargetError(f"{available} of {len(services)} shards have targets")
-            error.retry_after_s = RETRY_AFTER_S
-            raise error
-        super().start(now)
+    def check_prepared(self, prepared):
+        """See `Query`."""
+        if prepared < self._least():
+            total = len(self.legs)
+            text = f"{prepared} of {total} shards have a target that may be used"
+            raise _build_refusal(text)
 
     def next_due(self):
         """See `Query`."""
@@ -416,9 +416,7 @@
     def _raise_failure(self):
         included, total = self.included, len(self.legs)
         if not any(leg.has_run for leg in self.legs):
-            error = NoTargetError(f"no target for {total} shards")
-            error.retry_after_s = RETRY_AFTER_S
-            raise error
+            raise _build_refusal(f"no target for {total} shards")
         raise TooFewShardsError(
             f"{included} of {total} shards answered; {self._least()} are required"
         )
@@ -428,6 +426,13 @@
 """Missing shards that the log line of a search names."""
 
 
+def _build_refusal(reason):
+    """Return the error for a request that has not run."""
+    error = NoTargetError(reason)
+    error.retry_after_s = RETRY_AFTER_S
+    return error
+
+
 def count_least(share, total):
     """Return the smallest number of shards that makes up a share, at least one."""
     return max(math.ceil(share * total - 1e-9), 1)
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -115,6 +115,7 @@
         "identity",
         "observer",
         "is_preferred",
+        "_cold_left_s",
     )
 
     def __init__(self, registration, link):
@@ -131,6 +132,21 @@
         self.identity = registration.target_id.encode("latin-1", "replace")
         self.observer = None
         self.is_preferred = True
+        self._cold_left_s = 0.0
+
+    def note_cold_report(self, left_s, now):
+        """Take a report of how long the target stays cold.
+
+        Reports arrive late, so each one ends the cold time too late rather than too
+        early. The earliest end of all reports of one cold time is the best one.
+        """
+        if left_s <= 0:
+            self.cold_until = -math.inf
+            return
+        is_same_time = self.cold_until > now and left_s <= self._cold_left_s
+        end = now + left_s
+        self.cold_until = min(self.cold_until, end) if is_same_time else end
+        self._cold_left_s = left_s
 
     def note_end(self, exchange, now):
         """Pass an ended exchange to the observer."""
@@ -238,10 +254,9 @@
                     "draining": registration.is_draining,
                 },
             )
+        known.note_cold_report(registration.cold_left_s, now)
         known.registration = registration
         known.missing_since = None
-        cold_left_s = registration.cold_left_s
-        known.cold_until = now + cold_left_s if cold_left_s > 0 else -math.inf
         self._invalidate(registration.service)
 
     def replace_all(self, registrations, now, is_after_outage):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -113,3 +113,17 @@
         self.assertEqual(8.0, self.registry.get("i-1").cold_until)
         self.registry.apply("i-1", build_registration(), 6.0)
         self.assertLess(self.registry.get("i-1").cold_until, 6.0)
+
+    def test_late_reports_do_not_prolong_the_cold_time(self):
+        """A reshard under load: guards against shards that are cold on paper only."""
+        self.registry.apply("i-1", build_registration(cold_left_s=3.0), 5.0)
+        self.registry.apply("i-1", build_registration(cold_left_s=1.8), 6.9)
+        self.assertEqual(8.0, self.registry.get("i-1").cold_until)
+
+    def test_second_cold_time_is_taken(self):
+        """Guards against a flood on a target that is cold for the second time."""
+        self.registry.apply("i-1", build_registration(cold_left_s=0.5), 5.0)
+        self.registry.apply("i-1", build_registration(cold_left_s=3.0), 5.2)
+        self.assertEqual(8.2, self.registry.get("i-1").cold_until)
+        self.registry.apply("i-1", build_registration(cold_left_s=2.0), 9.0)
+        self.assertEqual(11.0, self.registry.get("i-1").cold_until)
