--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -89,6 +89,8 @@
         When its first byte was sent.
     finished_at : float or None
     link : TargetLink or None
+    is_cut : bool
+        Whether it was ended without a reply, after nobody waited for it any more.
     """
 
     __slots__ = (
@@ -104,6 +106,7 @@
         "connection",
         "target",
         "usual_s",
+        "is_cut",
     )
 
     def __init__(
@@ -128,6 +131,7 @@
         self.connection = None
         self.target = target
         self.usual_s = usual_s
+        self.is_cut = False
 
 
 class ExchangeOwner:
@@ -319,6 +323,7 @@
         if exchange.abandoned_at is None:
             return
         if now - exchange.abandoned_at > ABANDON_GRACE_S:
+            exchange.is_cut = True
             self._end_busy(connection, now)
             self._finish(exchange, now)
             self._open_for_waiting(now)
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -81,6 +81,8 @@
         """Learn from an exchange that ended in any way."""
         if exchange.sent_at is None or exchange.usual_s <= 0:
             return
+        if exchange.is_cut:
+            note_failure(target, now)
         elapsed = now - exchange.sent_at
         sample = min(elapsed / exchange.usual_s, MAX_SLOWNESS)
         current = estimate_slowness(target, now)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -31,8 +31,9 @@
 class FakeExchange:
     """An exchange that was sent at a time."""
 
-    def __init__(self, sent_at):
+    def __init__(self, sent_at, is_cut=False):
         self.sent_at = sent_at
+        self.is_cut = is_cut
         self.usual_s = USUAL_S
 
 
@@ -111,6 +112,13 @@
         replicas.note_success(dead)
         self.assertGreater(self.count([dead, alive])["i-0"], 60)
 
+    def test_target_without_a_reply_is_suspected(self):
+        """Targets that go dark: guards against one more wait for each connection."""
+        dark, alive = build_targets("d", "d")
+        self.chooser.observe(dark, FakeExchange(99.8, is_cut=True), 100.0)
+        self.assertGreater(dark.suspect_until, 100.0)
+        self.assertEqual(200, self.count([dark, alive])["i-1"])
+
     def test_suspicion_doubles_up_to_its_bound(self):
         """Guards against a dead target that is tried four times a second."""
         (target,) = build_targets("d")
