--- a/tarragonchute/admin.py
+++ b/tarragonchute/admin.py
@@ -4,7 +4,6 @@
 every answer; an edit that carries the placeholder keeps the digest in force.
 """
 
-import enum
 import hashlib
 import hmac
 import logging
@@ -14,6 +13,7 @@
 
 import orjson
 
+from .configuration import ProposalState
 from .errors import (
     BadRequestError,
     FindingsError,
@@ -50,15 +50,6 @@
 _REQUEST_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
 
 
-class ProposalState(enum.StrEnum):
-    """What became of a proposed change."""
-
-    ACCEPTED = "accepted"
-    PENDING = "pending"
-    UNKNOWN = "unknown"
-    CONFLICT = "conflict"
-
-
 _PROPOSAL_STATUS = {
     ProposalState.ACCEPTED: 200,
     ProposalState.PENDING: 202,
--- a/tarragonchute/cli.py
+++ b/tarragonchute/cli.py
@@ -98,6 +98,7 @@
     parser.add_argument("--version", action="version", version=__version__)
     verbs = parser.add_subparsers(metavar="COMMAND", required=True)
     _add_run(verbs)
+    _add_gateway(verbs)
     _add_settings(verbs)
     _add_domain(verbs)
     _add_reports(verbs)
@@ -132,6 +133,24 @@
     return parser
 
 
+def _add_gateway(verbs):
+    _add_verb(
+        verbs,
+        "gateway",
+        _run_gateway,
+        "Forward requests on the users' platform; TARRAGONCHUTE_NODE_FILE names the "
+        "settings file (see docs/platform.md).",
+        "tarragonchute gateway",
+        admin=False,
+    )
+
+
+def _run_gateway(arguments):
+    from .platform.main import main as run_gateway
+
+    return run_gateway()
+
+
 def _add_run(verbs):
     parser = _add_verb(
         verbs,
--- a/tools/build_dist.py
+++ b/tools/build_dist.py
@@ -27,7 +27,7 @@
 LAUNCHER = ROOT / "tools" / "dist_launcher.py"
 DISTRIBUTION = "tarragonchute"
 INTERPRETER = "/usr/bin/env python3.11"
-ENTRY_POINT = "tarragonchute.cli:main"
+ENTRY_POINT = "tarragonchute.__main__:main"
 
 BUILD_TIME = datetime.datetime(1980, 1, 1)
 """Earliest time of a zip entry; the same sources give the same file."""
@@ -42,6 +42,7 @@
 
 VERBS = (
     ("run",),
+    ("gateway",),
     ("settings", "check"),
     ("settings", "show"),
     ("settings", "propose"),
@@ -60,8 +61,9 @@
 import importlib, pathlib, pkgutil, sys, tarragonchute
 folder = pathlib.Path(tarragonchute.__file__).parent
 assert "tarragonchute-dist-" in str(folder), folder
-for module in pkgutil.iter_modules([str(folder)]):
-    importlib.import_module(f"tarragonchute.{module.name}")
+for module in pkgutil.walk_packages([str(folder)], "tarragonchute."):
+    if not module.name.endswith("__main__"):
+        importlib.import_module(module.name)
 import capnp, orjson, trio
 for module in (capnp, orjson, trio):
     assert "tarragonchute-dist-" in module.__file__, module.__file__
