--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -33,6 +33,9 @@
 """Seconds of unacknowledged data after which the kernel closes a connection; requests
 have shorter limits, so this only frees connections that fell silent."""
 
+MIN_CONNECTION_LIFE_S = 1.0
+"""A connection that ends sooner than this is not replaced ahead of its use."""
+
 IDLE_LIFETIME_S = 30.0
 """Idle time after which an unused connection is closed, if the target names none."""
 
@@ -200,6 +203,8 @@
         Connections opened since the start.
     is_broken : bool
         Whether the latest attempt to connect failed.
+    is_kept_warm : bool
+        Whether a connection that ended while idle is reported for replacement.
     """
 
     __slots__ = (
@@ -209,6 +214,7 @@
         "in_flight",
         "opened",
         "is_broken",
+        "is_kept_warm",
         "_idle",
         "_connections",
         "_waiting",
@@ -222,6 +228,7 @@
         self.in_flight = collections.OrderedDict()
         self.opened = 0
         self.is_broken = False
+        self.is_kept_warm = False
         self._idle = []
         self._connections = {}
         self._waiting = collections.deque()
@@ -301,8 +308,7 @@
     def sweep_idle(self, now):
         """Close connections that have been idle for their time."""
         for connection in [c for c in self._idle if self._is_stale(c, now)]:
-            self._idle.remove(connection)
-            self._drop(connection)
+            self._drop_idle(connection, now)
 
     def handle_event(self, connection, events, now):
         """Advance one connection after epoll reported it."""
@@ -310,8 +316,7 @@
             self._finish_connect(connection, now)
         elif connection.phase is _Phase.IDLE:
             # Bytes on an idle connection answer no request; its end is as final.
-            self._idle.remove(connection)
-            self._drop(connection)
+            self._drop_idle(connection, now)
         elif connection.phase is _Phase.BUSY:
             if events & select.EPOLLOUT and connection.unsent is not None:
                 self._send_rest(connection, now)
@@ -517,6 +522,16 @@
         if exchange.target is not None:
             exchange.target.note_end(exchange, now)
 
+    def _drop_idle(self, connection, now):
+        self._idle.remove(connection)
+        self._drop(connection)
+        # A target that closes new connections at once has too many of them.
+        is_refused = now - connection.opened_at < MIN_CONNECTION_LIFE_S
+        if self._connections or self._is_closed or is_refused:
+            return
+        if self.is_kept_warm:
+            self._reactor.cold_links.append(self)
+
     def _drop(self, connection):
         connection.phase = _Phase.CLOSED
         self._connections.pop(connection.fd, None)
@@ -535,6 +550,8 @@
     Attributes
     ----------
     links : set of TargetLink
+    cold_links : collections.deque of TargetLink
+        Links that should have a connection ahead of their next use.
     in_flight : int
         Exchanges whose end somebody waits for.
     """
@@ -545,6 +562,7 @@
         "_active",
         "_next_idle_sweep",
         "links",
+        "cold_links",
         "in_flight",
         "reply_id_field",
     )
@@ -557,6 +575,7 @@
         self._epoll = select.epoll()
         self._by_fd = {}
         self.links = set()
+        self.cold_links = collections.deque()
 
     def open_link(self, address, max_connections):
         """Return a new `TargetLink`."""
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -4,7 +4,6 @@
 holds no protocol of its own: an adapter feeds it and names its headers.
 """
 
-import collections
 import logging
 import random
 
@@ -54,6 +53,9 @@
 """Connections that are opened ahead of use at each tick. A target may hold a slot for
 each new connection, so they must not all come at once."""
 
+KEEP_WARM_S = 20.0
+"""Time without requests after which ended connections are not replaced any more."""
+
 NO_CONFIGURATION_RETRY_S = 0.2
 """When a caller is asked to come back to a VM that has just started."""
 
@@ -125,6 +127,7 @@
         self.settings = settings
         self.table = None
         self._started_at = trio.current_time()
+        self._last_request_at = None
         own = VmInfo(settings.vm_id, settings.domain, settings.peer_address)
         self.fleet = Fleet(own)
         self.metrics = GatewayMetrics()
@@ -142,7 +145,6 @@
             self._shares.count_retry_slack(),
             settings.retry_window_s,
         )
-        self._cold_links = collections.deque()
         self._budgets = {}
         self._times = {}
         self._weighted = {}
@@ -201,7 +203,7 @@
 
     async def handle(self, request):
         """Answer one caller's `httpio.HttpRequest`."""
-        started_at = trio.current_time()
+        started_at = self._last_request_at = trio.current_time()
         request_id = request.headers.get(self._dialect.fields.request_id.decode())
         query = None
         error = None
@@ -305,10 +307,14 @@
 
     def _warm_up(self, now):
         """Open the first connections to new targets, some at each tick."""
+        cold_links = self.reactor.cold_links
+        if self._last_request_at is not None and (
+            now - self._last_request_at > KEEP_WARM_S
+        ):
+            cold_links.clear()
         opened = 0
-        while self._cold_links and opened < WARM_UP_PER_TICK:
-            link = self._cold_links.popleft()
-            opened += link.warm_up(now)
+        while cold_links and opened < WARM_UP_PER_TICK:
+            opened += cold_links.popleft().warm_up(now)
 
     def _arrange(self, service, targets):
         """Set which targets this VM prefers and how many connections it opens."""
@@ -321,8 +327,9 @@
         connections = self._shares.count_connections(limit, len(targets))
         for target in targets:
             target.is_preferred = target in preferred
+            target.link.is_kept_warm = target.is_preferred
             if target.is_preferred and not target.link.opened:
-                self._cold_links.append(target.link)
+                self.reactor.cold_links.append(target.link)
             target.link.max_connections = connections if target.is_preferred else 1
 
     def _allow_cold(self, target, now):
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -217,6 +217,32 @@
             await run_exchange(link)
             self.assertEqual(2, target.connections)
 
+    @run_async
+    async def test_ended_idle_connection_is_reported_for_replacement(self):
+        """Guards against a search that waits for dozens of new connections."""
+        script = [build_reply(), None, build_reply()]
+        async with open_link(script) as (target, link):
+            link.is_kept_warm = True
+            self.patch(exchanges, "MIN_CONNECTION_LIFE_S", 0.0)
+            await run_exchange(link)
+            await trio.sleep(0.02)
+            reactor = link._reactor
+            self.assertEqual([link], list(reactor.cold_links))
+            reactor.cold_links.popleft().warm_up(trio.current_time())
+            await trio.sleep(0.02)
+            self.assertEqual(2, target.connections)
+            await run_exchange(link)
+            self.assertEqual(2, target.connections)
+
+    @run_async
+    async def test_refused_connection_is_not_replaced(self):
+        """Guards against a loop of connections that a full target resets."""
+        async with open_link([build_reply(), None]) as (_, link):
+            link.is_kept_warm = True
+            await run_exchange(link)
+            await trio.sleep(0.02)
+            self.assertEqual([], list(link._reactor.cold_links))
+
     @run_async
     async def test_connections_stay_within_the_limit(self):
         """Guards against connections that the target resets."""
