List the store after a relay or a watch failed

That watch heard nothing of version 7 and was not refused until the next change, five seconds later. Ruled out: relays that serve old content (they had version 7 after 0.3 s).

A relay that lost the store is asked once more after a moment; a VM that leaves its relay, or whose watch failed, lists the store first. A relay without the history sends everything. Test: a change while the relay is lost and new watches hear nothing.

--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -204,6 +204,12 @@
     code = "relay_unavailable"
 
 
+class RelayWithoutStoreError(RelayUnavailableError):
+    """The VM that this VM follows answers, but does not reach the store itself."""
+
+    code = "relay_without_store"
+
+
 class StoreUnavailableError(NotRunError):
     """The key-value service could not be reached, or refused the call."""
 
--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -40,6 +40,10 @@
 RETRY_MAX_S = 1.0
 """Wait before another call after a failure, with jitter so that VMs spread."""
 
+RELAY_RETRY_S = 0.3
+"""Mean wait after a relay failed. A relay that lost the store for a moment has it again
+by then, and VMs that leave one relay spread."""
+
 BATCH_MIN_S = 0.2
 BATCH_MAX_S = 0.7
 """Pause after a watch that returned changes; it doubles while they keep coming. Each
@@ -134,8 +138,7 @@
                 logger.info("listing the store again: %s", error)
                 self.revision = None
             except RelayUnavailableError as error:
-                logger.info("not following another VM any more: %s", error)
-                self._relays.note_failure(self._clock())
+                await self._leave_relay(error)
             except TarragonchuteError as error:
                 self._note_failure(error)
                 await self._ask_peers()
@@ -148,19 +151,31 @@
     def list_changes(self, after):
         """Return the entries that changed after a revision.
 
-        Raises
-        ------
-        HistoryLostError
-            If the history does not reach so far back.
+        Returns
+        -------
+        list of Entry or None
+            None if the history does not reach so far back.
         """
         if after < self._history_start:
-            raise HistoryLostError(f"history starts at {self._history_start}")
+            return None
         return [entry for entry in self._history if entry.revision > after]
 
     async def wait_for_change(self):
         """Return at the next change, or when the store is lost or found."""
         await self._changed.wait()
 
+    async def _leave_relay(self, error):
+        """Ask the relay once more, or list the store and watch it.
+
+        A listing is certain. A watch that starts while the store drops its history may
+        miss changes without a word.
+        """
+        logger.info("not following another VM: %s", error)
+        may_ask_again = self._relays.note_failure(error, self._clock())
+        await trio.sleep(RELAY_RETRY_S * (0.5 + self._random.random()))
+        if not may_ask_again:
+            self.revision = None
+
     async def _ask_peers(self):
         if self.is_loaded or self._peers is None:
             return
@@ -188,23 +203,36 @@
     async def _follow(self):
         relay = self._relays.choose(self._clock()) if self._relays else None
         started_at = self._clock()
-        if relay is None:
-            self.is_direct = True
-            entries, revision = await self._watch_or_restart()
-        else:
-            self.is_direct = False
-            entries, revision = await relay.watch(self.revision)
-        if relay is None and revision < self.revision:
+        if relay is not None:
+            await self._follow_relay(relay)
+            return
+        self.is_direct = True
+        entries, revision = await self._watch_or_restart()
+        if revision < self.revision:
             raise HistoryLostError(f"the store went back to revision {revision}")
         if not self.is_connected and self._was_away_long():
-            self._expect_lapses()
+            # Removals in the history may be lapses; a listing tells what is back.
+            self._may_have_lapsed = True
+            self.revision = None
             return
         self._note_success()
-        self._apply_changes(entries, max(revision, self.revision))
-        if entries and relay is None:
+        self._apply_changes(entries, revision)
+        if entries:
             is_burst = self._clock() - started_at < BURST_S
             await self._pause_for_batch(is_burst)
 
+    async def _follow_relay(self, relay):
+        self.is_direct = False
+        entries, revision, is_snapshot = await relay.watch(self.revision)
+        self._note_success()
+        self._relays.note_success()
+        if is_snapshot:
+            self._apply_snapshot(entries, is_after_outage=False)
+        else:
+            self._apply_changes(entries, revision)
+        # A relay may be behind what this VM has read from the store before.
+        self.revision = max(revision, self.revision)
+
     async def _pause_for_batch(self, is_burst):
         longer_s = min(2 * self._batch_s, BATCH_MAX_S)
         self._batch_s = longer_s if is_burst else BATCH_MIN_S
@@ -298,18 +326,16 @@
     def _note_failure(self, error):
         self._note_lost(error)
         self._failures += 1
+        # A watch may miss changes without a word while the store drops its history;
+        # a listing is certain.
+        self.revision = None
         if self._was_away_long():
-            self._expect_lapses()
+            self._may_have_lapsed = True
 
     def _was_away_long(self):
         last = self._last_success
         return last is not None and self._clock() - last > OUTAGE_S
 
-    def _expect_lapses(self):
-        """List again: removals in the history may be lapses."""
-        self._may_have_lapsed = True
-        self.revision = None
-
     def _retry_delay(self):
         delay_s = min(RETRY_MIN_S * 2 ** min(self._failures, 8), RETRY_MAX_S)
         return delay_s * (0.5 + 0.5 * self._random.random())
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -13,9 +13,9 @@
 import trio
 
 from .errors import (
-    HistoryLostError,
     ProtocolError,
     RelayUnavailableError,
+    RelayWithoutStoreError,
     StoreUnavailableError,
 )
 from .httpio import HttpConnection, HttpResponse
@@ -88,13 +88,13 @@
                 await self._feed.wait_for_change()
         if not self._can_relay():
             return HttpResponse(503)
-        try:
-            entries = self._feed.list_changes(after)
-        except HistoryLostError as error:
-            logger.info("a follower starts anew: %s", error)
-            return HttpResponse(410)
+        entries = self._feed.list_changes(after)
+        is_snapshot = entries is None
+        if is_snapshot:
+            entries = self._feed.list_entries()
         rows = [_encode_entry(entry) for entry in entries]
-        return HttpResponse.from_json({"revision": self._feed.revision, "rows": rows})
+        body = {"revision": self._feed.revision, "rows": rows, "all": is_snapshot}
+        return HttpResponse.from_json(body)
 
     def _can_relay(self):
         """Only a VM that watches the store itself; chains could go in circles."""
@@ -159,32 +159,38 @@
     address : str
     """
 
-    __slots__ = ("address", "failed_at", "_connection")
+    __slots__ = ("address", "failed_at", "was_without_store", "_connection")
 
     def __init__(self, address):
         self.address = address
         self.failed_at = None
+        self.was_without_store = False
         self._connection = None
 
     async def watch(self, after):
-        """Return ``(entries, revision)`` of changes after a revision, maybe none.
+        """Return the changes after a revision, maybe none.
+
+        Returns
+        -------
+        tuple of (list of Entry, int, bool)
+            Entries, revision, and whether these are all entries because the VM does
+            not have the history any more.
 
         Raises
         ------
         RelayUnavailableError
-            If the VM does not answer in time or does not watch the store.
-        HistoryLostError
-            If the VM does not have the history any more.
+            If the VM does not answer in time.
+        RelayWithoutStoreError
+            If it does not watch the store, or does not reach it.
         """
         path = f"{CHANGES_PATH}?after={after}"
         try:
             with trio.fail_after(HEARTBEAT_S + PEER_TIMEOUT_S):
                 response = await self._exchange(path)
-            if response.status == 410:
-                raise HistoryLostError(f"{self.address} has no such history")
             if response.status != 200:
-                raise RelayUnavailableError(f"{self.address} does not watch the store")
-            return _decode_answer(response)
+                text = f"{self.address} does not watch the store"
+                raise RelayWithoutStoreError(text)
+            return *_decode_answer(response), response.parse_json()["all"]
         except _PEER_ERRORS as error:
             text = f"{self.address} does not answer: {error!r}"
             raise RelayUnavailableError(text) from error
@@ -251,11 +257,24 @@
         self._current = relay
         return relay
 
-    def note_failure(self, now):
-        """Do not ask the VM that was chosen last for some time."""
-        if self._current is not None:
-            self._current.failed_at = now
-            self._current.close()
+    def note_failure(self, error, now):
+        """Take the error of the VM that was chosen last; return whether to ask again.
+
+        A VM that lost the store for a moment is asked once more. Otherwise it is not
+        asked for `RELAY_PENALTY_S`.
+        """
+        relay = self._current
+        if isinstance(error, RelayWithoutStoreError) and not relay.was_without_store:
+            relay.was_without_store = True
+            return True
+        relay.was_without_store = False
+        relay.failed_at = now
+        relay.close()
+        return False
+
+    def note_success(self):
+        """Take an answer of the VM that was chosen last."""
+        self._current.was_without_store = False
 
     def _is_usable(self, vm, now):
         relay = self._relays.get(vm.vm_id)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -4,7 +4,11 @@
 import trio
 
 from tarragonchute import feeds
-from tarragonchute.errors import HistoryLostError, StoreUnavailableError
+from tarragonchute.errors import (
+    HistoryLostError,
+    RelayUnavailableError,
+    StoreUnavailableError,
+)
 from tarragonchute.feeds import Feed
 from tarragonchute.store import Entry, MemoryStore
 
@@ -50,6 +54,54 @@
             raise StoreUnavailableError("silent")
 
 
+class DeafStore(MemoryStore):
+    """A store whose next watch hears nothing, as while it drops its history."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_deaf = False
+
+    async def watch(self, prefix, after, wait_s):
+        if self.is_deaf:
+            await trio.sleep(wait_s)
+            return [], after
+        return await super().watch(prefix, after, wait_s)
+
+
+class OneRelay:
+    """A relay that answers until it is told to fail."""
+
+    def __init__(self, store):
+        self.store = store
+        self.error = None
+
+    def choose(self, now):
+        return self if self.error is None else None
+
+    async def watch(self, after):
+        with trio.move_on_after(0.8):
+            entries, revision = await self.store.watch("", after, 0.8)
+            return entries, revision, False
+        return [], after, False
+
+    def note_failure(self, error, now):
+        self.error = error
+        return False
+
+    def note_success(self):
+        pass
+
+
+class FailingRelay(OneRelay):
+    """A relay that is cut when a change is made."""
+
+    async def watch(self, after):
+        await trio.sleep(0.8)
+        if self.store.is_deaf:
+            raise RelayUnavailableError("cut")
+        return await super().watch(after)
+
+
 class SomePeers:
     """Other VMs that know one entry."""
 
@@ -140,6 +192,23 @@
             self.assertEqual({"a": "from the store"}, handler.values)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_change_while_the_relay_is_lost_is_not_missed(self):
+        """Guards against a configuration that a new watch never hears of."""
+        store = DeafStore()
+        handler = RecordingHandler()
+        feed = Feed(store, handler, relays=FailingRelay(store))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(1.0)
+            self.assertFalse(feed.is_direct)
+            store.is_deaf = True
+            await store.put("op", "7", 0)
+            await trio.sleep(3.0)
+            self.assertTrue(feed.is_direct)
+            self.assertEqual({"op": "7"}, handler.values)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_quiet_store_costs_few_calls(self):
         """Guards against calls that grow with time on a day without changes."""
