--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -22,6 +22,7 @@
 from .gatewaymetrics import (
     CONFIGURATION_VERSION,
     CONNECTIONS,
+    LOG_LINES_DROPPED,
     NO_ROUTE,
     SEARCH,
     SEARCH_COVERAGE,
@@ -121,6 +122,8 @@
         Newest configuration that was received.
     fleet : fleet.Fleet
         The VMs that share the fleet-wide allowances.
+    count_dropped_lines : callable
+        Returns the log lines that were dropped since the start.
     """
 
     def __init__(self, settings, dialect, server_options, random_source=None):
@@ -133,6 +136,7 @@
         self.metrics = GatewayMetrics()
         self.metrics.read_gauges = self._list_gauges
         self.is_draining = False
+        self.count_dropped_lines = int
         self._dialect = dialect
         self._server_options = server_options
         self._random = random_source or random.Random()
@@ -369,6 +373,7 @@
             (TARGETS, (), len(self.registry)),
             (VMS, (), self._shares.vms),
             (CONNECTIONS, (), connections),
+            (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
 
     def _log_end(self, request, request_id, query, response, error, elapsed_s):
--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -155,6 +155,10 @@
         self.hedge_at = due
         return True
 
+    def list_target_ids(self):
+        """Return the ids of the targets that were tried, in their order."""
+        return [target.registration.target_id for target in self._tried]
+
     def cancel(self, now):
         """Give up all attempts in flight."""
         if self.state is LegState.OPEN:
--- a/tarragonchute/logs.py
+++ b/tarragonchute/logs.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import sys
+import time
 
 _request_id = contextvars.ContextVar("request_id", default="")
 
@@ -163,6 +164,11 @@
 """Log text that waits for a slow reader before lines are dropped."""
 
 
+MAX_LINES_PER_S = 300
+MAX_BURST_LINES = 600
+"""Log lines of one process; a line costs about as much as a reply of a target."""
+
+
 class NonBlockingStream:
     """Writes log lines to a file descriptor and never waits for its reader.
 
@@ -170,32 +176,49 @@
     ----------
     fd : int
         Set to non-blocking mode.
+    clock : callable
+        Returns monotonic seconds.
 
     Attributes
     ----------
     dropped : int
-        Lines that were dropped because the reader is slow. The next line that can be
-        written is preceded by their number.
+        Lines that were dropped since the start, because the reader is slow or there
+        were too many. The next line that is written is preceded by their number.
     """
 
-    def __init__(self, fd):
+    def __init__(self, fd, clock=time.monotonic):
         self._fd = fd
+        self._clock = clock
         self._pending = b""
+        self._tokens = float(MAX_BURST_LINES)
+        self._refilled_at = clock()
+        self._reported = 0
         self.dropped = 0
         os.set_blocking(fd, False)
 
     def write(self, text):
-        """Take text for the next `flush`."""
+        """Take one line for the next `flush`."""
         data = text.encode("utf-8", "replace")
-        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES or not self._spend():
             self.dropped += 1
             return
-        if self.dropped:
-            notice = {"message": "log lines dropped", "lines": self.dropped}
+        if self.dropped > self._reported:
+            lines = self.dropped - self._reported
+            notice = {"message": "log lines dropped", "lines": lines}
             self._pending += json.dumps(notice).encode() + b"\n"
-            self.dropped = 0
+            self._reported = self.dropped
         self._pending += data
 
+    def _spend(self):
+        now = self._clock()
+        earned = (now - self._refilled_at) * MAX_LINES_PER_S
+        self._refilled_at = now
+        self._tokens = min(self._tokens + earned, MAX_BURST_LINES)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     def flush(self):
         """Write as much as the reader takes now."""
         if not self._pending:
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -156,14 +156,16 @@
     except FindingsError as error:
         print(error, file=sys.stderr)
         return 2
-    configure_logging("json", "info", settings.vm_id, NonBlockingStream(1))
-    trio.run(_run, settings, file)
+    stream = NonBlockingStream(1)
+    configure_logging("json", "info", settings.vm_id, stream)
+    trio.run(_run, settings, file, stream)
     return 0
 
 
-async def _run(settings, file):
+async def _run(settings, file, stream):
     options = build_server_options(settings.stop_grace_s)
     gateway = Gateway(settings, DIALECT, options)
+    gateway.count_dropped_lines = lambda: stream.dropped
     store = PlatformStore(settings.store_address)
     store = ObservedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -299,6 +299,7 @@
         leg = self.legs[0]
         return {
             "service": self.service,
+            "targets": leg.list_target_ids(),
             "state": leg.state.value,
             "reason": leg.reason,
             "retries": leg.retries,
@@ -390,15 +391,16 @@
 
     def describe(self):
         """See `Query`."""
-        late = [
-            f"{leg.service}: {leg.reason or leg.state.value}"
-            for leg in self.legs
-            if leg.state is not LegState.DONE
-        ]
+        missing = [leg for leg in self.legs if leg.state is not LegState.DONE]
         return {
             "shards": len(self.legs),
             "included": self.included,
-            "missing": late[:MAX_LOGGED_SHARDS],
+            "missing": [
+                f"{leg.service}: {leg.reason} ({', '.join(leg.list_target_ids())})"
+                for leg in missing[:MAX_LOGGED_SHARDS]
+            ],
+            "usual_ms": round(self.times.mean_s * 1000, 1),
+            "lag_ms": round(self._context.lag_s * 1000, 1),
             "retries": sum(leg.retries for leg in self.legs),
             "hedges": sum(leg.hedges for leg in self.legs),
             "refusals": sum(leg.refusals for leg in self.legs),
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -53,7 +53,7 @@
 
     def test_operators_page_lists_every_metric(self):
         """Guards against alerts on metrics that do not exist."""
-        text = (PAGE.parent / "OPERATORS.md").read_text()
+        text = (PAGE.parent / "OPERATIONS.md").read_text()
         listed = set(re.findall(r"`(tarragonchute_\w+)`", text))
         self.assertEqual({spec.name for spec in METRIC_SPECS}, listed)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,9 +3,11 @@
 import io
 import json
 import logging
+import os
 
 import testtools
 
+from tarragonchute import logs
 from tarragonchute.logs import TraceBook, bind_request, configure_logging
 
 
@@ -84,3 +86,43 @@
         self.assertEqual(2, book.get("r99").dropped)
         self.assertLessEqual(book.events, 16)
         self.assertLessEqual(len(book), 8)
+
+
+class NonBlockingStreamTests(testtools.TestCase):
+    """Lines to a reader that may be slow."""
+
+    def open(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        self.now = 0.0
+        return reader, logs.NonBlockingStream(writer, lambda: self.now)
+
+    def test_slow_reader_loses_lines_and_learns_how_many(self):
+        """Guards against a process that waits for the reader of its log."""
+        reader, stream = self.open()
+        line = "x" * 20_000 + "\n"
+        for _ in range(30):
+            stream.write(line)
+            stream.flush()
+        self.assertGreater(stream.dropped, 0)
+        dropped = stream.dropped
+        text = b""
+        while len(text) < (30 - dropped) * len(line):
+            text += os.read(reader, 1 << 20)
+            stream.flush()
+        stream.write("last\n")
+        stream.flush()
+        notice = json.loads(os.read(reader, 1 << 20).splitlines()[0])
+        self.assertEqual(dropped, notice["lines"])
+
+    def test_lines_are_bounded_under_load(self):
+        """Guards against a log that takes the processor from the requests."""
+        _, stream = self.open()
+        for _ in range(2 * logs.MAX_BURST_LINES):
+            stream.write("x\n")
+        self.assertEqual(logs.MAX_BURST_LINES, stream.dropped)
+        self.now = 1.0
+        for _ in range(2 * logs.MAX_LINES_PER_S):
+            stream.write("x\n")
+        self.assertEqual(logs.MAX_BURST_LINES + logs.MAX_LINES_PER_S, stream.dropped)
