--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -184,19 +184,20 @@
         except TarragonchuteError as error:
             logger.info("nothing to start with: %s", error)
             return
-        self._apply_snapshot(entries, is_after_outage=True)
+        # A revision that only a peer vouches for is no start for a watch.
+        self._apply_snapshot(entries, None, is_after_outage=True)
 
     async def _load(self):
         entries, revision = await self._store.list(ALL_KEYS)
         self._note_success()
-        self._apply_snapshot(entries, self._may_have_lapsed)
+        self._apply_snapshot(entries, revision, self._may_have_lapsed)
         self._may_have_lapsed = False
-        self._history.clear()
-        self._history_start = revision
-        self.revision = revision
 
-    def _apply_snapshot(self, entries, is_after_outage):
+    def _apply_snapshot(self, entries, revision, is_after_outage):
         self._entries = {entry.key: entry for entry in entries}
+        self._history.clear()
+        self._history_start = math.inf if revision is None else revision
+        self.revision = revision
         self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
 
@@ -227,11 +228,10 @@
         self._note_success()
         self._relays.note_success()
         if is_snapshot:
-            self._apply_snapshot(entries, is_after_outage=False)
+            self._apply_snapshot(entries, revision, is_after_outage=False)
         else:
-            self._apply_changes(entries, revision)
-        # A relay may be behind what this VM has read from the store before.
-        self.revision = max(revision, self.revision)
+            # A relay may be behind what this VM has read from the store before.
+            self._apply_changes(entries, max(revision, self.revision))
 
     async def _pause_for_batch(self, is_burst):
         longer_s = min(2 * self._batch_s, BATCH_MAX_S)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -92,6 +92,16 @@
         pass
 
 
+class SnapshotRelay(OneRelay):
+    """A relay that lacks the history and sends everything."""
+
+    def __init__(self):
+        super().__init__(None)
+
+    async def watch(self, after):
+        return [Entry("a", "1", 40)], 50, True
+
+
 class FailingRelay(OneRelay):
     """A relay that is cut when a change is made."""
 
@@ -209,6 +219,18 @@
             self.assertEqual({"op": "7"}, handler.values)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_history_starts_anew_with_a_relays_snapshot(self):
+        """Guards against a VM that relays a history with a gap in it."""
+        feed = Feed(MemoryStore(), RecordingHandler())
+        await feed._load()
+        relay = SnapshotRelay()
+        feed._relays = relay
+        await feed._follow_relay(relay)
+        self.assertEqual(50, feed.revision)
+        self.assertEqual([], feed.list_changes(50))
+        self.assertIsNone(feed.list_changes(10))
+
     @run_in_virtual_time
     async def test_quiet_store_costs_few_calls(self):
         """Guards against calls that grow with time on a day without changes."""
