Listen for callers before probes are answered

Cause: test_search_and_order failed once in make test with a refused connection. The process answered its probe as soon as the configuration was there, and opened the callers' listener two listeners and a garbage collection later. Ruled out: the balancer of the test (it connects after a 200). The new test failed before.

--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -83,11 +83,13 @@
             nursery.start_soon(gateway.reactor.run)
             for task in self._tasks:
                 nursery.start_soon(task.run)
+            # Callers wait in the listener until they are served. A probe must not be
+            # answered before they can connect.
+            listeners = await bind_listeners(settings.caller_address)
             await self._listen(nursery, settings.ready_address, self._answer_probe)
             await self._listen(nursery, settings.peer_address, self._peer_handler)
             metrics_address = f"{settings.host}:{METRICS_PORT}"
             await self._listen(nursery, metrics_address, self._answer_metrics)
-            listeners = await bind_listeners(settings.caller_address)
             # Start-up objects live as long as the process; the collector need not
             # visit them again.
             gc.collect()
