Reserve the ports of test deployments until they end

Deployments took each port from a probe socket that was closed at once, so two servers of one deployment could be told the same port, and the VM then ended with port_in_use. A run of the tests starts about thirty.

Ruled out: load alone; the test waited 30 s and the error was hidden, because the loop passed over it. It now reports the last error and the logs of the VMs.

--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -8,6 +8,7 @@
 
 from tarragonchute import errors, httpio
 from tarragonchute.httpio import HttpConnection, HttpResponse, ServerOptions
+from tools.ports import PortReservations
 
 TEST_TIMEOUT_S = 10
 
@@ -27,11 +28,12 @@
                 nursery.cancel_scope.cancel()
 
 
+RESERVATIONS = PortReservations()
+
+
 async def close_port():
-    """Return an address on which nobody listens."""
-    (listener,) = await httpio.bind_listeners("127.0.0.1:0")
-    async with listener:
-        return httpio.get_address([listener])
+    """Return an address on which nobody listens, and that nobody else is given."""
+    return RESERVATIONS.reserve()
 
 
 async def answer_echo(request):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -44,15 +44,18 @@
                 nursery.cancel_scope.cancel()
 
     async def _load(self, deployment):
-        with trio.fail_after(WAIT_S):
+        last = None
+        with trio.move_on_after(WAIT_S):
             while True:
                 try:
                     results = await deployment.load_settings("vm-1")
-                    if all(result.error is None for result in results):
+                    last = [result.error for result in results]
+                    if not any(last):
                         return
-                except TarragonchuteError:
-                    pass
+                except TarragonchuteError as error:
+                    last = error
                 await trio.sleep(POLL_S)
+        self.fail(f"settings not loaded: {last!r}; logs: {deployment.read_logs()}")
 
     async def _wait_covered(self, balancer, deployment):
         """Wait until every VM answers with full coverage."""
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -7,7 +7,6 @@
 import hashlib
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -16,6 +15,7 @@
 
 from tarragonchute import commands
 from tarragonchute.httpio import HttpConnection
+from tools.ports import PortReservations
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = "demo-token"
@@ -159,6 +159,7 @@
         self._vm_list_address = None
         self._target_controls = {}
         self._target_addresses = {}
+        self._ports = PortReservations()
 
     async def __aenter__(self):
         try:
@@ -179,6 +180,11 @@
         """Kill all processes that were started here."""
         for process in self.processes.values():
             process.end()
+        self._ports.close()
+
+    def read_logs(self):
+        """Return what the entry VMs wrote to their logs, by VM."""
+        return {vm_id: self.processes[vm_id].read_log() for vm_id in self.vm_ids}
 
     def list_targets(self):
         """Return the ids of all targets with their failure domains."""
@@ -244,9 +250,9 @@
     def start_vm(self, vm_id):
         """Start the process of an entry VM."""
         if vm_id not in self.callers:
-            self.callers[vm_id] = _find_free_address()
-            self.peers[vm_id] = _find_free_address()
-            self.admins[vm_id] = _find_free_address()
+            self.callers[vm_id] = self._ports.reserve()
+            self.peers[vm_id] = self._ports.reserve()
+            self.admins[vm_id] = self._ports.reserve()
         path = self._folder / f"{vm_id}.ini"
         path.write_text(self._format_vm(vm_id))
         arguments = ["-m", "tarragonchute.cli", "run", str(path)]
@@ -393,9 +399,3 @@
             f"service_ms = {dataset.service_ms}",
         ]
     return "\n".join(lines) + "\n"
-
-
-def _find_free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
