--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -15,8 +15,9 @@
 
 from tarragonchute.dialects import Dialect
 from tarragonchute.exchanges import TargetReactor
+from tarragonchute.fanout import SearchQuery
 from tarragonchute.httpio import HttpRequest
-from tarragonchute.queries import QueryContext, SearchQuery
+from tarragonchute.queries import QueryContext, build_outgoing
 from tarragonchute.registry import Registration, Registry
 from tarragonchute.replicas import ReplicaChooser, ReplyTimes
 from tarragonchute.routes import Route
@@ -111,8 +112,9 @@
             if number == 20:
                 started = time.thread_time()
                 profile and profile.enable()
+            outgoing = build_outgoing(request, b"r1", DIALECT)
             query = SearchQuery(
-                context, route, 1, request, b"r1", 5.0, times, trio.current_time()
+                context, route, 1, outgoing, 5.0, times, trio.current_time()
             )
             await query.run()
         profile and profile.disable()
--- /dev/null
+++ b/tarragonchute/channels.py
@@ -0,0 +1,225 @@
+"""Connections between VMs that carry frames, driven by a reactor.
+
+A channel keeps its order and says when it ends; it does not say that a peer fell
+silent. Whoever needs an answer in time has to watch for it.
+"""
+
+import errno
+import logging
+import select
+import socket
+from typing import Protocol
+
+from .errors import ProtocolError
+from .frames import FrameReader, encode_frame
+from .httpio import KeepAlive, split_address
+
+logger = logging.getLogger(__name__)
+
+RECEIVE_BYTES = 256 * 1024
+
+MAX_UNSENT_BYTES = 1024 * 1024
+"""Bytes that wait for a peer which does not read; with more the channel ends."""
+
+LISTEN_BACKLOG = 256
+
+KEEP_ALIVE = KeepAlive(idle_s=5, interval_s=2, probes=3)
+"""Finds the end of a peer without power within 11 s, so that its socket is freed."""
+
+
+class ChannelOwner(Protocol):
+    """What is told the frames of a channel, and its end."""
+
+    def handle_frames(self, channel, payloads, now):
+        """Take the payloads that arrived together, in their order."""
+
+    def handle_close(self, channel, reason, now):
+        """Take the end of the channel; called once, unless `Channel.close` was."""
+
+
+class Channel:
+    """One connection to a VM.
+
+    Parameters
+    ----------
+    reactor : reactor.Reactor
+    sock : socket.socket
+        Does not block.
+    owner : ChannelOwner
+    is_connecting : bool
+        Whether the connection has yet to be established; frames wait until then.
+    """
+
+    __slots__ = (
+        "fd",
+        "is_closed",
+        "_reactor",
+        "_sock",
+        "_owner",
+        "_is_connecting",
+        "_reader",
+        "_unsent",
+    )
+
+    def __init__(self, reactor, sock, owner, is_connecting):
+        self.fd = sock.fileno()
+        self.is_closed = False
+        self._reactor = reactor
+        self._sock = sock
+        self._owner = owner
+        self._is_connecting = is_connecting
+        self._reader = FrameReader()
+        self._unsent = bytearray()
+        reactor.add(self, select.EPOLLOUT if is_connecting else select.EPOLLIN)
+
+    @classmethod
+    def open(cls, reactor, address, owner):
+        """Return a channel to ``host:port`` that is being established.
+
+        Raises
+        ------
+        OSError
+            If no connection can be begun.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            _set_options(sock)
+            code = sock.connect_ex(split_address(address))
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, errno.errorcode.get(code, "connect failed"))
+        except BaseException:
+            sock.close()
+            raise
+        return cls(reactor, sock, owner, is_connecting=True)
+
+    def send(self, payload, now):
+        """Send one frame, or keep it until the connection takes it."""
+        if self.is_closed:
+            return
+        data = encode_frame(payload)
+        is_waiting = bool(self._unsent) or self._is_connecting
+        self._unsent += data
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            self._end("the peer does not read", now)
+        elif not is_waiting:
+            self._flush(now)
+
+    def close(self):
+        """Close the connection without telling the owner."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._reactor.remove(self)
+            self._sock.close()
+
+    def handle_event(self, events, now):
+        """See `reactor.Watched`."""
+        if self._is_connecting:
+            self._finish_connect(now)
+            return
+        if events & select.EPOLLOUT:
+            self._flush(now)
+        if events & ~select.EPOLLOUT and not self.is_closed:
+            self._receive(now)
+
+    def _finish_connect(self, now):
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._end(errno.errorcode.get(code, str(code)), now)
+            return
+        self._is_connecting = False
+        self._reactor.watch(self, select.EPOLLIN)
+        if self._unsent:
+            self._flush(now)
+
+    def _flush(self, now):
+        try:
+            sent = self._sock.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self._end(f"sending failed: {error}", now)
+            return
+        del self._unsent[:sent]
+        wanted = select.EPOLLIN | (select.EPOLLOUT if self._unsent else 0)
+        self._reactor.watch(self, wanted)
+
+    def _receive(self, now):
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                self._end("the peer closed the connection", now)
+                return
+            payloads = self._reader.feed(data)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(f"receiving failed: {error}", now)
+            return
+        except ProtocolError as error:
+            self._end(str(error), now)
+            return
+        if payloads:
+            self._owner.handle_frames(self, payloads, now)
+
+    def _end(self, reason, now):
+        self.close()
+        self._owner.handle_close(self, reason, now)
+
+
+class ChannelListener:
+    """Accepts channels on an address.
+
+    Parameters
+    ----------
+    reactor : reactor.Reactor
+    address : str
+        ``host:port``.
+    owner : ChannelOwner
+        Of all accepted channels.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
+    """
+
+    __slots__ = ("fd", "is_closed", "address", "_reactor", "_sock", "_owner")
+
+    def __init__(self, reactor, address, owner):
+        self._sock = socket.create_server(
+            split_address(address), backlog=LISTEN_BACKLOG
+        )
+        self._sock.setblocking(False)
+        host, port = self._sock.getsockname()
+        self.address = f"{host}:{port}"
+        self.fd = self._sock.fileno()
+        self.is_closed = False
+        self._reactor = reactor
+        self._owner = owner
+        reactor.add(self, select.EPOLLIN)
+
+    def handle_event(self, events, now):
+        """See `reactor.Watched`."""
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                logger.warning("cannot accept a channel: %s", error)
+                return
+            _set_options(sock)
+            Channel(self._reactor, sock, self._owner, is_connecting=False)
+
+    def close(self):
+        """Stop listening."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._reactor.remove(self)
+            self._sock.close()
+
+
+def _set_options(sock):
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    KEEP_ALIVE.apply(sock)
--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -12,9 +12,8 @@
 import select
 import socket
 
-import trio
-
 from .errors import ProtocolError
+from .reactor import Reactor
 from .replies import ReplyReader
 
 logger = logging.getLogger(__name__)
@@ -52,11 +51,6 @@
 IDLE_SWEEP_PERIOD_S = 1.0
 """Period at which idle connections beyond their time are looked for."""
 
-COALESCE_MIN_EXCHANGES = 12
-COALESCE_S = 0.001
-"""With so many exchanges in flight, events are collected for this time. Each wake-up
-of the loop costs about as much as the handling of one reply."""
-
 
 class FailureKind(enum.Enum):
     """What is known about a request whose exchange failed."""
@@ -184,6 +178,15 @@
         self.idle_since = now
         self.idle_limit_s = None
 
+    @property
+    def is_closed(self):
+        """See `reactor.Watched`."""
+        return self.phase is _Phase.CLOSED
+
+    def handle_event(self, events, now):
+        """See `reactor.Watched`."""
+        self.link.handle_event(self, events, now)
+
 
 class TargetLink:
     """The connections to one address, and the exchanges that use them.
@@ -377,7 +380,7 @@
         connection = _Connection(self, sock, now)
         self._connections[connection.fd] = connection
         self.opened += 1
-        self._reactor.add(connection)
+        self._reactor.add(connection, select.EPOLLOUT)
         return True
 
     def _finish_connect(self, connection, now):
@@ -539,7 +542,7 @@
         connection.sock.close()
 
 
-class TargetReactor:
+class TargetReactor(Reactor):
     """Waits for all target connections in one task.
 
     Parameters
@@ -552,28 +555,21 @@
     links : set of TargetLink
     cold_links : collections.deque of TargetLink
         Links that should have a connection ahead of their next use.
-    in_flight : int
-        Exchanges whose end somebody waits for.
     """
 
     __slots__ = (
-        "_epoll",
-        "_by_fd",
         "_active",
         "_next_idle_sweep",
         "links",
         "cold_links",
-        "in_flight",
         "reply_id_field",
     )
 
     def __init__(self, reply_id_field):
+        super().__init__()
         self.reply_id_field = reply_id_field
-        self.in_flight = 0
         self._active = {}
         self._next_idle_sweep = 0.0
-        self._epoll = select.epoll()
-        self._by_fd = {}
         self.links = set()
         self.cold_links = collections.deque()
 
@@ -587,20 +583,6 @@
         """Close a link; its exchanges in flight may end."""
         link.close(now)
 
-    def add(self, connection):
-        """Watch a connection that is being opened."""
-        self._by_fd[connection.fd] = connection
-        self._epoll.register(connection.fd, select.EPOLLOUT)
-
-    def watch(self, connection, events):
-        """Change the events that a connection is watched for."""
-        self._epoll.modify(connection.fd, events)
-
-    def remove(self, connection):
-        """Stop watching a connection that is about to be closed."""
-        if self._by_fd.pop(connection.fd, None) is not None:
-            self._epoll.unregister(connection.fd)
-
     def note_start(self, link):
         """Count an exchange that was started."""
         self.in_flight += 1
@@ -627,28 +609,6 @@
             if link.is_finished():
                 self.links.discard(link)
 
-    async def run(self):
-        """Handle events until cancelled."""
-        fd = self._epoll.fileno()
-        while True:
-            await trio.lowlevel.wait_readable(fd)
-            self.poll(trio.current_time())
-            if self.in_flight >= COALESCE_MIN_EXCHANGES:
-                await trio.sleep(COALESCE_S)
-
-    def poll(self, now):
-        """Handle the events that are ready, without waiting."""
-        ready = [(self._by_fd.get(fd), events) for fd, events in self._epoll.poll(0)]
-        for connection, events in ready:
-            # An earlier event of the batch may have closed this connection, and its
-            # descriptor may belong to a new one already.
-            if connection is not None and connection.phase is not _Phase.CLOSED:
-                connection.link.handle_event(connection, events, now)
-
-    def close(self):
-        """Release the epoll set."""
-        self._epoll.close()
-
 
 def _read_idle_limit(reply):
     stated_s = parse_keep_alive(reply.get(b"keep-alive"))
--- /dev/null
+++ b/tarragonchute/fanout.py
@@ -0,0 +1,306 @@
+"""Searches in flight: requests to one target of each shard."""
+
+import trio
+
+from .delegation import DelegatedShards
+from .errors import TargetFailedError, TooFewShardsError
+from .httpio import ForwardedResponse
+from .legs import LegState
+from .queries import Query, build_refusal
+from .records import RecordMerge, count_least, join_digests
+from .routes import Route
+from .subsearches import Subsearch, SubsearchAnswer
+
+GOAL_MARGIN_S = 0.006
+"""Time kept for both ways between caller and VM before the goal."""
+
+GOAL_MARGIN_SHARE = 0.05
+"""Part of the goal that is kept besides, for the merge and a busy processor."""
+
+MAX_LAG_SHARE = 0.2
+"""Largest part of the goal that is kept because the timers are late."""
+
+ANSWER_MARGIN_S = 0.003
+"""Time kept for the way of another VM's answer before it is needed."""
+
+MAX_LOGGED_SHARDS = 8
+"""Missing shards that the log line of a search names."""
+
+
+class SearchQuery(Query):
+    """A request to one target of each shard, answered with the greatest records.
+
+    Attributes
+    ----------
+    goal_at : float
+        From then on the answer may be partial.
+    shares : list of DelegatedShards
+        Shards that other VMs ask; `legs` has the others.
+    """
+
+    __slots__ = ("goal_at", "shares", "_included", "_merge")
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        goal_s = self.route.goal_s
+        margin_s = GOAL_MARGIN_S + GOAL_MARGIN_SHARE * goal_s
+        margin_s += min(self._context.lag_s, MAX_LAG_SHARE * goal_s)
+        self.goal_at = self.started_at + self.route.goal_s - margin_s
+        self.shares = []
+        self._included = 0
+        self._merge = RecordMerge(self.route.top)
+
+    @property
+    def total(self):
+        """Number of shards."""
+        return len(self.route.shards)
+
+    @property
+    def included(self):
+        """Number of shards that have replied."""
+        return self._included + sum(share.included for share in self.shares)
+
+    def start(self, now):
+        """See `Query`; other VMs are asked first, because their answers take longer."""
+        delegation = self._context.delegation
+        services, handed = delegation.plan(self.route.shards, now)
+        legs = self._add_legs(services, self.route.max_attempts)
+        prepared = sum(leg.prepare(now) for leg in legs)
+        self.check_prepared(prepared + sum(len(names) for _, names in handed))
+        for delegate, names in handed:
+            share = DelegatedShards(names, self, delegation)
+            self.shares.append(share)
+            share.start(delegate, now)
+        self._start_legs(legs, now)
+
+    def check_prepared(self, prepared):
+        """See `Query`."""
+        if prepared < self._least():
+            total = self.total
+            text = f"{prepared} of {total} shards have a target that may be used"
+            raise build_refusal(text)
+
+    def build_subsearch(self, services, max_attempts, is_extra, now):
+        """Return the message that has another VM ask some of the shards."""
+        route = self.route
+        return Subsearch(
+            0,
+            route.name,
+            route.goal_s,
+            self.goal_at - ANSWER_MARGIN_S - now,
+            self.limit_at - now,
+            self.target_limit_at - now,
+            max_attempts,
+            route.top,
+            is_extra,
+            services,
+            self.outgoing,
+        )
+
+    def ask_targets(self, services, max_attempts, is_extra, now):
+        """Ask the targets of shards that no other VM asks any more."""
+        legs = self._add_legs(services, max_attempts)
+        for leg in legs:
+            leg.prepare(now)
+        self._start_legs(legs, now, is_extra)
+        self.note_due_changed()
+
+    def next_due(self):
+        """See `Query`."""
+        due = super().next_due()
+        for share in self.shares:
+            share_due = share.next_due()
+            if share_due is not None:
+                due = min(due, share_due)
+        if self.goal_at > trio.current_time():
+            due = min(due, self.goal_at)
+        return due
+
+    def advance(self, now):
+        """See `Query`; the answer may be partial from the goal on."""
+        for share in self.shares:
+            share.advance(now)
+        super().advance(now)
+        self._check_end(now)
+
+    def close(self, now):
+        """See `Query`."""
+        super().close(now)
+        for share in self.shares:
+            share.cancel(now)
+
+    def note_leg_end(self, leg, now):
+        """See `Query`."""
+        if leg.state is LegState.DONE:
+            self._included += 1
+            self._merge.add(leg.reply.body)
+        if not self.is_finished:
+            self._open_legs -= 1
+            self._check_end(now)
+
+    def note_share(self, now):
+        """Take an answer of another VM, or its end without one."""
+        self._check_end(now)
+
+    def build_response(self):
+        """See `Query`."""
+        digests = self._list_digests()
+        if not self._is_sufficient() or not digests:
+            self._raise_failure()
+        if len(set(digests)) != len(digests):
+            raise TargetFailedError("two shards gave the same digest")
+        dialect = self._context.dialect
+        lines = [(dialect.included_digests, value) for value in join_digests(digests)]
+        missing = self.total - len(digests)
+        if missing:
+            lines.append((dialect.missing_shards, b"%d" % missing))
+        lines.append((dialect.request_id, self.outgoing.request_id))
+        return ForwardedResponse(200, lines, self._build_records())
+
+    def describe(self):
+        """See `Query`."""
+        return {
+            "shards": self.total,
+            "included": self.included,
+            "missing": self.list_missing()[:MAX_LOGGED_SHARDS],
+            "usual_ms": round(self.times.mean_s * 1000, 1),
+            "lag_ms": round(self._context.lag_s * 1000, 1),
+            "retries": sum(leg.retries for leg in self.legs),
+            "hedges": sum(leg.hedges for leg in self.legs),
+            "refusals": sum(leg.refusals for leg in self.legs),
+            "delegated": [share.describe() for share in self.shares],
+        }
+
+    def list_missing(self):
+        """Return a text for each shard that is not included, with the reason."""
+        missing = [
+            f"{leg.service}: {leg.reason} ({', '.join(leg.list_target_ids())})"
+            for leg in self.legs
+            if leg.state is not LegState.DONE
+        ]
+        for share in self.shares:
+            if share.answer is not None:
+                missing += share.answer.missing
+        return missing
+
+    def _list_digests(self):
+        digest_field = self._context.dialect.fields.digest
+        digests = [
+            leg.reply.get(digest_field)
+            for leg in self.legs
+            if leg.state is LegState.DONE
+        ]
+        for share in self.shares:
+            if share.answer is not None:
+                digests += share.answer.digests
+        return digests
+
+    def _build_records(self):
+        for share in self.shares:
+            if share.answer is not None:
+                self._merge.add(share.answer.records)
+        return self._merge.build()
+
+    def _check_end(self, now):
+        """Finish if nothing is open, too little can come, or enough is late."""
+        if self.is_finished:
+            return
+        open_shards = self._count_open()
+        can_suffice = self.included + open_shards >= self._least()
+        is_late = now is not None and now >= self.goal_at
+        if not open_shards or not can_suffice or is_late and self._is_sufficient():
+            self._finish()
+
+    def _count_open(self):
+        return self._open_legs + sum(share.count_open() for share in self.shares)
+
+    def _is_sufficient(self):
+        return self.included >= self._least()
+
+    def _least(self):
+        return count_least(self.route.least_coverage, self.total)
+
+    def _has_run(self):
+        if any(leg.has_run for leg in self.legs):
+            return True
+        return any(share.may_have_run for share in self.shares)
+
+    def _raise_failure(self):
+        included, total = self.included, self.total
+        if not self._has_run():
+            raise build_refusal(f"no target for {total} shards")
+        raise TooFewShardsError(
+            f"{included} of {total} shards answered; {self._least()} are required"
+        )
+
+
+class ShardQuery(SearchQuery):
+    """The shards of a search that another VM handed to this one.
+
+    Parameters
+    ----------
+    subsearch : subsearches.Subsearch
+    context : queries.QueryContext
+    times : replicas.ReplyTimes
+    report : callable
+        Takes a `SubsearchAnswer` that is not final.
+    now : float
+    """
+
+    __slots__ = ("_subsearch", "_report", "_reported")
+
+    def __init__(self, subsearch, context, times, report, now):
+        route = Route(
+            subsearch.route_name,
+            "",
+            "",
+            timeout_s=subsearch.limit_left_s,
+            goal_s=subsearch.goal_s,
+            max_attempts=subsearch.max_attempts,
+            shards=subsearch.services,
+            top=subsearch.top,
+        )
+        outgoing = subsearch.outgoing
+        limit_s = subsearch.target_limit_left_s
+        super().__init__(context, route, 0, outgoing, limit_s, times, now)
+        self.goal_at = now + subsearch.goal_left_s
+        self.limit_at = now + subsearch.limit_left_s
+        self.target_limit_at = now + limit_s
+        self._subsearch = subsearch
+        self._report = report
+        self._reported = 0
+
+    def start(self, now):
+        """See `Query`; a VM never hands on what it was handed."""
+        legs = self._add_legs(self.route.shards, self.route.max_attempts)
+        if not sum(leg.prepare(now) for leg in legs):
+            raise build_refusal("no target may take the request")
+        self._start_legs(legs, now, self._subsearch.is_extra)
+
+    def build_response(self):
+        """Return the final answer."""
+        return self._build_answer(is_final=True)
+
+    def _check_end(self, now):
+        """Report from the goal on; the other VM decides what suffices."""
+        if self.is_finished:
+            return
+        if not self._open_legs:
+            self._finish()
+        elif now is not None and now >= self.goal_at:
+            self._report_progress()
+
+    def _report_progress(self):
+        if self._included > self._reported:
+            self._reported = self._included
+            self._report(self._build_answer(is_final=False))
+
+    def _build_answer(self, is_final):
+        return SubsearchAnswer(
+            self._subsearch.number,
+            is_final,
+            self._has_run(),
+            self._list_digests(),
+            self._merge.build(),
+            self.list_missing()[:MAX_LOGGED_SHARDS],
+        )
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -36,6 +36,10 @@
 the store only, and still send requests."""
 
 
+MIN_RATE = 1e-3
+"""Least rate of a VM; ranks and shares divide by it."""
+
+
 class VmInfo:
     """What a VM tells the others about itself.
 
@@ -46,14 +50,30 @@
         Failure domain; empty if it is unknown.
     address : str
         ``host:port`` for other VMs; empty if it is unknown.
+    search_address : str
+        ``host:port`` for subsearches; empty if it takes none.
+    rate : float
+        Shard requests a second that it can make.
     """
 
-    __slots__ = ("vm_id", "domain", "address")
+    __slots__ = ("vm_id", "domain", "address", "search_address", "rate")
 
-    def __init__(self, vm_id, domain="", address=""):
+    def __init__(self, vm_id, domain="", address="", search_address="", rate=1.0):
         self.vm_id = vm_id
         self.domain = domain
         self.address = address
+        self.search_address = search_address
+        self.rate = rate
+
+    def encode(self):
+        """Return the content of the VM's key."""
+        body = {
+            "domain": self.domain,
+            "address": self.address,
+            "search_address": self.search_address,
+            "rate": self.rate,
+        }
+        return orjson.dumps(body).decode()
 
 
 class Fleet:
@@ -122,7 +142,13 @@
     """Return the `VmInfo` in a key's content; unknown parts are empty."""
     try:
         body = orjson.loads(value)
-        return VmInfo(vm_id, str(body["domain"]), str(body["address"]))
+        return VmInfo(
+            vm_id,
+            str(body["domain"]),
+            str(body["address"]),
+            str(body.get("search_address", "")),
+            max(float(body.get("rate", 1.0)), MIN_RATE),
+        )
     except (ValueError, KeyError, TypeError) as error:
         logger.warning("the key of VM %s cannot be read: %r", vm_id, error)
         return VmInfo(vm_id)
@@ -141,10 +167,8 @@
     def __init__(self, store, fleet):
         self._store = store
         self._fleet = fleet
-        own = fleet.own
-        self._key = VM_PREFIX + own.vm_id
-        body = {"domain": own.domain, "address": own.address}
-        self._value = orjson.dumps(body).decode()
+        self._key = VM_PREFIX + fleet.own.vm_id
+        self._value = fleet.own.encode()
         self._lease = None
         self._revision = 0
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -11,6 +11,7 @@
 
 from . import exchanges, replicas
 from .budgets import WindowBudget, WindowLimits
+from .delegation import Delegates
 from .errors import (
     BadRequestError,
     NoConfigurationError,
@@ -18,22 +19,27 @@
     RouteNotFoundError,
     TarragonchuteError,
 )
+from .fanout import SearchQuery
 from .fleet import Fleet, VmInfo
 from .gatewaymetrics import (
     CONFIGURATION_VERSION,
     CONNECTIONS,
+    DELEGATES,
     LOG_LINES_DROPPED,
     NO_ROUTE,
     SEARCH,
     SEARCH_COVERAGE,
     SINGLE,
+    SUBSEARCHES,
     TARGETS,
     VMS,
     GatewayMetrics,
 )
-from .queries import QueryContext, SearchQuery, SingleQuery
+from .leaders import estimate_rate, hash_text
+from .queries import QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .routes import WeightedChoice
+from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
 
 logger = logging.getLogger(__name__)
@@ -57,6 +63,12 @@
 KEEP_WARM_S = 20.0
 """Time without requests after which ended connections are not replaced any more."""
 
+DOMAIN_CHECK_S = 1.0
+"""Period at which the failure domain whose leaders are used is chosen again."""
+
+SAMPLED_SHARDS = 8
+"""Shards whose targets are looked at for that."""
+
 NO_CONFIGURATION_RETRY_S = 0.2
 """When a caller is asked to come back to a VM that has just started."""
 
@@ -69,6 +81,10 @@
     vm_id, domain, host : str
     caller_address, ready_address, peer_address, store_address : str
         ``host:port``.
+    search_address : str
+        Where other VMs hand over shards; empty if this VM takes none.
+    cores, link_mbps : float
+        Processor time a second and bandwidth that this VM has.
     peers : tuple of str
         Peer addresses of some VMs; they may be stale.
     max_descriptors : int
@@ -89,6 +105,9 @@
         "caller_address",
         "ready_address",
         "peer_address",
+        "search_address",
+        "cores",
+        "link_mbps",
         "peers",
         "store_address",
         "max_descriptors",
@@ -131,7 +150,13 @@
         self.table = None
         self._started_at = trio.current_time()
         self._last_request_at = None
-        own = VmInfo(settings.vm_id, settings.domain, settings.peer_address)
+        own = VmInfo(
+            settings.vm_id,
+            settings.domain,
+            settings.peer_address,
+            settings.search_address,
+            estimate_rate(settings.cores, settings.link_mbps),
+        )
         self.fleet = Fleet(own)
         self.metrics = GatewayMetrics()
         self.metrics.read_gauges = self._list_gauges
@@ -162,12 +187,19 @@
             self._arrange,
             self.chooser.observe,
         )
+        self._delegates = Delegates(own, self.reactor)
+        self._serving_domain = None
+        self._next_domain_check = 0.0
         self._context = QueryContext(
             self.registry,
             self.chooser,
             dialect,
             self._find_budget,
             self.reactor.poll,
+            self._delegates,
+        )
+        self.shard_server = ShardServer(
+            settings.vm_id, self._context, self._find_times, self._count_subsearch
         )
 
     def apply_table(self, table):
@@ -180,7 +212,10 @@
         self._forget_removed(table)
         self._apply_limits(table.limits)
         self.registry.rearrange()
-        self._update_shares(trio.current_time())
+        now = trio.current_time()
+        self._update_shares(now)
+        if not self.is_draining:
+            self.shard_server.open(now)
         logger.info(
             "configuration in force",
             extra={
@@ -194,6 +229,11 @@
         """Whether callers should be sent to this VM."""
         return self.table is not None and not self.is_draining
 
+    def drain(self, now):
+        """Report not ready, and ask other VMs for no new work."""
+        self.is_draining = True
+        self.shard_server.leave(now)
+
     def sweep(self, now):
         """Run the systems over the tables; called by the timer service."""
         self.reactor.sweep(now)
@@ -201,6 +241,8 @@
         if self.table is None:
             return
         self._update_shares(now)
+        self._update_delegates(now)
+        self._delegates.sweep(now)
         if now - self._started_at > SETTLE_S:
             self.registry.refresh(REFRESH_PER_TICK)
             self._warm_up(now)
@@ -240,10 +282,9 @@
             self._context,
             route,
             table.version,
-            request,
-            request_id.encode("latin-1"),
+            build_outgoing(request, request_id.encode("latin-1"), self._dialect),
             self._read_time_limit(request, route),
-            self._find_times(route),
+            self._find_times(route.name, route.goal_s, route.is_search),
             now,
         )
         if route.is_search:
@@ -268,12 +309,12 @@
             raise NoTargetError(f"route {route.name} names no service")
         return service
 
-    def _find_times(self, route):
-        key = (route.name, route.goal_s)
+    def _find_times(self, route_name, goal_s, is_search=True):
+        key = (route_name, goal_s)
         times = self._times.get(key)
         if times is None:
-            weight = SEARCH_TIMES_WEIGHT if route.is_search else SINGLE_TIMES_WEIGHT
-            times = self._times[key] = replicas.ReplyTimes(route.goal_s, weight)
+            weight = SEARCH_TIMES_WEIGHT if is_search else SINGLE_TIMES_WEIGHT
+            times = self._times[key] = replicas.ReplyTimes(goal_s, weight)
         return times
 
     def _find_budget(self, service):
@@ -287,7 +328,38 @@
         if self._shares.set_vms(self.fleet.list_vms(now)):
             self._window.slack = self._shares.count_retry_slack()
             self.registry.rearrange()
-            logger.info("fleet changed", extra={"vms": self._shares.vms})
+            self._next_domain_check = now
+            logger.info(
+                "fleet changed",
+                extra={"vms": self._shares.vms, "is_leader": self._shares.is_leader},
+            )
+
+    def _update_delegates(self, now):
+        """Follow the fleet and the failure domain whose leaders are used."""
+        if now < self._next_domain_check:
+            return
+        self._next_domain_check = now + DOMAIN_CHECK_S
+        vms = self.fleet.list_vms(now) if self.table.wide_shards else []
+        domain = self._choose_serving_domain()
+        if domain != self._serving_domain:
+            logger.info("leaders of a domain are used", extra={"domain": domain})
+            self._serving_domain = domain
+        self._delegates.update(vms, domain, now)
+
+    def _choose_serving_domain(self):
+        """Return the own failure domain, or one with targets if it has none.
+
+        Replies of all shards cost far more between domains than one merged answer.
+        """
+        own = self.settings.domain
+        domains = {
+            target.registration.domain
+            for service in self.table.wide_shards[:SAMPLED_SHARDS]
+            for target in self.registry.list_usable(service)
+        }
+        if own in domains or not domains:
+            return own
+        return min(domains, key=lambda domain: hash_text(domain + self.settings.vm_id))
 
     def _forget_removed(self, table):
         """Drop what is kept for routes and services that no longer exist."""
@@ -327,12 +399,18 @@
         if not policy:
             return
         limit = policy.max_connections
-        preferred = self._shares.prefer(service, targets, limit)
-        connections = self._shares.count_connections(limit, len(targets))
+        shares = self._shares
+        is_kept_warm = True
+        if table.is_wide_shard(service) and self.settings.search_address:
+            preferred, connections = shares.arrange_wide(service, targets, limit)
+            is_kept_warm = shares.is_leader
+        else:
+            preferred = shares.prefer(service, targets, limit)
+            connections = shares.count_connections(limit, len(targets))
         for target in targets:
             target.is_preferred = target in preferred
-            target.link.is_kept_warm = target.is_preferred
-            if target.is_preferred and not target.link.opened:
+            target.link.is_kept_warm = target.is_preferred and is_kept_warm
+            if target.link.is_kept_warm and not target.link.opened:
                 self.reactor.cold_links.append(target.link)
             target.link.max_connections = connections if target.is_preferred else 1
 
@@ -361,9 +439,13 @@
             self.metrics.count_legs(query.legs)
         self.metrics.observe_request(kind, result, elapsed_s)
         if kind is SEARCH and response is not None:
-            coverage = query.included / len(query.legs)
+            coverage = query.included / query.total
             self.metrics.observe(SEARCH_COVERAGE, (), coverage)
 
+    def _count_subsearch(self, query):
+        self.metrics.count_legs(query.legs)
+        self.metrics.count(SUBSEARCHES, ())
+
     def _list_gauges(self):
         links = self.reactor.links
         connections = sum(link.count_connections() for link in links)
@@ -373,6 +455,7 @@
             (TARGETS, (), len(self.registry)),
             (VMS, (), self._shares.vms),
             (CONNECTIONS, (), connections),
+            (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
 
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -54,6 +54,16 @@
     MetricKind.GAUGE,
     "Open connections to targets.",
 )
+DELEGATES = MetricSpec(
+    "gateway_delegates",
+    MetricKind.GAUGE,
+    "Other VMs that would take shards of a search now.",
+)
+SUBSEARCHES = MetricSpec(
+    "gateway_subsearches_total",
+    MetricKind.COUNTER,
+    "Parts of searches that were run for other VMs.",
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -67,6 +77,8 @@
     TARGETS,
     VMS,
     CONNECTIONS,
+    DELEGATES,
+    SUBSEARCHES,
     LOG_LINES_DROPPED,
     ATTEMPTS,
     STORE_CALLS,
--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -45,6 +45,8 @@
     query : queries.Query
         Told when the leg ends.
     context : queries.QueryContext
+    max_attempts : int
+        Targets on which the request may run.
 
     Attributes
     ----------
@@ -77,12 +79,13 @@
         "_query",
         "_context",
         "_budget",
+        "_max_attempts",
         "_first",
         "_open",
         "_tried",
     )
 
-    def __init__(self, service, query, context):
+    def __init__(self, service, query, context, max_attempts):
         self.service = service
         self.state = LegState.OPEN
         self.reply = None
@@ -97,6 +100,7 @@
         self._query = query
         self._context = context
         self._budget = context.find_budget(service)
+        self._max_attempts = max_attempts
         self._first = None
         self._open = []
         self._tried = []
@@ -111,12 +115,23 @@
         self._first = self._choose(now)
         return self._first is not None
 
-    def start(self, now):
-        """Send the first attempt to the target that `prepare` chose."""
+    def start(self, now, is_extra=False):
+        """Send the first attempt to the target that `prepare` chose.
+
+        Parameters
+        ----------
+        now : float
+        is_extra : bool
+            Whether another VM may have sent an attempt before.
+        """
         if self._first is None:
             self._fail("no target may take the request")
             return
-        self._budget.note_first(now)
+        if not is_extra:
+            self._budget.note_first(now)
+        elif not self._budget.try_spend(now):
+            self._fail("no budget to ask in place of another VM")
+            return
         self._send(self._first, now)
 
     def hedge(self, now):
@@ -128,7 +143,7 @@
         self.hedge_at = None
         if not self._query.route.is_idempotent or len(self._open) != 1:
             return
-        if self.runs >= self._query.route.max_attempts:
+        if self.runs >= self._max_attempts:
             return
         target = self._choose(now)
         if target is None:
@@ -208,7 +223,7 @@
     def _retry(self, reason, now):
         """Try again after an attempt that may have run."""
         route = self._query.route
-        may_retry = route.is_idempotent and self.runs < route.max_attempts
+        may_retry = route.is_idempotent and self.runs < self._max_attempts
         self._resend(reason, now, may_retry, is_arrival=True)
 
     def _resend(self, reason, now, is_allowed, is_arrival):
@@ -237,8 +252,8 @@
         request = query.build_message(target, now)
         exchange = Exchange(
             request,
-            query.method,
-            query.request_id,
+            query.outgoing.method,
+            query.outgoing.request_id,
             self,
             now,
             target,
--- a/tarragonchute/links.py
+++ b/tarragonchute/links.py
@@ -8,6 +8,7 @@
 
 from . import wire
 from .errors import ProtocolError
+from .frames import FrameReader
 
 logger = logging.getLogger(__name__)
 
@@ -158,7 +159,7 @@
             logger.warning("closed a peer connection: %s", group.exceptions[0])
 
     async def _receive(self, handle):
-        reader = wire.FrameReader()
+        reader = FrameReader()
         async for data in self._stream:
             for payload in reader.feed(data):
                 handle(wire.decode_envelope(payload))
@@ -274,7 +275,7 @@
             sender, addressee, frame = self._queue.pop(index)
             link = self._links.get(addressee)
             if link is not None and (sender, addressee) not in self.cuts:
-                (payload,) = wire.FrameReader().feed(frame)
+                (payload,) = FrameReader().feed(frame)
                 link.handle(wire.decode_envelope(payload))
 
 
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-import zlib
 
 import orjson
 import trio
@@ -19,6 +18,7 @@
     StoreUnavailableError,
 )
 from .httpio import HttpConnection, HttpResponse
+from .leaders import hash_text
 from .store import Entry
 
 logger = logging.getLogger(__name__)
@@ -241,7 +241,7 @@
         domain = self._fleet.own.domain
         vms = [vm for vm in self._fleet.list_vms(now) if vm.domain == domain]
         count = max(1, len(vms) // VMS_PER_RELAY)
-        leading = sorted(vms, key=lambda vm: _hash_id(vm.vm_id))[:count]
+        leading = sorted(vms, key=lambda vm: hash_text(vm.vm_id))[:count]
         if any(vm.vm_id == self._vm_id for vm in leading):
             self._forget_except(())
             return None
@@ -249,7 +249,7 @@
         if not candidates:
             return None
         # Each VM prefers another relay, and stays with it while the list is the same.
-        best = min(candidates, key=lambda vm: _hash_id(vm.vm_id + self._vm_id))
+        best = min(candidates, key=lambda vm: hash_text(vm.vm_id + self._vm_id))
         self._forget_except([vm.vm_id for vm in leading])
         relay = self._relays.get(best.vm_id)
         if relay is None or relay.address != best.address:
@@ -287,10 +287,6 @@
             self._relays.pop(vm_id).close()
 
 
-def _hash_id(text):
-    return zlib.crc32(text.encode())
-
-
 def _encode_entry(entry):
     return [entry.key, entry.value, entry.revision]
 
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -48,6 +48,11 @@
         peer_address=read("listen-addrs", "control", str),
         peers=tuple(read("", "seeds", list, [])),
         store_address=read("platform", "address", str),
+        search_address=_choose_search_address(content),
+        # A share of one core's time, on a core that is so many times as fast.
+        cores=read("limits", "cpu-share", number, 1.0)
+        * read("limits", "cpu-cores", number, 1),
+        link_mbps=read("limits", "link-mbps", number, 1000.0),
         max_descriptors=read("limits", "max-fds", int, 1024),
         # Time from SIGTERM to SIGKILL.
         stop_grace_s=read("bounds", "grace-s", number, 6),
@@ -63,3 +68,12 @@
     if findings:
         raise FindingsError(findings)
     return settings
+
+
+def _choose_search_address(content):
+    """Return an address on one of the ports that are free for traffic between VMs."""
+    ports = content.get("port-range")
+    host = content.get("ip")
+    if not host or not isinstance(ports, list) or not ports:
+        return ""
+    return f"{host}:{ports[0]}"
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from .channels import ChannelListener
 from .exchanges import SWEEP_PERIOD_S
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
 from .timers import TimerService
@@ -81,6 +82,7 @@
             nursery.start_soon(self._handle_signals)
             nursery.start_soon(timers.run)
             nursery.start_soon(gateway.reactor.run)
+            nursery.start_soon(gateway.shard_server.run)
             for task in self._tasks:
                 nursery.start_soon(task.run)
             # Callers wait in the listener until they are served. A probe must not be
@@ -88,6 +90,9 @@
             listeners = await bind_listeners(settings.caller_address)
             await self._listen(nursery, settings.ready_address, self._answer_probe)
             await self._listen(nursery, settings.peer_address, self._peer_handler)
+            if settings.search_address:
+                address = settings.search_address
+                ChannelListener(gateway.reactor, address, gateway.shard_server)
             metrics_address = f"{settings.host}:{METRICS_PORT}"
             await self._listen(nursery, metrics_address, self._answer_metrics)
             # Start-up objects live as long as the process; the collector need not
@@ -120,7 +125,7 @@
                     self._reload_settings()
                 elif not self._shutdown.is_set():
                     logger.info("stop requested")
-                    self._gateway.is_draining = True
+                    self._gateway.drain(trio.current_time())
                     self._shutdown.set()
                     grace_s = self._gateway.settings.stop_grace_s
                     self._scope.deadline = trio.current_time() + grace_s - EXIT_MARGIN_S
--- a/tarragonchute/routes.py
+++ b/tarragonchute/routes.py
@@ -1,5 +1,9 @@
 """Routes of callers' requests, and the versioned configuration that names them."""
 
+import itertools
+
+from .leaders import WIDE_SHARDS
+
 
 class Route:
     """How requests with one host and path prefix are served.
@@ -80,6 +84,11 @@
         """Whether the request goes to one target of each shard."""
         return bool(self.shards)
 
+    @property
+    def is_wide(self):
+        """Whether it is a search that is shared among VMs."""
+        return len(self.shards) >= WIDE_SHARDS
+
 
 class ServicePolicy:
     """What the configuration says about the targets of one service.
@@ -141,19 +150,39 @@
     routes : list of Route
     services : dict of str to ServicePolicy
     limits : CallerLimits or None
+
+    Attributes
+    ----------
+    wide_shards : tuple of str
+        Services of all searches that are shared among VMs.
     """
 
-    __slots__ = ("version", "routes", "services", "limits", "_by_host")
+    __slots__ = (
+        "version",
+        "routes",
+        "services",
+        "limits",
+        "wide_shards",
+        "_wide",
+        "_by_host",
+    )
 
     def __init__(self, version, routes, services, limits=None):
         self.version = version
         self.routes = list(routes)
         self.services = services
         self.limits = limits
+        wide = [route.shards for route in self.routes if route.is_wide]
+        self.wide_shards = tuple(dict.fromkeys(itertools.chain.from_iterable(wide)))
+        self._wide = frozenset(self.wide_shards)
         self._by_host = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
 
+    def is_wide_shard(self, service):
+        """Whether a service is a shard of a search that is shared among VMs."""
+        return service in self._wide
+
     def find(self, host, path):
         """Return the route with the longest matching prefix, or None.
 
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -7,6 +7,8 @@
 import collections
 import zlib
 
+from .leaders import list_leaders
+
 ASSUMED_VMS = 16
 """VMs that are assumed until the list is known."""
 
@@ -22,6 +24,10 @@
 """Part of a target's connections that is used. The rest covers closes that have not
 reached the target yet."""
 
+LEADER_CONNECTION_SHARE = 0.5
+"""Part of the used connections to a shard of wide searches that the leaders divide.
+The others are for VMs that no leader answers."""
+
 
 class ColdLimits:
     """Bound on the requests a second to a cold target, from all VMs together.
@@ -55,10 +61,14 @@
     ----------
     vms : int
         VMs that share the allowances.
+    is_leader : bool
+        Whether this VM asks the shards of wide searches for others.
     """
 
     __slots__ = (
         "vms",
+        "is_leader",
+        "_leaders",
         "_vm_id",
         "_domain",
         "_rank",
@@ -74,6 +84,8 @@
         self._retry_slack = retry_slack
         self._cold_limits = cold_limits
         self.vms = ASSUMED_VMS
+        self.is_leader = False
+        self._leaders = frozenset()
         self._rank = zlib.crc32(vm_id.encode())
 
     def set_vms(self, vms):
@@ -83,8 +95,12 @@
             return False
         rank = vm_ids.index(self._vm_id)
         by_domain = collections.Counter(vm.domain for vm in vms)
-        if rank == self._rank and by_domain == self._vms_by_domain:
+        leaders = list_leaders(vms)
+        is_same_place = rank == self._rank and by_domain == self._vms_by_domain
+        if is_same_place and leaders == self._leaders:
             return False
+        self._leaders = leaders
+        self.is_leader = self._vm_id in leaders
         self._rank = rank
         self._vms_by_domain = by_domain
         self.vms = len(vm_ids)
@@ -122,6 +138,26 @@
         usable = max_connections * CONNECTION_SHARE
         return max(int(usable // self.vms), 1)
 
+    def arrange_wide(self, service, targets, max_connections):
+        """Return the preferred targets of a shard of wide searches.
+
+        Parameters
+        ----------
+        service, targets, max_connections
+            As for `prefer`.
+
+        Returns
+        -------
+        tuple of (list of RegisteredTarget, int)
+            Targets, and connections to each of them. Leaders use all targets.
+        """
+        for_leaders = max_connections * LEADER_CONNECTION_SHARE
+        if self.is_leader:
+            usable = for_leaders * CONNECTION_SHARE
+            return list(targets), max(int(usable // len(self._leaders)), 1)
+        rest = max_connections - for_leaders
+        return self.prefer(service, targets, rest), 1
+
     def prefer(self, service, targets, max_connections):
         """Return those targets of a service that this VM normally uses.
 
--- a/tarragonchute/wire.py
+++ b/tarragonchute/wire.py
@@ -1,15 +1,12 @@
-"""Frames and envelopes of the messages between VMs."""
+"""Envelopes of the messages between VMs."""
 
 import pathlib
-import struct
 
 import capnp
 import orjson
 
 from .errors import ProtocolError
-
-MAX_FRAME_BYTES = 8 * 1024 * 1024
-_HEADER = struct.Struct(">I")
+from .frames import encode_frame
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
@@ -45,15 +42,12 @@
     Raises
     ------
     ProtocolError
-        If the frame would exceed `MAX_FRAME_BYTES`.
+        If the frame would exceed `frames.MAX_FRAME_BYTES`.
     """
     message = _schema.Envelope.new_message(
         kind=kind, sender=sender, number=number, body=orjson.dumps(body)
     )
-    payload = message.to_bytes()
-    if len(payload) > MAX_FRAME_BYTES:
-        raise ProtocolError(f"frame of {len(payload)} bytes is too large")
-    return _HEADER.pack(len(payload)) + payload
+    return encode_frame(message.to_bytes())
 
 
 def decode_envelope(payload):
@@ -79,33 +73,3 @@
             )
     except (capnp.KjException, ValueError) as error:
         raise ProtocolError(f"malformed envelope: {error}") from error
-
-
-class FrameReader:
-    """Splits a byte stream into frames."""
-
-    __slots__ = ("_buffer",)
-
-    def __init__(self):
-        self._buffer = bytearray()
-
-    def feed(self, data):
-        """Add bytes and return the payloads that are now whole.
-
-        Raises
-        ------
-        ProtocolError
-            If a frame announces more than `MAX_FRAME_BYTES`.
-        """
-        self._buffer += data
-        payloads = []
-        while len(self._buffer) >= _HEADER.size:
-            (length,) = _HEADER.unpack_from(self._buffer)
-            if length > MAX_FRAME_BYTES:
-                raise ProtocolError(f"frame of {length} bytes is too large")
-            end = _HEADER.size + length
-            if len(self._buffer) < end:
-                break
-            payloads.append(bytes(self._buffer[_HEADER.size : end]))
-            del self._buffer[:end]
-        return payloads
--- /dev/null
+++ b/tests/test_channels.py
@@ -0,0 +1,114 @@
+"""Tests of channels between VMs, on real loopback sockets."""
+
+import contextlib
+import socket
+
+import testtools
+import trio
+import trio.lowlevel
+
+from tarragonchute.channels import MAX_UNSENT_BYTES, Channel, ChannelListener
+from tarragonchute.reactor import Reactor
+from tools.ports import PortReservations
+
+from .trial import run_async
+
+ANY = "127.0.0.1:0"
+
+
+class RecordingOwner:
+    """Keeps the frames and the ends of channels."""
+
+    def __init__(self):
+        self.payloads = []
+        self.channels = []
+        self.closes = []
+
+    def handle_frames(self, channel, payloads, now):
+        if channel not in self.channels:
+            self.channels.append(channel)
+        self.payloads += payloads
+
+    def handle_close(self, channel, reason, now):
+        self.closes.append(reason)
+
+
+async def wait_for(condition):
+    """Return once the condition is true."""
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.001)
+
+
+@contextlib.asynccontextmanager
+async def open_reactor():
+    """Yield a reactor that runs."""
+    reactor = Reactor()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reactor.run)
+        yield reactor
+        nursery.cancel_scope.cancel()
+    reactor.close()
+
+
+class ChannelTests(testtools.TestCase):
+    """Frames in order, and ends that are told once."""
+
+    @run_async
+    async def test_frames_arrive_whole_and_in_order(self):
+        """Guards against frames that are lost or mixed where a socket is full."""
+        async with open_reactor() as reactor:
+            server, client = RecordingOwner(), RecordingOwner()
+            listener = ChannelListener(reactor, ANY, server)
+            channel = Channel.open(reactor, listener.address, client)
+            sent = [bytes([number]) * (number * 3000) for number in range(1, 15)]
+            for payload in sent:
+                channel.send(payload, 0.0)
+            await wait_for(lambda: len(server.payloads) == len(sent))
+            self.assertEqual(sent, server.payloads)
+            server.channels[0].send(b"back", 0.0)
+            await wait_for(lambda: client.payloads)
+            self.assertEqual([b"back"], client.payloads)
+            channel.close()
+            await wait_for(lambda: server.closes)
+            self.assertEqual([], client.closes)
+            listener.close()
+
+    @run_async
+    async def test_refused_connection_is_told(self):
+        """Guards against shards that wait for a VM that is not there."""
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        async with open_reactor() as reactor:
+            client = RecordingOwner()
+            channel = Channel.open(reactor, ports.reserve(), client)
+            channel.send(b"x", 0.0)
+            await wait_for(lambda: client.closes)
+            self.assertEqual(["ECONNREFUSED"], client.closes)
+
+    @run_async
+    async def test_peer_that_does_not_read_is_given_up(self):
+        """Guards against memory that grows for a VM that is paused."""
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            host, port = silent.getsockname()
+            async with open_reactor() as reactor:
+                client = RecordingOwner()
+                channel = Channel.open(reactor, f"{host}:{port}", client)
+                while not client.closes:
+                    channel.send(bytes(MAX_UNSENT_BYTES // 4), 0.0)
+                    await trio.lowlevel.checkpoint()
+                channel.send(b"more", 0.0)
+                self.assertEqual(["the peer does not read"], client.closes)
+
+    @run_async
+    async def test_garbage_ends_the_channel(self):
+        """Guards against a peer that announces a frame of any size."""
+        async with open_reactor() as reactor:
+            server = RecordingOwner()
+            listener = ChannelListener(reactor, ANY, server)
+            host, port = listener.address.split(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(b"\xff\xff\xff\xff")
+            await wait_for(lambda: server.closes)
+            await stream.aclose()
+            listener.close()
--- /dev/null
+++ b/tests/test_fanout.py
@@ -0,0 +1,327 @@
+"""Tests of searches that other VMs take part in, with scripted VMs and no network.
+
+Patterns of load and failure that are answered here: a search of many shards at a small
+VM, a leader that is paused, killed or slow, leaders that know no targets yet, and
+shards that one leader misses at the goal.
+"""
+
+import testtools
+
+from tarragonchute.delegation import ACK_TIMEOUT_S, DelegatedShards, NoDelegation
+from tarragonchute.errors import TarragonchuteError
+from tarragonchute.fanout import SearchQuery, ShardQuery
+from tarragonchute.queries import build_outgoing
+from tarragonchute.replicas import ReplyTimes
+from tarragonchute.routes import Route
+from tarragonchute.subsearches import SubsearchAnswer
+
+from .test_queries import DIALECT, Bench, build_request, finish
+from .test_subsearches import build_subsearch
+from .trial import run_in_virtual_time
+
+SHARDS = [f"s{number}" for number in range(10)]
+GOAL_S = 0.1
+
+
+class FakeDelegate:
+    """A VM that answers when the test says so."""
+
+    def __init__(self, vm_id):
+        self.vm = type("Vm", (), {"vm_id": vm_id})
+        self.subsearches = []
+        self.shares = []
+        self.cancelled = []
+        self.is_silent = False
+
+    def start(self, share, subsearch, now):
+        subsearch.number = share.number = len(self.subsearches) + 1
+        self.subsearches.append(subsearch)
+        self.shares.append(share)
+
+    def cancel(self, number, now):
+        self.cancelled.append(number)
+
+    def note_silent(self, now):
+        self.is_silent = True
+
+    def note_acknowledged(self, elapsed_s, now):
+        pass
+
+    def answer(self, now, count=None, is_final=True, has_run=True, share=-1):
+        """Acknowledge, and answer with the first `count` shards."""
+        target = self.shares[share]
+        services = target.services if count is None else target.services[:count]
+        digests = [f"d-{name}".encode() for name in services]
+        records = b"".join(name.encode().rjust(16, b"r") for name in services)
+        missing = [f"{name}: late" for name in target.services[len(services) :]]
+        target.handle_acknowledged(now)
+        target.handle_answer(
+            SubsearchAnswer(1, is_final, has_run, digests, records, missing), now
+        )
+
+
+class FakeDelegation:
+    """Hands the shards after the first `own` ones to VMs in turn."""
+
+    def __init__(self, own, *delegates):
+        self.own = own
+        self.delegates = delegates
+        self.used = 1
+
+    def plan(self, services, now):
+        return services[: self.own], [(self.delegates[0], services[self.own :])]
+
+    def choose_other(self, tried, now):
+        return next((d for d in self.delegates if d not in tried), None)
+
+
+class SharedSearch(Bench):
+    """A search whose shards are shared."""
+
+    def __init__(self, own, *delegates, max_attempts=2, slack=100.0):
+        super().__init__(SHARDS, slack=slack)
+        self.context.delegation = FakeDelegation(own, *delegates)
+        route = Route(
+            "r",
+            "h",
+            "/x/",
+            timeout_s=0.4,
+            goal_s=GOAL_S,
+            max_attempts=max_attempts,
+            shards=SHARDS,
+            top=3,
+            least_coverage=0.8,
+        )
+        outgoing = build_outgoing(build_request(), b"r1", DIALECT)
+        times = ReplyTimes(GOAL_S, 0.1)
+        self.query = SearchQuery(self.context, route, 1, outgoing, 0.4, times, 0.0)
+        self.query.start(0.0)
+
+    def answer_own(self, now):
+        """Answer everything that this VM asked and that is still open."""
+        for number, exchange in enumerate(list(self.started)):
+            if exchange.owner is not None and exchange.finished_at is None:
+                digest = f"own-{number}".encode()
+                self.reply(exchange, now, digest=digest, body=b"o" * 16)
+
+
+class SharedSearchTests(testtools.TestCase):
+    """What becomes of the shards that another VM was handed."""
+
+    @run_in_virtual_time
+    async def test_answers_are_joined(self):
+        """A search of many shards at a small VM: guards against lost parts."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(4, leader)
+        self.assertEqual(4, len(search.started))
+        self.assertEqual(SHARDS[4:], list(leader.subsearches[0].services))
+        search.answer_own(0.01)
+        leader.answer(0.02)
+        self.assertTrue(search.query.is_finished)
+        response = finish(search.query, 0.02)
+        digests = dict(response.header_lines)[b"Digests"].split(b", ")
+        self.assertEqual(10, len(set(digests)))
+        self.assertNotIn(b"Missing", dict(response.header_lines))
+        self.assertEqual(3 * 16, len(response.body))
+        self.assertEqual(b"s9".rjust(16, b"r"), response.body[:16])
+
+    @run_in_virtual_time
+    async def test_paused_leader_is_passed_over(self):
+        """A leader that is paused: guards against searches that wait for it."""
+        first, second = FakeDelegate("a"), FakeDelegate("b")
+        search = SharedSearch(0, first, second)
+        self.assertLessEqual(search.query.next_due(), ACK_TIMEOUT_S)
+        search.query.advance(ACK_TIMEOUT_S)
+        self.assertTrue(first.is_silent)
+        self.assertEqual([1], first.cancelled)
+        self.assertTrue(second.subsearches[0].is_extra)
+        self.assertEqual(1, second.subsearches[0].max_attempts)
+        second.answer(0.03)
+        self.assertEqual(200, finish(search.query, 0.03).status)
+
+    @run_in_virtual_time
+    async def test_without_another_vm_the_targets_are_asked(self):
+        """All leaders killed at once: guards against searches that fail with them."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader)
+        leader.shares[0].handle_lost("reset", 0.002)
+        self.assertEqual(10, len(search.started))
+        search.answer_own(0.02)
+        self.assertEqual(200, finish(search.query, 0.02).status)
+
+    @run_in_virtual_time
+    async def test_requests_in_place_of_a_leader_use_the_budget(self):
+        """Guards against a lost leader that doubles the load of all targets."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader, slack=0.0)
+        leader.shares[0].handle_lost("reset", 0.002)
+        self.assertEqual([], search.started)
+        self.assertEqual(504, finish(search.query, 0.01).status)
+
+    @run_in_virtual_time
+    async def test_attempts_of_a_leader_count(self):
+        """Guards against a shard that runs on more targets than its route allows."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader, max_attempts=1)
+        leader.shares[0].handle_lost("reset", 0.002)
+        self.assertEqual([], search.started)
+        self.assertTrue(search.query.is_finished)
+
+    @run_in_virtual_time
+    async def test_leader_that_ends_at_work_ends_the_search(self):
+        """A leader killed at work: guards against attempts beyond the allowed ones.
+
+        The caller is told at once, so that it can try again in time.
+        """
+        first, second = FakeDelegate("a"), FakeDelegate("b")
+        search = SharedSearch(0, first, second)
+        first.shares[0].handle_acknowledged(0.002)
+        first.shares[0].handle_lost("reset", 0.01)
+        self.assertTrue(search.query.is_finished)
+        self.assertEqual([], second.subsearches)
+        self.assertEqual(504, finish(search.query, 0.01).status)
+
+    @run_in_virtual_time
+    async def test_leader_that_asked_nobody_costs_no_budget(self):
+        """A mass restart: guards against refusals while a leader knows no targets."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader, slack=0.0)
+        leader.answer(0.003, count=0, has_run=False)
+        self.assertEqual(10, len(search.started))
+
+    @run_in_virtual_time
+    async def test_progress_at_the_goal_makes_a_partial_answer(self):
+        """A pause of a target: guards against answers that wait for one shard."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader)
+        leader.answer(0.05, count=9, is_final=False)
+        self.assertFalse(search.query.is_finished)
+        search.query.advance(search.query.goal_at)
+        self.assertTrue(search.query.is_finished)
+        response = finish(search.query, search.query.goal_at)
+        self.assertEqual(b"1", dict(response.header_lines)[b"Missing"])
+        self.assertEqual([1], leader.cancelled)
+
+    @run_in_virtual_time
+    async def test_too_little_at_the_goal_waits_for_more(self):
+        """Guards against a refusal where a late answer would still come."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader)
+        leader.answer(0.05, count=7, is_final=False)
+        search.query.advance(search.query.goal_at)
+        self.assertFalse(search.query.is_finished)
+        leader.answer(0.2, count=8, is_final=False)
+        self.assertTrue(search.query.is_finished)
+        self.assertEqual(200, finish(search.query, 0.2).status)
+
+    @run_in_virtual_time
+    async def test_caller_that_leaves_ends_the_work_of_others(self):
+        """Guards against targets at work for a caller that has left."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(2, leader)
+        search.query.close(0.02)
+        self.assertEqual([1], leader.cancelled)
+
+    @run_in_virtual_time
+    async def test_time_limits_are_handed_on(self):
+        """Guards against targets that are given more time than the caller has."""
+        leader = FakeDelegate("a")
+        search = SharedSearch(0, leader)
+        subsearch = leader.subsearches[0]
+        self.assertLessEqual(subsearch.target_limit_left_s, 0.4)
+        self.assertLess(subsearch.goal_left_s, search.query.goal_at)
+        self.assertLessEqual(subsearch.limit_left_s, search.query.limit_at)
+
+
+class ShardQueryTests(testtools.TestCase):
+    """The work for another VM."""
+
+    def start(self, slack=100.0, **values):
+        self.bench = Bench(SHARDS, slack=slack)
+        self.reports = []
+        subsearch = build_subsearch(services=SHARDS, **values)
+        query = ShardQuery(
+            subsearch,
+            self.bench.context,
+            ReplyTimes(0.1, 0.1),
+            self.reports.append,
+            0.0,
+        )
+        query.start(0.0)
+        return query
+
+    def reply(self, count, now):
+        """Answer so many of the open exchanges."""
+        open_ones = [e for e in self.bench.started if e.finished_at is None]
+        for number, exchange in enumerate(open_ones[:count]):
+            digest = f"d{len(open_ones)}-{number}".encode()
+            self.bench.reply(exchange, now, digest=digest, body=b"b" * 16)
+
+    @run_in_virtual_time
+    async def test_final_answer_has_all_parts(self):
+        """Guards against an answer that says more or less than was found."""
+        query = self.start()
+        self.reply(10, 0.01)
+        self.assertTrue(query.is_finished)
+        answer = query.build_response()
+        self.assertTrue(answer.is_final)
+        self.assertEqual(10, len(set(answer.digests)))
+        self.assertEqual([], self.reports)
+
+    @run_in_virtual_time
+    async def test_progress_is_told_from_the_goal_on(self):
+        """Guards against a VM that keeps what the other one needs at its goal."""
+        query = self.start()
+        self.reply(8, 0.01)
+        query.advance(query.goal_at)
+        query.advance(query.goal_at + 0.001)
+        self.assertEqual([8], [len(answer.digests) for answer in self.reports])
+        self.reply(1, query.goal_at + 0.002)
+        self.assertEqual([8, 9], [len(answer.digests) for answer in self.reports])
+        self.assertFalse(query.is_finished)
+
+    @run_in_virtual_time
+    async def test_extra_requests_use_the_budget(self):
+        """Guards against requests in place of another VM that nobody counts."""
+        query = self.start(slack=0.0, is_extra=True)
+        self.assertEqual([], self.bench.started)
+        answer = query.build_response()
+        self.assertFalse(answer.has_run)
+
+    @run_in_virtual_time
+    async def test_vm_without_targets_says_so(self):
+        """Guards against a search that waits for a VM which knows no targets."""
+        bench = Bench([])
+        bench.budgets = {}
+        subsearch = build_subsearch(services=["gone"])
+        bench.context.find_budget = lambda service: None
+        query = ShardQuery(
+            subsearch, bench.context, ReplyTimes(0.1, 0.1), lambda answer: None, 0.0
+        )
+        self.assertRaises(TarragonchuteError, query.start, 0.0)
+
+
+class NoDelegationTests(testtools.TestCase):
+    """A VM without others."""
+
+    def test_all_shards_are_its_own(self):
+        """Guards against shards that are handed to nobody."""
+        services, handed = NoDelegation().plan(SHARDS, 0.0)
+        self.assertEqual(SHARDS, services)
+        self.assertEqual((), handed)
+        self.assertIsNone(NoDelegation().choose_other([], 0.0))
+
+
+class ShareTests(testtools.TestCase):
+    """The log of a share."""
+
+    @run_in_virtual_time
+    async def test_log_names_the_vms_and_the_reason(self):
+        """Guards against a search whose log does not say who was asked."""
+        first, second = FakeDelegate("a"), FakeDelegate("b")
+        search = SharedSearch(0, first, second)
+        search.query.advance(ACK_TIMEOUT_S)
+        (share,) = search.query.describe()["delegated"]
+        self.assertEqual(["a", "b"], share["vms"])
+        self.assertEqual("no acknowledgement", share["reason"])
+        self.assertIsInstance(search.query.shares[0], DelegatedShards)
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -9,12 +9,13 @@
 
 import testtools
 
-from tarragonchute import errors, queries
+from tarragonchute import errors
 from tarragonchute.budgets import WindowBudget, WindowLimits
 from tarragonchute.dialects import Dialect
 from tarragonchute.exchanges import FailureKind
+from tarragonchute.fanout import SearchQuery
 from tarragonchute.httpio import HttpRequest
-from tarragonchute.queries import QueryContext, RecordMerge, SearchQuery, SingleQuery
+from tarragonchute.queries import QueryContext, SingleQuery, build_outgoing
 from tarragonchute.registry import Registration, Registry
 from tarragonchute.replicas import ReplicaChooser, ReplyTimes
 from tarragonchute.replies import Reply
@@ -122,7 +123,8 @@
     )
     times = ReplyTimes(route.goal_s, 0.1)
     request = request or build_request()
-    query = SingleQuery("s", bench.context, route, 1, request, b"r1", 0.4, times, 0.0)
+    outgoing = build_outgoing(request, b"r1", DIALECT)
+    query = SingleQuery("s", bench.context, route, 1, outgoing, 0.4, times, 0.0)
     query.start(0.0)
     return query
 
@@ -141,9 +143,8 @@
         least_coverage=least_coverage,
     )
     times = ReplyTimes(route.goal_s, 0.1)
-    query = SearchQuery(
-        bench.context, route, 1, build_request(), b"r1", 0.4, times, 0.0
-    )
+    outgoing = build_outgoing(build_request(), b"r1", DIALECT)
+    query = SearchQuery(bench.context, route, 1, outgoing, 0.4, times, 0.0)
     query.start(0.0)
     return query
 
@@ -442,27 +443,3 @@
             bench.context.note_lag(0.010)
         busy = build_search(bench, self.SHARDS)
         self.assertAlmostEqual(0.010, calm.goal_at - busy.goal_at, delta=0.001)
-
-
-class RecordMergeTests(testtools.TestCase):
-    """The greatest records of all parts."""
-
-    def test_result_equals_a_sort_of_everything(self):
-        """Guards against a record that is lost or out of order."""
-        source = random.Random(5)
-        for top in (0, 1, 5, 50, 5000):
-            merge = RecordMerge(top)
-            records = []
-            for _ in range(30):
-                part = [source.randbytes(16) for _ in range(source.randrange(90))]
-                records += part
-                merge.add(b"".join(part) + b"short")
-            expected = b"".join(sorted(records, reverse=True)[:top])
-            self.assertEqual(expected, merge.build())
-
-    def test_equal_records_all_count(self):
-        """Guards against records that are dropped because they are equal."""
-        merge = RecordMerge(3)
-        for _ in range(4):
-            merge.add(b"a" * queries.RECORD_BYTES)
-        self.assertEqual(b"a" * 48, merge.build())
--- /dev/null
+++ b/tests/test_subsearches.py
@@ -0,0 +1,51 @@
+"""Tests of the messages between VMs that share a search."""
+
+import testtools
+
+from tarragonchute import errors, subsearches
+from tarragonchute.subsearches import OutgoingRequest, Subsearch, SubsearchAnswer
+
+
+def build_subsearch(number=1, services=("s0", "s1"), is_extra=False):
+    """Return a message for two shards."""
+    outgoing = OutgoingRequest(b"GET", b"r1", b"GET /\xff HTTP/1.1\r\n", b"\x00\xff")
+    return Subsearch(
+        number, "r", 0.1, 0.08, 0.3, 0.39, 2, 5, is_extra, list(services), outgoing
+    )
+
+
+class MessageTests(testtools.TestCase):
+    """Encoding and decoding."""
+
+    def test_subsearch_round_trip(self):
+        """Guards against a request whose bytes change between two VMs."""
+        sent = build_subsearch()
+        got = subsearches.decode_message(sent.encode())
+        for name in Subsearch.__slots__[:-1]:
+            self.assertEqual(getattr(sent, name), getattr(got, name), name)
+        for name in OutgoingRequest.__slots__:
+            sent_value = getattr(sent.outgoing, name)
+            self.assertEqual(sent_value, getattr(got.outgoing, name), name)
+
+    def test_answer_round_trip(self):
+        """Guards against a digest or a record that changes between two VMs."""
+        sent = SubsearchAnswer(7, False, True, [b"d1", b"d2"], bytes(range(256)), ["x"])
+        got = subsearches.decode_message(sent.encode())
+        for name in SubsearchAnswer.__slots__:
+            self.assertEqual(getattr(sent, name), getattr(got, name), name)
+
+    def test_garbage_is_a_protocol_error(self):
+        """Guards against a decoder exception that would end the VM."""
+        for payload in (
+            b"",
+            b"\xff",
+            b"{}",
+            b"[]",
+            b"7",
+            b'["none"]',
+            b'["greeting"]',
+            b'["subsearch", 1, 2]',
+            b'["answer", 1, true, true, [1], "", []]',
+            b'["answer", 1, true, true, ["d"], "*", []]',
+        ):
+            self.assertRaises(errors.ProtocolError, subsearches.decode_message, payload)
