Leaders' budgets, substitutes for a store that turns VMs away, and a fault soak

Changes: most of a wide shard's retry slack and cold allowance goes to the leaders; a cold target gets its first request of each VM after a random part of the interval; a refused shard is offered again, also to the target that refused; a VM that the store does not answer follows any VM that watches it; a leader tells at once which shards it cannot ask; the first late reply counts less. A gateway whose metrics port is taken serves callers without metrics.

tools/soak runs gateways as processes over stand-ins behind a proxy, plays faults that overlap, and checks the promises from what callers and targets saw.

--- a/tarragonchute/delegation.py
+++ b/tarragonchute/delegation.py
@@ -442,6 +442,11 @@
         )
         delegate.start(self, subsearch, now)
 
+    def take_over(self, share, now):
+        """Ask another VM than those that another share was handed to."""
+        self._tried = list(share._tried)
+        self._hand_over("no target known to the VM before", now, is_extra=False)
+
     def next_due(self):
         """Return when `advance` has something to do, or None."""
         if self._state is ShareState.SENT:
@@ -472,6 +477,10 @@
         if answer.is_final and not answer.digests and not answer.has_run:
             self._hand_over("the VM could not ask any target", now, is_extra=False)
             return
+        unasked = [name for name in answer.unasked if name in self.services]
+        if unasked:
+            self.services = [name for name in self.services if name not in unasked]
+            self._query.divide_share(self, unasked, now)
         self.answer = answer
         if answer.is_final:
             self._state = ShareState.ENDED
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -97,6 +97,12 @@
             self.outgoing,
         )
 
+    def divide_share(self, share, services, now):
+        """Find others for services of a share whose VM could not ask them."""
+        rest = DelegatedShards(services, self, self._context.delegation)
+        self.shares.append(rest)
+        rest.take_over(share, now)
+
     def ask_targets(self, services, max_attempts, is_extra, now):
         """Ask the targets of shards that no other VM asks any more."""
         legs = self._add_legs(services, max_attempts)
@@ -276,6 +282,8 @@
         if not sum(leg.prepare(now) for leg in legs):
             raise build_refusal("no target may take the request")
         self._start_legs(legs, now, self._subsearch.is_extra)
+        if not self.is_finished and self._list_unasked():
+            self._report(self._build_answer(is_final=False))
 
     def build_response(self):
         """Return the final answer."""
@@ -303,4 +311,12 @@
             self._list_digests(),
             self._merge.build(),
             self.list_missing()[:MAX_LOGGED_SHARDS],
+            self._list_unasked(),
         )
+
+    def _list_unasked(self):
+        return [
+            leg.service
+            for leg in self.legs
+            if leg.state is LegState.FAILED and not leg.is_tried
+        ]
--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -122,6 +122,7 @@
         self._last_success = None
         self._failures = 0
         self._may_have_lapsed = False
+        self._known_revision = 0
         self.revision = None
         self.is_connected = False
         self.is_direct = False
@@ -142,7 +143,7 @@
             except TarragonchuteError as error:
                 self._note_failure(error)
                 await self._ask_peers()
-                await self._wait_for_store()
+                await self._wait_for_source()
 
     def list_entries(self):
         """Return all entries that are known."""
@@ -198,6 +199,7 @@
         self._history.clear()
         self._history_start = math.inf if revision is None else revision
         self.revision = revision
+        self._known_revision = revision or 0
         self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
 
@@ -224,14 +226,17 @@
 
     async def _follow_relay(self, relay):
         self.is_direct = False
-        entries, revision, is_snapshot = await relay.watch(self.revision)
+        answer = await relay.watch(self.revision)
         self._note_success()
         self._relays.note_success()
+        self._apply_relayed(*answer)
+
+    def _apply_relayed(self, entries, revision, is_snapshot):
         if is_snapshot:
             self._apply_snapshot(entries, revision, is_after_outage=False)
         else:
             # A relay may be behind what this VM has read from the store before.
-            self._apply_changes(entries, max(revision, self.revision))
+            self._apply_changes(entries, max(revision, self._known_revision))
 
     async def _pause_for_batch(self, is_burst):
         longer_s = min(2 * self._batch_s, BATCH_MAX_S)
@@ -246,7 +251,7 @@
                 self._entries[entry.key] = entry
             self._handler.apply_change(entry.key, entry.value)
             self._remember(entry)
-        self.revision = revision
+        self.revision = self._known_revision = revision
         if entries:
             self._wake_followers()
 
@@ -296,16 +301,52 @@
             return
         raise StoreUnavailableError(f"no answer within {PROBE_TIMEOUT_S} s")
 
-    async def _wait_for_store(self):
-        """Return once the store answers; probes cost less than the lost call."""
+    async def _wait_for_source(self):
+        """Return once the store answers; follow a VM that it answers meanwhile.
+
+        Probes cost less than the lost call.
+        """
         while True:
             await trio.sleep(self._retry_delay())
-            try:
-                await self._probe()
+            if await self._is_store_back():
                 return
-            except TarragonchuteError as error:
-                self._failures += 1
-                logger.debug("store still away: %s", error)
+            relay = self._choose_substitute()
+            if relay is not None and await self._follow_substitute(relay):
+                return
+
+    def _choose_substitute(self):
+        if self._relays is None:
+            return None
+        return self._relays.choose_substitute(self._clock())
+
+    async def _follow_substitute(self, relay):
+        """Follow a VM of any failure domain; return whether the store is back.
+
+        The store may turn some VMs away while it serves the others.
+        """
+        self.is_direct = False
+        try:
+            while True:
+                answer = await relay.watch(self._known_revision)
+                self._note_success()
+                self._apply_relayed(*answer)
+                if await self._is_store_back():
+                    # What the store has now is listed, whatever the relay had.
+                    self.revision = None
+                    return True
+        except RelayUnavailableError as error:
+            self._relays.pass_over(relay, self._clock())
+            self._note_failure(error)
+            return False
+
+    async def _is_store_back(self):
+        try:
+            await self._probe()
+        except TarragonchuteError as error:
+            self._failures += 1
+            logger.debug("store still away: %s", error)
+            return False
+        return True
 
     def _note_success(self):
         now = self._clock()
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -174,6 +174,11 @@
             self._shares.count_retry_slack(),
             settings.retry_window_s,
         )
+        self._wide_window = WindowLimits(
+            settings.retry_share,
+            self._shares.count_wide_retry_slack(),
+            settings.retry_window_s,
+        )
         self._budgets = {}
         self._times = {}
         self._weighted = {}
@@ -320,13 +325,16 @@
     def _find_budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = WindowBudget(self._window)
+            is_wide = self.table is not None and self.table.is_wide_shard(service)
+            limits = self._wide_window if is_wide else self._window
+            budget = self._budgets[service] = WindowBudget(limits)
         return budget
 
     def _update_shares(self, now):
         """Take the list of VMs, if it has changed."""
         if self._shares.set_vms(self.fleet.list_vms(now)):
             self._window.slack = self._shares.count_retry_slack()
+            self._wide_window.slack = self._shares.count_wide_retry_slack()
             self.registry.rearrange()
             self._next_domain_check = now
             logger.info(
@@ -416,17 +424,25 @@
 
     def _allow_cold(self, target, now):
         """Whether this VM's part of a cold target's allowance permits a request."""
-        if now < target.next_cold_send:
-            return False
-        table = self.table
-        policy = table and table.services.get(target.registration.service)
-        rate = policy.cold_rate if policy else 0.0
-        interval_s = self._shares.find_cold_interval_s(rate)
+        interval_s = self._find_cold_interval_s(target.registration)
         if interval_s is None:
             return False
+        if target.next_cold_send is None:
+            # VMs that see a new target at the same time must not all send at once.
+            target.next_cold_send = now + interval_s * self._random.random()
+        if now < target.next_cold_send:
+            return False
         target.next_cold_send = now + interval_s * (0.8 + 0.4 * self._random.random())
         return True
 
+    def _find_cold_interval_s(self, registration):
+        table = self.table
+        policy = table and table.services.get(registration.service)
+        rate = policy.cold_rate if policy else 0.0
+        if table is not None and table.is_wide_shard(registration.service):
+            return self._shares.find_wide_cold_interval_s(rate, registration.domain)
+        return self._shares.find_cold_interval_s(rate)
+
     def _count_end(self, query, response, error, elapsed_s):
         result = "caller_left"
         if response is not None:
--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -11,6 +11,9 @@
 MAX_REFUSALS = 2
 """Refusals after which a request is not offered again; refusing targets are full."""
 
+SEARCH_MAX_REFUSALS = 4
+"""The same for a shard of a search, which may be worth nothing without this shard.
+Targets that refuse half of all requests take one of five with a chance of 97%."""
 
 CONNECT_PATIENCE = 2.0
 """An attempt that still waits for its connection is hedged after this many times the
@@ -83,6 +86,7 @@
         "_first",
         "_open",
         "_tried",
+        "_refused",
     )
 
     def __init__(self, service, query, context, max_attempts):
@@ -104,6 +108,12 @@
         self._first = None
         self._open = []
         self._tried = []
+        self._refused = []
+
+    @property
+    def is_tried(self):
+        """Whether the request was offered to any target."""
+        return bool(self._tried)
 
     @property
     def has_run(self):
@@ -213,12 +223,15 @@
     def _handle_refusal(self, exchange, reply, now):
         self.runs -= 1
         self.refusals += 1
+        self._refused.append(exchange.target)
         if reply.status == 421:
             self._context.registry.note_wrong_process(exchange.target, now)
         else:
             replicas.note_failure(exchange.target, now)
         reason = f"target refused with {reply.status}"
-        self._resend(reason, now, self.refusals <= MAX_REFUSALS, is_arrival=True)
+        is_search = self._query.route.is_search
+        limit = SEARCH_MAX_REFUSALS if is_search else MAX_REFUSALS
+        self._resend(reason, now, self.refusals <= limit, is_arrival=True)
 
     def _retry(self, reason, now):
         """Try again after an attempt that may have run."""
@@ -245,7 +258,12 @@
         targets = self._context.registry.list_usable(self.service)
         usual_s = self._query.times.mean_s
         chooser = self._context.chooser
-        return chooser.choose(targets, now, usual_s, self._tried)
+        target = chooser.choose(targets, now, usual_s, self._tried)
+        if target is None and self._refused and self._query.route.is_search:
+            # All have been tried; one that refused may have room by now.
+            ran = [tried for tried in self._tried if tried not in self._refused]
+            target = chooser.choose(targets, now, usual_s, ran)
+        return target
 
     def _send(self, target, now):
         query = self._query
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -238,24 +238,41 @@
         A relay that was chosen before and is asked for again has answered; one that
         failed must have been reported with `note_failure`.
         """
-        domain = self._fleet.own.domain
-        vms = [vm for vm in self._fleet.list_vms(now) if vm.domain == domain]
-        count = max(1, len(vms) // VMS_PER_RELAY)
-        leading = sorted(vms, key=lambda vm: hash_text(vm.vm_id))[:count]
+        leading = self._list_leading(self._fleet.own.domain, now)
         if any(vm.vm_id == self._vm_id for vm in leading):
             self._forget_except(())
             return None
         candidates = [vm for vm in leading if vm.address and self._is_usable(vm, now)]
         if not candidates:
             return None
-        # Each VM prefers another relay, and stays with it while the list is the same.
-        best = min(candidates, key=lambda vm: hash_text(vm.vm_id + self._vm_id))
         self._forget_except([vm.vm_id for vm in leading])
-        relay = self._relays.get(best.vm_id)
-        if relay is None or relay.address != best.address:
-            relay = self._relays[best.vm_id] = Relay(best.address)
-        self._current = relay
-        return relay
+        self._current = self._open(candidates)
+        return self._current
+
+    def choose_substitute(self, now):
+        """Return the `Relay` of any failure domain that has not failed lately, or None.
+
+        For a VM that the store does not answer; those that watch the store may be
+        answered.
+        """
+        vms = self._fleet.list_vms(now)
+        leading = [
+            vm
+            for domain in sorted({vm.domain for vm in vms})
+            for vm in self._list_leading(domain, now)
+        ]
+        candidates = [
+            vm
+            for vm in leading
+            if vm.address and vm.vm_id != self._vm_id and self._is_usable(vm, now)
+        ]
+        return self._open(candidates) if candidates else None
+
+    def pass_over(self, relay, now):
+        """Do not choose a relay for `RELAY_PENALTY_S`."""
+        relay.was_without_store = False
+        relay.failed_at = now
+        relay.close()
 
     def note_failure(self, error, now):
         """Take the error of the VM that was chosen last; return whether to ask again.
@@ -267,15 +284,27 @@
         if isinstance(error, RelayWithoutStoreError) and not relay.was_without_store:
             relay.was_without_store = True
             return True
-        relay.was_without_store = False
-        relay.failed_at = now
-        relay.close()
+        self.pass_over(relay, now)
         return False
 
     def note_success(self):
         """Take an answer of the VM that was chosen last."""
         self._current.was_without_store = False
 
+    def _list_leading(self, domain, now):
+        """Return the VMs of a failure domain that watch the store."""
+        vms = [vm for vm in self._fleet.list_vms(now) if vm.domain == domain]
+        count = max(1, len(vms) // VMS_PER_RELAY)
+        return sorted(vms, key=lambda vm: hash_text(vm.vm_id))[:count]
+
+    def _open(self, candidates):
+        """Return the relay that this VM prefers; each VM prefers another one."""
+        best = min(candidates, key=lambda vm: hash_text(vm.vm_id + self._vm_id))
+        relay = self._relays.get(best.vm_id)
+        if relay is None or relay.address != best.address:
+            relay = self._relays[best.vm_id] = Relay(best.address)
+        return relay
+
     def _is_usable(self, vm, now):
         relay = self._relays.get(vm.vm_id)
         if relay is None or relay.failed_at is None:
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -7,6 +7,7 @@
 import trio
 
 from .channels import ChannelListener
+from .errors import PortInUseError
 from .exchanges import SWEEP_PERIOD_S
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
 from .timers import TimerService
@@ -93,8 +94,7 @@
             if settings.search_address:
                 address = settings.search_address
                 ChannelListener(gateway.reactor, address, gateway.shard_server)
-            metrics_address = f"{settings.host}:{METRICS_PORT}"
-            await self._listen(nursery, metrics_address, self._answer_metrics)
+            await self._listen_for_metrics(nursery)
             # Start-up objects live as long as the process; the collector need not
             # visit them again.
             gc.collect()
@@ -107,6 +107,14 @@
         listeners = await bind_listeners(address)
         nursery.start_soon(serve_http, handler, listeners)
 
+    async def _listen_for_metrics(self, nursery):
+        address = f"{self._gateway.settings.host}:{METRICS_PORT}"
+        try:
+            await self._listen(nursery, address, self._answer_metrics)
+        except PortInUseError as error:
+            # Callers can be served without metrics; the port is fixed.
+            logger.error("metrics are not served: %s", error)
+
     async def _answer_metrics(self, request):
         if request.path != METRICS_PATH:
             return HttpResponse(404)
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -87,14 +87,17 @@
         Whether another process answered at its address.
     slowness : float
         Moving average of its reply time divided by the route's usual reply time.
+    was_late : bool
+        Whether the latest exchange took far longer than usual.
     observed_at : float
         When `slowness` was last updated, in monotonic seconds.
     suspect_until : float
         It failed; until then it is used only if nothing else can be.
     failures : int
         Failures in a row.
-    next_cold_send : float
-        When this VM may send it the next request while it is cold.
+    next_cold_send : float or None
+        When this VM may send it the next request while it is cold; None before the
+        first one was considered.
     observer : callable or None
         Called with the target, an ended exchange and the time.
     is_preferred : bool
@@ -108,6 +111,7 @@
         "missing_since",
         "is_wrong_process",
         "slowness",
+        "was_late",
         "observed_at",
         "suspect_until",
         "failures",
@@ -125,10 +129,11 @@
         self.missing_since = None
         self.is_wrong_process = False
         self.slowness = 1.0
+        self.was_late = False
         self.observed_at = 0.0
         self.suspect_until = -math.inf
         self.failures = 0
-        self.next_cold_send = -math.inf
+        self.next_cold_send = None
         self.identity = registration.target_id.encode("latin-1", "replace")
         self.observer = None
         self.is_preferred = True
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -9,6 +9,13 @@
 MAX_SLOWNESS = 8.0
 """Bound on one observation, so that one lost reply does not exclude a target."""
 
+LATE_SLOWNESS = 2.0
+"""Observation from which a reply was late."""
+
+FIRST_LATE_SLOWNESS = 1.7
+"""Bound on the first late observation in a row. Targets pause for a moment now and
+then; moving away from each that did sends most requests to other domains."""
+
 FORGET_S = 3.0
 """Time constant with which an unused target's slowness returns to the usual. Pauses
 and slow spells of targets last some seconds."""
@@ -16,8 +23,10 @@
 LOAD_WEIGHT = 0.5
 """Slowness that each request in flight from this VM adds; a target has few slots."""
 
-REMOTE_DOMAIN_FACTOR = 1.15
-"""Preference for targets in this VM's failure domain, where the two are as quick."""
+REMOTE_DOMAIN_FACTOR = 1.5
+"""Preference for targets in this VM's failure domain, where the two are about as
+quick. Traffic between domains is paid for, and reply times vary by a third from one
+request to the next."""
 
 JITTER = 0.2
 """Random part of a score, so that VMs do not all choose the same target."""
@@ -84,7 +93,13 @@
         if exchange.is_cut:
             note_failure(target, now)
         elapsed = now - exchange.sent_at
-        sample = min(elapsed / exchange.usual_s, MAX_SLOWNESS)
+        sample = elapsed / exchange.usual_s
+        is_late = sample > LATE_SLOWNESS
+        if is_late:
+            sample = min(
+                sample, MAX_SLOWNESS if target.was_late else FIRST_LATE_SLOWNESS
+            )
+        target.was_late = is_late
         current = estimate_slowness(target, now)
         target.slowness = current + SLOWNESS_WEIGHT * (sample - current)
         target.observed_at = now
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -16,6 +16,11 @@
 """Part of the retry slack that is used. A VM that restarts has forgotten what its
 predecessor spent within the window."""
 
+LEADER_RETRY_SHARE = 0.65
+OTHERS_RETRY_SHARE = 0.15
+"""Parts of the retry slack of a shard of wide searches for the leaders, and for all
+VMs, which ask such a shard only if no leader answers."""
+
 COLD_SHARE = 0.5
 """Part of a cold target's allowance that is used. The rest covers requests that were
 sent at intervals and arrive together."""
@@ -24,6 +29,11 @@
 """Part of a target's connections that is used. The rest covers closes that have not
 reached the target yet."""
 
+LEADER_COLD_SHARE = 0.4
+OTHERS_COLD_SHARE = 0.1
+"""Parts of the allowance of a cold shard of wide searches for the leaders of its own
+failure domain, and for all VMs."""
+
 LEADER_CONNECTION_SHARE = 0.5
 """Part of the used connections to a shard of wide searches that the leaders divide.
 The others are for VMs that no leader answers."""
@@ -69,6 +79,7 @@
         "vms",
         "is_leader",
         "_leaders",
+        "_domain_leaders",
         "_vm_id",
         "_domain",
         "_rank",
@@ -86,6 +97,7 @@
         self.vms = ASSUMED_VMS
         self.is_leader = False
         self._leaders = frozenset()
+        self._domain_leaders = 0
         self._rank = zlib.crc32(vm_id.encode())
 
     def set_vms(self, vms):
@@ -100,6 +112,9 @@
         if is_same_place and leaders == self._leaders:
             return False
         self._leaders = leaders
+        self._domain_leaders = sum(
+            vm.domain == self._domain and vm.vm_id in leaders for vm in vms
+        )
         self.is_leader = self._vm_id in leaders
         self._rank = rank
         self._vms_by_domain = by_domain
@@ -110,6 +125,13 @@
         """Return the extra requests of one service in a window."""
         return self._retry_slack * RETRY_SLACK_SHARE / self.vms
 
+    def count_wide_retry_slack(self):
+        """Return those of a shard of wide searches."""
+        slack = OTHERS_RETRY_SHARE / self.vms
+        if self.is_leader:
+            slack += LEADER_RETRY_SHARE / len(self._leaders)
+        return self._retry_slack * slack
+
     def find_cold_interval_s(self, rate):
         """Return the time between two requests to a cold target, or None for never.
 
@@ -118,9 +140,23 @@
         rate : float
             Requests a second that the service's configuration states.
         """
+        return self._find_interval_s(rate, COLD_SHARE / self.vms)
+
+    def find_wide_cold_interval_s(self, rate, domain):
+        """Return that for a cold shard of wide searches in a failure domain.
+
+        Its own domain has few leaders, so that each of them can send often enough to
+        be of use.
+        """
+        share = OTHERS_COLD_SHARE / self.vms
+        if self.is_leader and domain == self._domain:
+            share += LEADER_COLD_SHARE / self._domain_leaders
+        return self._find_interval_s(rate, share)
+
+    def _find_interval_s(self, rate, share):
         limits = self._cold_limits
-        allowed = (rate * limits.factor + limits.slack) * COLD_SHARE
-        return self.vms / allowed if allowed > 0 else None
+        allowed = (rate * limits.factor + limits.slack) * share
+        return 1 / allowed if allowed > 0 else None
 
     def count_connections(self, max_connections, replicas):
         """Return the connections to each target that `prefer` chooses.
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -193,18 +193,31 @@
         The greatest records of these parts, greatest first.
     missing : list of str
         For the log: shards without a reply, each with the reason.
+    unasked : list of str
+        Services for which the VM knows no target that it may use; nobody was asked.
     """
 
-    __slots__ = ("number", "is_final", "has_run", "digests", "records", "missing")
+    __slots__ = (
+        "number",
+        "is_final",
+        "has_run",
+        "digests",
+        "records",
+        "missing",
+        "unasked",
+    )
     kind = "answer"
 
-    def __init__(self, number, is_final, has_run, digests, records, missing):
+    def __init__(
+        self, number, is_final, has_run, digests, records, missing, unasked=()
+    ):
         self.number = number
         self.is_final = is_final
         self.has_run = has_run
         self.digests = digests
         self.records = records
         self.missing = missing
+        self.unasked = list(unasked)
 
     def encode(self):
         """Return the payload of a frame."""
@@ -217,13 +230,14 @@
                 [digest.decode("latin-1") for digest in self.digests],
                 base64.b64encode(self.records).decode(),
                 self.missing,
+                self.unasked,
             ]
         )
 
     @classmethod
     def decode(cls, fields):
         """Return the message in the fields that follow the kind."""
-        number, is_final, has_run, digests, records, missing = fields
+        number, is_final, has_run, digests, records, missing, unasked = fields
         return cls(
             number,
             is_final,
@@ -231,6 +245,7 @@
             [digest.encode("latin-1") for digest in digests],
             base64.b64decode(records, validate=True),
             missing,
+            unasked,
         )
 
 
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -189,6 +189,23 @@
         leader.answer(0.003, count=0, has_run=False)
         self.assertEqual(10, len(search.started))
 
+    @run_in_virtual_time
+    async def test_shards_that_a_leader_does_not_know_go_elsewhere(self):
+        """A leader that the store turns away: guards against missing shards."""
+        first, second = FakeDelegate("a"), FakeDelegate("b")
+        search = SharedSearch(0, first, second, slack=0.0)
+        (share,) = first.shares
+        share.handle_acknowledged(0.002)
+        unasked = SubsearchAnswer(1, False, True, [], b"", [], SHARDS[:4])
+        share.handle_answer(unasked, 0.003)
+        self.assertEqual(SHARDS[:4], second.subsearches[0].services)
+        self.assertFalse(second.subsearches[0].is_extra)
+        self.assertEqual(2, second.subsearches[0].max_attempts)
+        first.answer(0.01)
+        second.answer(0.02)
+        self.assertEqual(10, search.query.included)
+        self.assertEqual(200, finish(search.query, 0.02).status)
+
     @run_in_virtual_time
     async def test_progress_at_the_goal_makes_a_partial_answer(self):
         """A pause of a target: guards against answers that wait for one shard."""
@@ -288,6 +305,18 @@
         answer = query.build_response()
         self.assertFalse(answer.has_run)
 
+    @run_in_virtual_time
+    async def test_unknown_shards_are_told_at_once(self):
+        """Guards against a VM that keeps to itself which shards it does not know."""
+        self.bench = Bench(SHARDS[:9])
+        self.bench.budgets[SHARDS[9]] = self.bench.budgets[SHARDS[0]]
+        reports = []
+        subsearch = build_subsearch(services=SHARDS)
+        times = ReplyTimes(0.1, 0.1)
+        query = ShardQuery(subsearch, self.bench.context, times, reports.append, 0.0)
+        query.start(0.0)
+        self.assertEqual([SHARDS[9:]], [answer.unasked for answer in reports])
+
     @run_in_virtual_time
     async def test_vm_without_targets_says_so(self):
         """Guards against a search that waits for a VM which knows no targets."""
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -92,6 +92,44 @@
         pass
 
 
+class Substitute(OneRelay):
+    """A VM that the store answers while it turns this one away."""
+
+    def choose(self, now):
+        return None
+
+    def choose_substitute(self, now):
+        return self if self.error is None else None
+
+    def pass_over(self, relay, now):
+        self.error = RelayUnavailableError("passed over")
+
+
+class TurnedAwayStore:
+    """The store as a VM sees it that may be turned away."""
+
+    def __init__(self, store):
+        self.store = store
+        self.turns_away = False
+
+    def _check(self):
+        if self.turns_away:
+            raise StoreUnavailableError("turned away")
+
+    async def list(self, prefix):
+        self._check()
+        return await self.store.list(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        self._check()
+        with trio.move_on_after(0.5):
+            return await self.store.watch(prefix, after, wait_s)
+        return [], after
+
+    async def probe(self):
+        self._check()
+
+
 class SnapshotRelay(OneRelay):
     """A relay that lacks the history and sends everything."""
 
@@ -254,3 +292,56 @@
             await trio.sleep(2.0)
             self.assertEqual({}, handler.values)
             nursery.cancel_scope.cancel()
+
+
+class SubstituteTests(testtools.TestCase):
+    """The store turns this VM away and serves the others."""
+
+    @run_in_virtual_time
+    async def test_changes_come_from_another_vm(self):
+        """Guards against a VM that misses changes which the others know."""
+        store = MemoryStore()
+        await store.put("a", "1", 0)
+        seen_store = TurnedAwayStore(store)
+        handler = RecordingHandler()
+        relay = Substitute(store)
+        feed = Feed(seen_store, handler, relays=relay)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(1.0)
+            seen_store.turns_away = True
+            await store.put("b", "2", 0)
+            await trio.sleep(4.0)
+            self.assertEqual({"a": "1", "b": "2"}, handler.values)
+            self.assertTrue(feed.is_connected)
+            self.assertFalse(feed.is_direct)
+            listings = len(handler.snapshots)
+            seen_store.turns_away = False
+            await trio.sleep(3.0)
+            self.assertEqual(listings + 1, len(handler.snapshots))
+            self.assertTrue(feed.is_direct)
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_substitute_that_fails_is_passed_over(self):
+        """Guards against a VM that waits for one that is gone."""
+        store = MemoryStore()
+        seen_store = TurnedAwayStore(store)
+        relay = Substitute(store)
+        feed = Feed(seen_store, RecordingHandler(), relays=relay)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await trio.sleep(1.0)
+            seen_store.turns_away = True
+
+            async def fail(after):
+                raise RelayUnavailableError("gone")
+
+            relay.watch = fail
+            await trio.sleep(3.0)
+            self.assertIsNotNone(relay.error)
+            self.assertFalse(feed.is_connected)
+            seen_store.turns_away = False
+            await trio.sleep(3.0)
+            self.assertTrue(feed.is_connected)
+            nursery.cancel_scope.cancel()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -65,7 +65,7 @@
         self.addCleanup(gateway.reactor.close)
         return gateway
 
-    async def fail(self, gateway, request):
+    async def find_error(self, gateway, request):
         """Return the error that ends a request."""
         try:
             await gateway.handle(request)
@@ -77,7 +77,7 @@
     async def test_unknown_configuration_is_503(self):
         """Guards against 404 for a route that this VM has not heard of yet."""
         gateway = self.build()
-        error = await self.fail(gateway, build_request())
+        error = await self.find_error(gateway, build_request())
         self.assertEqual(503, error.status)
         self.assertIsNotNone(error.retry_after_s)
         self.assertFalse(gateway.is_ready())
@@ -97,9 +97,9 @@
         """Guards against a request that is forwarded without a route or an id."""
         gateway = self.build()
         gateway.apply_table(build_table(1))
-        error = await self.fail(gateway, build_request("/none/1"))
+        error = await self.find_error(gateway, build_request("/none/1"))
         self.assertEqual(404, error.status)
-        error = await self.fail(gateway, build_request(request_id=None))
+        error = await self.find_error(gateway, build_request(request_id=None))
         self.assertEqual(400, error.status)
 
     @run_in_virtual_time
@@ -140,6 +140,27 @@
         self.assertLessEqual(allowed, 100 * 5 / 9)
         self.assertGreater(allowed, 10)
 
+    @run_in_virtual_time
+    async def test_cold_target_is_not_sent_to_at_once(self):
+        """A mass cold start: guards against VMs that all see it at the same time."""
+        firsts = []
+        for _ in range(100):
+            gateway = self.build()
+            gateway.apply_table(build_table(1))
+            registration = Registration("i-1", "s", ("127.0.0.1", 9), "d")
+            gateway.registry.apply("i-1", registration, 0.0)
+            for number in range(9):
+                key = f'{{"domain": "d", "address": "10.0.0.1:{number}"}}'
+                gateway.fleet.apply(f"vm-{number}", key, 0.0)
+            gateway.sweep(0.0)
+            (target,) = gateway.registry.list_targets()
+            ticks = (tick / 100 for tick in range(2000))
+            firsts.append(
+                next(now for now in ticks if gateway._allow_cold(target, now))
+            )
+        # Of nine VMs, five may send within a second.
+        self.assertLess(sum(now < 1.0 for now in firsts), 55)
+
     @run_in_virtual_time
     async def test_state_of_removed_routes_is_dropped(self):
         """Guards against memory that grows with each changed route."""
@@ -149,7 +170,7 @@
             table = build_table(version, prefix)
             table.routes[0].name = f"r-{version}"
             gateway.apply_table(table)
-            await self.fail(gateway, build_request(f"/{version}/1"))
+            await self.find_error(gateway, build_request(f"/{version}/1"))
         self.assertLessEqual(len(gateway._times), 1)
         self.assertLessEqual(len(gateway._weighted), 1)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -172,6 +172,27 @@
         self.assertFalse(relays.note_failure(error, 0.5))
         self.assertIsNone(relays.choose(1.0))
 
+    def test_substitutes_of_other_domains_in_turn(self):
+        """A store that turns some VMs away: guards against VMs that know nothing new.
+
+        Those that watch the store are asked one after the other, also in other failure
+        domains.
+        """
+        fleet = build_fleet("vm-0", 9)
+        for number in range(20, 40):
+            key = f'{{"domain": "e", "address": "10.0.0.1:{number}"}}'
+            fleet.apply(f"vm-{number}", key, 0.0)
+        relays = Relays(fleet, "vm-0")
+        found = []
+        while (relay := relays.choose_substitute(0.0)) is not None:
+            self.assertNotIn(relay, found)
+            found.append(relay)
+            relays.pass_over(relay, 0.0)
+        self.assertGreater(len(found), 1)
+        self.assertNotIn("10.0.0.1:0", {relay.address for relay in found})
+        again = relays.choose_substitute(peers.RELAY_PENALTY_S + 0.1)
+        self.assertIn(again, found)
+
     def test_lone_vm_watches_the_store(self):
         """Guards against a VM without peers that follows nobody."""
         self.assertIsNone(Relays(build_fleet("vm-0"), "vm-0").choose(0.0))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,12 +20,14 @@
     FindingsError,
     HistoryLostError,
     LeaseNotFoundError,
+    PortInUseError,
     StoreConflictError,
     StoreUnavailableError,
 )
 from tarragonchute.httpio import HttpConnection, bind_listeners, get_address, serve_http
 from tarragonchute.platform import decoding, settings
 from tarragonchute.platform.store import PlatformStore
+from tarragonchute.process import METRICS_PORT
 
 from .test_httpio import close_port, start_server
 from .trial import run_async
@@ -346,6 +348,17 @@
             response = await deployment.call("/none/1")
             self.assertEqual(404, response.status)
 
+    @run_async
+    async def test_metrics_port_in_use(self):
+        """Guards against a VM that serves nobody because its metrics cannot be read."""
+        listeners = []
+        with contextlib.suppress(PortInUseError):
+            listeners = await bind_listeners(f"127.0.0.1:{METRICS_PORT}")
+        async with open_deployment() as deployment:
+            self.assertEqual(200, (await deployment.call("/search/1")).status)
+        for listener in listeners:
+            await listener.aclose()
+
     @run_async
     async def test_changes_of_the_store_take_effect(self):
         """Guards against drains, evacuations and versions that are not followed."""
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from tarragonchute import errors
+from tarragonchute import errors, legs
 from tarragonchute.budgets import WindowBudget, WindowLimits
 from tarragonchute.dialects import Dialect
 from tarragonchute.exchanges import FailureKind
@@ -405,6 +405,21 @@
         self.answer(bench, bench.started[7:8], query.goal_at + 0.01)
         self.assertTrue(query.is_finished)
 
+    @run_in_virtual_time
+    async def test_refused_shard_is_offered_again(self):
+        """Targets that shed half of all requests: guards against lost searches."""
+        bench = Bench(self.SHARDS)
+        query = build_search(bench, self.SHARDS, least_coverage=1.0)
+        self.answer(bench, bench.started[1:], 0.01)
+        refusals = 0
+        while refusals < legs.SEARCH_MAX_REFUSALS:
+            exchange = bench.started[-1] if refusals else bench.started[0]
+            bench.reply(exchange, 0.01, status=503, digest=None, Not_Run="1")
+            refusals += 1
+        self.assertFalse(query.is_finished)
+        bench.reply(bench.started[-1], 0.02, digest=b"last")
+        self.assertEqual(10, query.included)
+
     @run_in_virtual_time
     async def test_one_digest_twice_is_no_answer(self):
         """Guards against a part that counts for two shards."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,7 @@
 
 from tarragonchute.fleet import VmInfo
 from tarragonchute.registry import RegisteredTarget, Registration
-from tarragonchute.shares import ColdLimits, FleetShares
+from tarragonchute.shares import COLD_SHARE, ColdLimits, FleetShares
 
 
 def build_fleet(size, retry_slack=58.0, domains=("a", "b", "c", "d")):
@@ -31,6 +31,51 @@
     ]
 
 
+class WideSharesTests(testtools.TestCase):
+    """Parts of the shards of wide searches, which mostly the leaders ask."""
+
+    def build(self, size=79):
+        domains = ("a", "b", "c", "d")
+        vms = [
+            VmInfo(f"vm-{n:03}", domains[n % 4], "10.0.0.1:1", f"10.0.0.1:{n + 2}", 9.0)
+            for n in range(size)
+        ]
+        fleet = []
+        for vm in vms:
+            shares = FleetShares(vm.vm_id, vm.domain, 198.0, ColdLimits(1.5, 5.0))
+            shares.set_vms(vms)
+            fleet.append(shares)
+        return fleet
+
+    def test_retry_slack_adds_up(self):
+        """Guards against a fleet that exceeds the retry bound of a shard."""
+        for size in (1, 9, 79):
+            parts = [vm.count_wide_retry_slack() for vm in self.build(size)]
+            self.assertLessEqual(sum(parts), 198.0)
+        # A leader has enough to hedge a pause of each replica.
+        self.assertGreater(max(parts), 10)
+
+    def test_cold_sends_add_up(self):
+        """Guards against a cold shard that leaders of all domains send to."""
+        for size in (1, 9, 79):
+            fleet = self.build(size)
+            rate = sum(1 / vm.find_wide_cold_interval_s(2.0, "a") for vm in fleet)
+            self.assertLessEqual(rate, (2.0 * 1.5 + 5.0) * COLD_SHARE * 1.01)
+
+    def test_connections_add_up(self):
+        """Guards against targets that reset connections beyond their limit."""
+        fleet = self.build()
+        targets = build_targets("a", "b", "c")
+        for number in range(20):
+            opened = collections.Counter()
+            for vm in fleet:
+                preferred, count = vm.arrange_wide(f"s{number}", targets, 62)
+                for target in preferred:
+                    opened[target.registration.target_id] += count
+            self.assertLessEqual(max(opened.values()), 62)
+            self.assertEqual(3, len(opened))
+
+
 class FleetSharesTests(testtools.TestCase):
     """Parts that add up to less than the whole."""
 
--- a/tests/test_subsearches.py
+++ b/tests/test_subsearches.py
@@ -29,7 +29,9 @@
 
     def test_answer_round_trip(self):
         """Guards against a digest or a record that changes between two VMs."""
-        sent = SubsearchAnswer(7, False, True, [b"d1", b"d2"], bytes(range(256)), ["x"])
+        sent = SubsearchAnswer(
+            7, False, True, [b"d1", b"d2"], bytes(range(256)), ["x"], ["s"]
+        )
         got = subsearches.decode_message(sent.encode())
         for name in SubsearchAnswer.__slots__:
             self.assertEqual(getattr(sent, name), getattr(got, name), name)
@@ -45,7 +47,7 @@
             b'["none"]',
             b'["greeting"]',
             b'["subsearch", 1, 2]',
-            b'["answer", 1, true, true, [1], "", []]',
-            b'["answer", 1, true, true, ["d"], "*", []]',
+            b'["answer", 1, true, true, [1], "", [], []]',
+            b'["answer", 1, true, true, ["d"], "*", [], []]',
         ):
             self.assertRaises(errors.ProtocolError, subsearches.decode_message, payload)
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateway processes with faults from outside them."""
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,218 @@
+"""Faults of the soak; each is a task that ends with everything as it was."""
+
+import signal
+
+import trio
+
+from .proxy import ProxyMode
+from .world import DRAIN_S, GRACE_S
+
+CONTACT_S = 4.0
+"""Time after a fault for which a VM's requests may still suffer from it."""
+
+
+class Faults:
+    """Draws and plays faults.
+
+    Parameters
+    ----------
+    world : world.World
+    random_source : random.Random
+    nursery : trio.Nursery
+
+    Attributes
+    ----------
+    played : list of (float, str)
+        Seconds since the start of the soak, and what began.
+    """
+
+    def __init__(self, world, random_source, nursery):
+        self.played = []
+        self._world = world
+        self._random = random_source
+        self._nursery = nursery
+        self._started_at = trio.current_time()
+        self._busy_vms = set()
+        self._kinds = (
+            self._kill_vm,
+            self._stop_vm,
+            self._pause_vm,
+            self._signal_settings,
+            self._refuse_store,
+            self._disturb_store,
+            self._reset_store,
+            self._drop_history,
+            self._slow_targets,
+            self._refuse_targets,
+            self._fail_targets,
+            self._disturb_targets,
+            self._reset_targets,
+            self._replace_target,
+            self._repartition,
+            self._evacuate,
+        )
+
+    async def play(self, duration_s):
+        """Start faults that overlap, and return when all have ended."""
+        ends_at = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < ends_at:
+                kind = self._random.choice(self._kinds)
+                at = trio.current_time() - self._started_at
+                self.played.append((round(at, 2), kind.__name__.strip("_")))
+                nursery.start_soon(kind)
+                await trio.sleep(self._random.uniform(0.1, 1.2))
+
+    def _draw_s(self):
+        return self._random.uniform(0.2, 2.5)
+
+    def _draw_targets(self, share=0.2):
+        targets = self._world.targets
+        return self._random.sample(targets, max(1, int(len(targets) * share)))
+
+    def _draw_vm(self):
+        """Return a VM that no other fault stops, or None; one always stays."""
+        free = [vm for vm in self._world.vms if vm not in self._busy_vms]
+        return self._random.choice(free) if len(free) > 1 else None
+
+    def _disturb(self, vms, duration_s=0.0):
+        until = trio.current_time() + duration_s + CONTACT_S
+        for vm in vms:
+            vm.disturbed_until = max(vm.disturbed_until, until)
+
+    async def _restart(self, vm, number):
+        vm.send_signal(number)
+        await vm.wait()
+        await trio.sleep(self._random.uniform(0.0, 1.0))
+        vm.start(self._world.list_seeds())
+        while not await vm.is_ready():
+            await trio.sleep(0.1)
+
+    async def _occupy_vm(self, play, planned=False):
+        vm = self._draw_vm()
+        if vm is None:
+            return
+        self._busy_vms.add(vm)
+        if not planned:
+            self._disturb([vm], GRACE_S + 10.0)
+        try:
+            await play(vm)
+        finally:
+            self._busy_vms.discard(vm)
+        vm.disturbed_until = trio.current_time() + CONTACT_S
+
+    async def _kill_vm(self):
+        await self._occupy_vm(lambda vm: self._restart(vm, signal.SIGKILL))
+
+    async def _stop_vm(self):
+        await self._occupy_vm(self._stop, planned=True)
+
+    async def _stop(self, vm):
+        await self._restart(vm, signal.SIGTERM)
+
+    async def _pause_vm(self):
+        async def pause(vm):
+            vm.send_signal(signal.SIGSTOP)
+            await trio.sleep(self._draw_s())
+            vm.send_signal(signal.SIGCONT)
+
+        await self._occupy_vm(pause)
+
+    async def _signal_settings(self):
+        for vm in self._world.vms:
+            vm.send_signal(signal.SIGHUP)
+
+    async def _refuse_store(self):
+        self._disturb(self._world.vms, 3.0)
+        self._world.server.refuses = True
+        await trio.sleep(self._draw_s())
+        self._world.server.refuses = False
+
+    async def _disturb_store(self):
+        vm = self._random.choice(self._world.vms)
+        self._disturb([vm], 3.0)
+        await self._set_mode(vm.store)
+
+    async def _reset_store(self):
+        vm = self._random.choice(self._world.vms)
+        self._disturb([vm])
+        vm.store.reset_all()
+
+    async def _drop_history(self):
+        self._world.server.compact()
+
+    async def _set_mode(self, proxy):
+        proxy.mode = self._random.choice(list(ProxyMode)[1:])
+        proxy.delay_s = self._random.uniform(0.02, 0.4)
+        await trio.sleep(self._draw_s())
+        proxy.mode = ProxyMode.PASS
+
+    async def _slow_targets(self):
+        targets = self._draw_targets()
+        for target in targets:
+            target.delay_s = self._random.uniform(0.05, 0.5)
+        await trio.sleep(self._draw_s())
+        for target in targets:
+            target.delay_s = 0.0
+
+    async def _refuse_targets(self):
+        await self._switch_targets("refuses")
+
+    async def _fail_targets(self):
+        await self._switch_targets("fails")
+
+    async def _switch_targets(self, name):
+        targets = self._draw_targets(0.1)
+        for target in targets:
+            setattr(target, name, True)
+        await trio.sleep(self._draw_s())
+        for target in targets:
+            setattr(target, name, False)
+
+    async def _disturb_targets(self):
+        targets = self._draw_targets(0.1)
+        self._disturb(self._world.vms, 3.0)
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                nursery.start_soon(self._set_mode, self._find_proxy(target))
+
+    async def _reset_targets(self):
+        self._disturb(self._world.vms)
+        for target in self._draw_targets():
+            self._find_proxy(target).reset_all()
+
+    def _find_proxy(self, target):
+        return self._world.proxies[target.target_id]
+
+    async def _replace_target(self):
+        """Let a target leave while another one of its service is there."""
+        target = self._random.choice(self._world.targets)
+        if target.is_leaving:
+            return
+        await self._world.add_target(target.service, target.domain)
+        await trio.sleep(1.0)
+        await self._remove(target, self._random.random() < 0.5)
+
+    async def _remove(self, target, is_announced):
+        if target.is_leaving or target not in self._world.targets:
+            return
+        told_at = await self._world.remove_target(target, is_announced)
+        if all(vm.disturbed_until < told_at for vm in self._world.vms):
+            self._world.oracle.note_leaving(target.target_id, told_at + DRAIN_S)
+        await trio.sleep(DRAIN_S + 1.0)
+        target.is_gone = True
+
+    async def _repartition(self):
+        for target in await self._world.repartition():
+            await trio.sleep(DRAIN_S)
+            await self._remove(target, is_announced=True)
+
+    async def _evacuate(self):
+        domain = self._random.choice(("a", "b"))
+        store = self._world.server.store
+        key = f"op/evacuate/{domain}"
+        if await store.get("op/evacuate/a") or await store.get("op/evacuate/b"):
+            return
+        revision = await store.put(key, "{}", 0)
+        await trio.sleep(self._draw_s())
+        await store.delete(key, revision)
--- /dev/null
+++ b/tools/soak/proxy.py
@@ -0,0 +1,93 @@
+"""A loopback proxy that delays, silences, cuts and resets connections."""
+
+import enum
+import socket
+import struct
+
+import trio
+
+RECEIVE_BYTES = 64 * 1024
+
+
+class ProxyMode(enum.Enum):
+    """What happens to bytes and new connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    """All bytes are dropped; connections that saw this stay silent for good."""
+    CUT_TO_SERVER = "cut_to_server"
+    """The same for the bytes of the client only."""
+    CUT_TO_CLIENT = "cut_to_client"
+    """The same for the bytes of the server only: answers are lost."""
+
+
+class Proxy:
+    """Forwards connections to one address.
+
+    Attributes
+    ----------
+    address : str
+        Where clients connect, once `run` has started.
+    mode : ProxyMode
+    delay_s : float
+        For each chunk, in mode `ProxyMode.DELAY`.
+    """
+
+    def __init__(self, target_address):
+        self._target_address = target_address
+        self._streams = set()
+        self.address = ""
+        self.mode = ProxyMode.PASS
+        self.delay_s = 0.1
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    def reset_all(self):
+        """Reset all open connections."""
+        for stream in list(self._streams):
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+
+    async def _serve(self, client):
+        host, port = self._target_address.split(":")
+        try:
+            server = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.aclose_forcefully(client)
+            return
+        self._streams |= {client, server}
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump, client, server, True, nursery)
+                nursery.start_soon(self._pump, server, client, False, nursery)
+        finally:
+            self._streams -= {client, server}
+            await trio.aclose_forcefully(client)
+            await trio.aclose_forcefully(server)
+
+    async def _pump(self, source, sink, is_to_server, nursery):
+        is_dead = False
+        try:
+            while data := await source.receive_some(RECEIVE_BYTES):
+                if self.mode is ProxyMode.DELAY:
+                    await trio.sleep(self.delay_s)
+                is_dead = is_dead or self._drops(is_to_server)
+                if not is_dead:
+                    await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        if not is_dead:
+            nursery.cancel_scope.cancel()
+
+    def _drops(self, is_to_server):
+        if self.mode is ProxyMode.CUT_TO_SERVER:
+            return is_to_server
+        if self.mode is ProxyMode.CUT_TO_CLIENT:
+            return not is_to_server
+        return self.mode is ProxyMode.SILENT
