Wait longer for a busy leader, and use spare VMs only without one

Change: a quarter of the goal for goals above 60 ms; 20 instead of 8 ms before a VM counts as slow; leaders that are left take over before spare VMs.

--- a/tarragonchute/delegation.py
+++ b/tarragonchute/delegation.py
@@ -27,10 +27,12 @@
 """VMs after the leaders to which a channel is kept, to take a lost leader's place."""
 
 ACK_TIMEOUT_S = 0.015
-"""Wait for an acknowledgement. Within a region it takes 1 to 6 ms; a small VM that
-handles the replies of a whole search is busy for some milliseconds."""
+ACK_GOAL_SHARE = 0.25
+"""Wait for an acknowledgement: this time, or this part of a longer goal. Within a
+region it takes 1 to 6 ms; a VM that handles the replies of other searches is busy for
+some milliseconds, and asking its shards again costs retry budget."""
 
-SLOW_ACK_S = 0.008
+SLOW_ACK_S = 0.02
 """Usual time to an acknowledgement above which a VM is passed over."""
 
 ACK_WEIGHT = 0.3
@@ -282,8 +284,13 @@
         self.vms = ranked[: self._count + SPARES]
 
     def choose(self, is_usable):
-        """Return the VMs that lead now; spare ones replace those not usable."""
-        return [vm for vm in self.vms if is_usable(vm)][: self._count]
+        """Return the usable leaders, or the usable spare VMs if there is none.
+
+        A spare VM is slower and knows less of the targets than a leader that is left.
+        """
+        usable = [vm for vm in self.vms if is_usable(vm)]
+        chosen = [vm for vm in self.vms[: self._count] if vm in usable]
+        return chosen or usable
 
 
 class Delegates:
@@ -452,10 +459,12 @@
         "_tried",
         "_state",
         "_started_at",
+        "_ack_timeout_s",
     )
 
     def __init__(self, services, query, delegation):
         self.services = services
+        self._ack_timeout_s = max(ACK_TIMEOUT_S, ACK_GOAL_SHARE * query.route.goal_s)
         self._attempts = query.route.max_attempts
         self.number = 0
         self.answer = None
@@ -512,12 +521,13 @@
     def next_due(self):
         """Return when `advance` has something to do, or None."""
         if self._state is ShareState.SENT:
-            return self._started_at + ACK_TIMEOUT_S
+            return self._started_at + self._ack_timeout_s
         return None
 
     def advance(self, now):
         """Pass a VM over that has not acknowledged in time."""
-        if self._state is ShareState.SENT and now >= self._started_at + ACK_TIMEOUT_S:
+        due = self.next_due()
+        if due is not None and now >= due:
             self._delegate.note_silent(now)
             self._delegate.cancel(self.number, now)
             self._hand_over("no acknowledgement", now)
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -12,6 +12,7 @@
     SLOW_ACK_S,
     Delegate,
     Delegates,
+    DomainLeaders,
 )
 from tarragonchute.fleet import VmInfo
 from tarragonchute.leaders import WIDE_SHARDS
@@ -212,6 +213,29 @@
             self.assertTrue(vms.delegate.is_usable(now + 10.0))
 
 
+class DomainLeadersTests(testtools.TestCase):
+    """Who leads when VMs are lost."""
+
+    def test_leaders_that_are_left_take_over_before_spare_vms(self):
+        """A leader without processor time: guards against searches at small VMs."""
+        vms = [VmInfo(f"vm-{n}", "a", "", f"10.0.0.1:{n + 1}", 9.0) for n in range(2)]
+        vms += [VmInfo(f"vm-{n}", "a", "", f"10.0.0.1:{n + 1}") for n in range(2, 9)]
+        group = DomainLeaders(vms)
+        lost = set()
+
+        def choose():
+            return {vm.vm_id for vm in group.choose(lambda vm: vm.vm_id not in lost)}
+
+        self.assertEqual({"vm-0", "vm-1"}, choose())
+        lost.add("vm-0")
+        self.assertEqual({"vm-1"}, choose())
+        lost.add("vm-1")
+        self.assertEqual(2, len(choose()))
+        self.assertNotIn("vm-1", choose())
+        lost.update(vm.vm_id for vm in vms)
+        self.assertEqual(set(), choose())
+
+
 class DelegatesTests(testtools.TestCase):
     """The choice among the VMs of a failure domain."""
 
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -7,7 +7,11 @@
 
 import testtools
 
-from tarragonchute.delegation import ACK_TIMEOUT_S, DelegatedShards, NoDelegation
+from tarragonchute.delegation import (
+    ACK_GOAL_SHARE,
+    DelegatedShards,
+    NoDelegation,
+)
 from tarragonchute.errors import TarragonchuteError
 from tarragonchute.fanout import SearchQuery, ShardQuery
 from tarragonchute.queries import build_outgoing
@@ -21,6 +25,7 @@
 
 SHARDS = [f"s{number}" for number in range(10)]
 GOAL_S = 0.1
+ACK_TIMEOUT_S = ACK_GOAL_SHARE * GOAL_S
 
 
 class FakeDelegate:
