Make one attempt for a shard until the asking VM permits more

The trace shows front-derby-2 beginning 55 ms after the request, when it had been passed over and its shards handed to another VM; it hedged in the time that the cancellation took to follow.

Ruled out: shards in two shares of one search (each service is in one), and hedges beyond the limit on one VM (counted by each leg).

Change: a leader makes one attempt for each shard until the permission arrives that the asking VM sends on its acknowledgement. A retry that had to wait is made then. One that was passed over never gets it, and the next VM has one attempt less.

--- a/tarragonchute/delegates.py
+++ b/tarragonchute/delegates.py
@@ -11,6 +11,7 @@
     Cancellation,
     Farewell,
     Greeting,
+    Permission,
     SubsearchAnswer,
     decode_message,
 )
@@ -107,6 +108,10 @@
         share.number = subsearch.number
         self._send(subsearch, now)
 
+    def permit(self, number, now):
+        """Let the VM try shards of a subsearch again."""
+        self._send(Permission(number), now)
+
     def cancel(self, number, now):
         """End a subsearch; its answers are dropped from now on."""
         if self.open_shares.pop(number, None) is not None:
--- a/tarragonchute/delegation.py
+++ b/tarragonchute/delegation.py
@@ -174,6 +174,7 @@
         if self._state is ShareState.SENT:
             self._state = ShareState.ACKNOWLEDGED
             self._delegate.note_acknowledged(now - self._started_at, now)
+            self._delegate.permit(self.number, now)
 
     def handle_answer(self, answer, now):
         """Take an answer; only the newest one counts."""
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -253,7 +253,7 @@
     now : float
     """
 
-    __slots__ = ("_subsearch", "_report", "_reported")
+    __slots__ = ("_subsearch", "_report", "_reported", "_is_permitted")
 
     def __init__(self, subsearch, context, times, report, now):
         route = Route(
@@ -275,16 +275,27 @@
         self._subsearch = subsearch
         self._report = report
         self._reported = 0
+        self._is_permitted = False
 
     def start(self, now):
         """See `Query`; a VM never hands on what it was handed."""
         legs = self._add_legs(self.route.shards, self.route.max_attempts)
+        if not self._is_permitted:
+            for leg in legs:
+                leg.limit_to_one()
         if not sum(leg.prepare(now) for leg in legs):
             raise build_refusal("no target may take the request")
         self._start_legs(legs, now, self._subsearch.is_extra)
         if not self.is_finished and self._list_unasked():
             self._report(self._build_answer(is_final=False))
 
+    def permit(self, now):
+        """Allow more than one attempt for each shard."""
+        self._is_permitted = True
+        for leg in self.legs:
+            leg.permit(now)
+        self.note_due_changed()
+
     def build_response(self):
         """Return the final answer."""
         return self._build_answer(is_final=True)
--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -83,6 +83,8 @@
         "_context",
         "_budget",
         "_max_attempts",
+        "_is_limited",
+        "_deferred",
         "_first",
         "_open",
         "_tried",
@@ -105,6 +107,8 @@
         self._context = context
         self._budget = context.find_budget(service)
         self._max_attempts = max_attempts
+        self._is_limited = False
+        self._deferred = None
         self._first = None
         self._open = []
         self._tried = []
@@ -153,7 +157,7 @@
         self.hedge_at = None
         if not self._query.route.is_idempotent or len(self._open) != 1:
             return
-        if self.runs >= self._max_attempts:
+        if self.runs >= self._count_allowed():
             return
         target = self._choose(now)
         if target is None:
@@ -180,6 +184,26 @@
         self.hedge_at = due
         return True
 
+    def limit_to_one(self):
+        """Make one attempt only, until `permit` is called."""
+        self._is_limited = self._max_attempts > 1
+
+    def permit(self, now):
+        """Allow all attempts; a retry that had to wait is made now."""
+        if not self._is_limited:
+            return
+        self._is_limited = False
+        if self.state is not LegState.OPEN:
+            return
+        if self._open:
+            # The hedge that was due meanwhile was not sent.
+            self.hedge_at = self.hedge_at or now
+        elif self._deferred is not None:
+            self._retry(self._deferred, now)
+
+    def _count_allowed(self):
+        return 1 if self._is_limited else self._max_attempts
+
     def list_target_ids(self):
         """Return the ids of the targets that were tried, in their order."""
         return [target.registration.target_id for target in self._tried]
@@ -236,6 +260,9 @@
     def _retry(self, reason, now):
         """Try again after an attempt that may have run."""
         route = self._query.route
+        if self._is_limited and self.runs:
+            self._deferred = reason
+            return
         may_retry = route.is_idempotent and self.runs < self._max_attempts
         self._resend(reason, now, may_retry, is_arrival=True)
 
--- a/tarragonchute/shardserver.py
+++ b/tarragonchute/shardserver.py
@@ -11,6 +11,7 @@
     Cancellation,
     Farewell,
     Greeting,
+    Permission,
     Subsearch,
     SubsearchAnswer,
     decode_message,
@@ -20,6 +21,16 @@
 decisions = logging.getLogger("tarragonchute.decisions")
 
 
+class _Work:
+    """A subsearch that runs."""
+
+    __slots__ = ("query", "scope")
+
+    def __init__(self, query, scope):
+        self.query = query
+        self.scope = scope
+
+
 class ShardServer:
     """Answers the subsearches of all channels that other VMs opened.
 
@@ -40,7 +51,7 @@
         self._count_end = count_end
         self._greeted = set()
         self._waiting = set()
-        self._scopes = {}
+        self._running = {}
         self._nursery = None
         self._is_open = False
 
@@ -78,6 +89,8 @@
                 self._take_greeting(channel, now)
             elif isinstance(message, Cancellation):
                 self._cancel(channel, message.number)
+            elif isinstance(message, Permission):
+                self._permit(channel, message.number, now)
             elif isinstance(message, Subsearch) and message.number not in cancelled:
                 self._start(channel, message, now)
 
@@ -85,7 +98,7 @@
         """See `channels.ChannelOwner`; nobody waits for the answers any more."""
         self._greeted.discard(channel)
         self._waiting.discard(channel)
-        for number in list(self._scopes.get(channel, ())):
+        for number in list(self._running.get(channel, ())):
             self._cancel(channel, number)
 
     def _take_greeting(self, channel, now):
@@ -99,25 +112,31 @@
         channel.send(Greeting(self._vm_id).encode(), now)
 
     def _cancel(self, channel, number):
-        scope = self._scopes.get(channel, {}).get(number)
-        if scope is not None:
-            scope.cancel()
+        work = self._running.get(channel, {}).get(number)
+        if work is not None:
+            work.scope.cancel()
 
-    def _start(self, channel, subsearch, now):
-        channel.send(Acknowledgement(subsearch.number).encode(), now)
-        scope = trio.CancelScope()
-        self._scopes.setdefault(channel, {})[subsearch.number] = scope
-        self._nursery.start_soon(self._search, channel, subsearch, scope, now)
+    def _permit(self, channel, number, now):
+        work = self._running.get(channel, {}).get(number)
+        if work is not None and not work.query.is_finished:
+            work.query.permit(now)
 
-    async def _search(self, channel, subsearch, scope, now):
+    def _start(self, channel, subsearch, now):
         def report(answer):
             channel.send(answer.encode(), trio.current_time())
 
+        channel.send(Acknowledgement(subsearch.number).encode(), now)
         times = self._find_times(subsearch.route_name, subsearch.goal_s)
         query = ShardQuery(subsearch, self._context, times, report, now)
+        work = _Work(query, trio.CancelScope())
+        self._running.setdefault(channel, {})[subsearch.number] = work
+        self._nursery.start_soon(self._search, channel, subsearch, work, report, now)
+
+    async def _search(self, channel, subsearch, work, report, now):
+        query = work.query
         outcome = "cancelled"
         try:
-            with scope:
+            with work.scope:
                 report(await query.run())
                 outcome = "answered"
         except TarragonchuteError as error:
@@ -129,10 +148,10 @@
             self._log_end(query, subsearch, outcome, now)
 
     def _forget(self, channel, number):
-        scopes = self._scopes[channel]
-        del scopes[number]
-        if not scopes:
-            del self._scopes[channel]
+        works = self._running[channel]
+        del works[number]
+        if not works:
+            del self._running[channel]
 
     def _log_end(self, query, subsearch, outcome, started_at):
         elapsed_s = trio.current_time() - started_at
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -1,8 +1,9 @@
 """Messages by which one VM has another one search some of the shards of a search.
 
 The sender asks with a `Subsearch`. The other VM confirms at once with an
-`Acknowledgement`, so that a silent VM is noticed long before an answer is due, and
-sends a `SubsearchAnswer` when all shards have replied. At the goal, and with each
+`Acknowledgement`, so that a silent VM is noticed long before an answer is due. It makes
+one attempt for each shard until it has the sender's `Permission` for more. It sends
+a `SubsearchAnswer` when all shards have replied. At the goal, and with each
 later reply, it sends one that is not final.
 """
 
@@ -84,6 +85,28 @@
         return orjson.dumps([self.kind, self.number])
 
 
+class Permission:
+    """Lets a VM try shards again that it has tried once.
+
+    A VM that began late may have been passed over. It never gets the permission, so
+    that its attempts and those of the next VM stay within what the route allows.
+
+    Parameters
+    ----------
+    number : int
+    """
+
+    __slots__ = ("number",)
+    kind = "permission"
+
+    def __init__(self, number):
+        self.number = number
+
+    def encode(self):
+        """Return the payload of a frame."""
+        return orjson.dumps([self.kind, self.number])
+
+
 class Cancellation:
     """Ends a subsearch whose answer is not needed any more.
 
@@ -253,6 +276,7 @@
     Greeting.kind: lambda fields: Greeting(*fields),
     Farewell.kind: lambda fields: Farewell(*fields),
     Acknowledgement.kind: lambda fields: Acknowledgement(*fields),
+    Permission.kind: lambda fields: Permission(*fields),
     Cancellation.kind: lambda fields: Cancellation(*fields),
     Subsearch.kind: Subsearch.decode,
     SubsearchAnswer.kind: SubsearchAnswer.decode,
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -36,6 +36,7 @@
         self.subsearches = []
         self.shares = []
         self.cancelled = []
+        self.permitted = []
         self.is_silent = False
 
     def start(self, share, subsearch, now):
@@ -46,6 +47,9 @@
     def cancel(self, number, now):
         self.cancelled.append(number)
 
+    def permit(self, number, now):
+        self.permitted.append(number)
+
     def note_silent(self, now):
         self.is_silent = True
 
@@ -139,9 +143,12 @@
         search.query.advance(ACK_TIMEOUT_S)
         self.assertTrue(first.is_silent)
         self.assertEqual([1], first.cancelled)
+        # It may begin late, and must not try a shard twice then.
+        self.assertEqual([], first.permitted)
         self.assertTrue(second.subsearches[0].is_extra)
         self.assertEqual(1, second.subsearches[0].max_attempts)
         second.answer(0.03)
+        self.assertEqual([1], second.permitted)
         self.assertEqual(200, finish(search.query, 0.03).status)
 
     @run_in_virtual_time
@@ -279,6 +286,24 @@
             digest = f"d{len(open_ones)}-{number}".encode()
             self.bench.reply(exchange, now, digest=digest, body=b"b" * 16)
 
+    @run_in_virtual_time
+    async def test_one_attempt_until_it_is_permitted_more(self):
+        """A leader that begins late: guards against a third target of a shard.
+
+        Seen in trouble-3 of hollowmere-chute-grown: four searches ran on three targets
+        of two allowed.
+        """
+        query = self.start()
+        query.advance(0.05)
+        self.assertEqual(10, len(self.bench.started))
+        self.bench.fail(self.bench.started[0], 0.05)
+        self.assertEqual(10, len(self.bench.started))
+        query.permit(0.051)
+        # The lost one is tried again at once, the others are hedged.
+        self.assertEqual(11, len(self.bench.started))
+        query.advance(0.052)
+        self.assertEqual(20, len(self.bench.started))
+
     @run_in_virtual_time
     async def test_final_answer_has_all_parts(self):
         """Guards against an answer that says more or less than was found."""
