Offer a booking again while its target changes holders

Cause: a booking tried each replica once. While a view is being adopted, the VM that held a target and the one that will hold it both refuse (not_holder, no_lease), so an order that arrived in that time was answered not_run although the shard was served again 0.1 to 0.4 s later. Searches already wait and try again in that case. Ruled out: a doubled run; the refusals come from VMs and no target saw the order. The new unit test failed before the change. Orders without any replica to try are refused at once, with no_target instead of not_holder.

--- a/tarragonchute/bookings.py
+++ b/tarragonchute/bookings.py
@@ -17,7 +17,15 @@
 from . import errors
 from .membership import MAX_SHARD_TIME_S, SKEW_S
 from .messages import ANSWERED, BOOKING, ShardGroup, ShardItem
-from .searches import HOP_MS, LOAD_REFUSALS, NOT_SENT, RETRY_SHARE_LEFT, split_deadline
+from .searches import (
+    HOLDER_REFUSALS,
+    HOP_MS,
+    LOAD_REFUSALS,
+    NOT_SENT,
+    RETRY_DELAY_S,
+    RETRY_SHARE_LEFT,
+    split_deadline,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -964,19 +972,40 @@
             layout = self._chooser.pin(order.dataset, now)
         except errors.UnknownDatasetError as error:
             return _build_refusal(error.code)
-        untried = list(layout.shards.get(order.shard, ()))
-        if not untried:
+        replicas = layout.shards.get(order.shard, ())
+        if not replicas:
             return _build_refusal("shard_unknown")
         retry_until = answer_due - (answer_due - now) * RETRY_SHARE_LEFT
-        result = _build_refusal("not_holder")
+        result = _build_refusal(errors.NoTargetError.code)
+        while True:
+            result = await self._try_each(
+                order, layout.version, replicas, result, retry_until, answer_due
+            )
+            if result.code not in HOLDER_REFUSALS:
+                return result
+            # A target changes holders while a view is adopted. It did not see the
+            # order, so a repeat after the hand-over cannot run it twice.
+            if trio.current_time() + RETRY_DELAY_S > retry_until:
+                return result
+            await trio.sleep(RETRY_DELAY_S)
+
+    async def _try_each(self, order, version, replicas, result, retry_until, due):
+        """Offer an order to each replica in turn until one may have run it.
+
+        Returns
+        -------
+        DispatchResult
+            `result` if no replica has a holder.
+        """
+        untried = list(replicas)
         while self._may_send(order, result, retry_until):
             choice = self._router.choose(untried, trio.current_time())
             if choice is None:
-                return result
+                break
             untried.remove(choice[0])
-            result = await self._try(order, layout.version, choice, answer_due)
+            result = await self._try(order, version, choice, due)
             if result.outcome != errors.Outcome.NOT_RUN:
-                return result
+                break
         return result
 
     def _may_send(self, order, last, retry_until):
--- a/tests/test_bookings.py
+++ b/tests/test_bookings.py
@@ -300,7 +300,10 @@
     ([("version_missing", "not_run")] * 2, ("not_run", "version_missing")),
     ([None], ("unknown", "outcome_unknown")),
     ([False, ("ok", "done")], ("done", "ok")),
-    ([False, False], ("not_run", "not_sent")),
+    # Four rounds over both replicas fit into the time for retries.
+    ([False] * 8, ("not_run", "not_sent")),
+    ([("not_holder", "not_run")] * 2 + [("ok", "done")], ("done", "ok")),
+    ([("not_holder", "not_run")] * 2 + [None], ("unknown", "outcome_unknown")),
 )
 
 
@@ -346,6 +349,12 @@
             self.assertEqual(len(script), self.sent, script)
             self.assertIsNone(result.result, script)
 
+    def test_order_between_two_holders_waits_for_the_hand_over(self):
+        """Guards against a refusal while a view is being adopted."""
+        refusal = ("no_lease", "not_run")
+        result = self.send_order([refusal] * 6 + [("ok", "done")])
+        self.assertEqual(errors.Outcome.DONE, result.outcome)
+
     def test_unknown_shard_is_not_run(self):
         """Guards against an order that waits for a shard that does not exist."""
         result = self.send_order([], shard="s9")
