--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -13,7 +13,7 @@
 from .admin import AdminRoutes
 from .administration import Administration
 from .admission import Admission
-from .bookings import Booker, BookingSender
+from .bookings import Booker
 from .budgets import Budgets
 from .configuration import Configuration
 from .entry import CallerRoutes
@@ -32,6 +32,7 @@
 from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership, normalize_groups
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
 from .metrics import FIRST, HEDGE, RETRY, Metrics
+from .orders import BookingSender
 from .placement import HeldTargets
 from .routing import Router
 from .searches import Searcher, split_deadline
--- a/tests/test_booking_faults.py
+++ b/tests/test_booking_faults.py
@@ -8,7 +8,7 @@
 import testtools
 import trio
 
-from tarragonchute import bookings, errors
+from tarragonchute import bookings, claims, errors, orders
 from tarragonchute.budgets import Budgets
 from tarragonchute.messages import ShardAnswer, ShardAnswers, ShardGroup
 from tarragonchute.routing import Router
@@ -48,7 +48,7 @@
 
     async def put(self, key, value, expect, lease=None):
         self.hook("put", value)
-        if key.startswith(bookings.PREFIX):
+        if key.startswith(claims.PREFIX):
             self.used_leases.add(lease)
         try:
             revision = await super().put(key, value, expect, lease)
@@ -82,7 +82,7 @@
         self.scope = trio.CancelScope()
         self.is_dead = False
         self.paused_until = 0.0
-        self.sender = bookings.BookingSender(
+        self.sender = orders.BookingSender(
             self,
             world.chooser,
             Router(lambda target: f"holder-{target}", random.Random(1)),
@@ -354,7 +354,7 @@
     """Return a claim that was never made in the store."""
     booking.claim_id = "unclaimed"
     due = self._wall_clock() + DEADLINE_S
-    record = bookings.Record("started", "unclaimed", "", booking.digest, due)
+    record = claims.Record("started", "unclaimed", "", booking.digest, due)
     return record, 0
 
 
@@ -370,7 +370,7 @@
     """Let a late outcome replace whatever is in the store."""
     if entry is None:
         return 0
-    found = bookings.Record.from_text(entry.value)
+    found = claims.Record.from_text(entry.value)
     is_same = (found.claim_id, found.state) == (record.claim_id, record.state)
     return None if is_same else entry.revision
 
@@ -379,7 +379,7 @@
     """Skip a claim that the store has lost."""
 
 
-REAL_TRY = bookings.BookingSender._try
+REAL_TRY = orders.BookingSender._try
 
 TWO_VMS = ("same key through two VMs", "dispatched")
 FALL_BACK = ("store falls back", "recorded")
@@ -388,7 +388,7 @@
 MECHANISMS = (
     (bookings.Booker, "_claim", dispatch_unclaimed, TWO_VMS),
     (bookings.Booker, "_is_own_claim", lambda *args: True, TWO_VMS),
-    (bookings.BookingSender, "_try", try_and_forget, ("holders lost", "dispatched")),
+    (orders.BookingSender, "_try", try_and_forget, ("holders lost", "dispatched")),
     (bookings, "_choose_expected", replace_any, LATE_WRITE),
     (bookings.Booker, "_observe", lambda *args: True, FALL_BACK),
     (bookings.Booker, "_restore_claim", restore_nothing, FALL_BACK),
