Split holders.py into dispatches, holdercore and holders

It had 1,200 lines: the attempts and their queue, the pure decisions, and the trio part. Code is moved, not changed; the states of a dispatch have names without an underscore, the last one is ENDED since it also stands for attempts that were cancelled.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,7 +16,8 @@
 from tarragonchute import wire
 from tarragonchute.budgets import Budgets
 from tarragonchute.configuration import Configuration, SubtreeValue
-from tarragonchute.holders import Dispatch, HolderCore
+from tarragonchute.dispatches import Dispatch
+from tarragonchute.holdercore import HolderCore
 from tarragonchute.limits import WARM
 from tarragonchute.membership import (
     HEARTBEAT_PERIOD_S,
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -6,16 +6,10 @@
 from tarragonchute import errors
 from tarragonchute.admission import Admission
 from tarragonchute.budgets import Budgets
+from tarragonchute.dispatches import Abort, Answer, Dispatch, Probe
 from tarragonchute.errors import NotRunError, Outcome
-from tarragonchute.holders import (
-    ADVANCE_PERIOD_S,
-    ANSWER_BATCH_S,
-    Abort,
-    Answer,
-    Dispatch,
-    HolderCore,
-    Probe,
-)
+from tarragonchute.holdercore import HolderCore
+from tarragonchute.holders import ADVANCE_PERIOD_S, ANSWER_BATCH_S
 from tarragonchute.messages import (
     ANSWERED,
     BOOKING,
@@ -40,7 +34,7 @@
 from .fakes import EventQueue, Exchange, FakeClient, FakeNetwork, FakeTarget
 
 VMS = 9
-SERVICE_S = 0.020  # mean service time of every target; `holders.DEFAULT_SERVICE_S`
+SERVICE_S = 0.020  # mean service time of every target; `holdercore.DEFAULT_SERVICE_S`
 BOOKING_SHARE = 0.02  # bookings for each search
 WARM_UP_S = 2.0  # not measured
 RAMP_S = 1.0  # the load rises to its full rate
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -4,7 +4,7 @@
 from tarragonchute.budgets import Budgets, TokenBucket
 from tarragonchute.errors import Outcome
 from tarragonchute.health import TargetHealth
-from tarragonchute.holders import MAX_QUEUED_PER_TEAM, HolderCore
+from tarragonchute.holdercore import MAX_QUEUED_PER_TEAM, HolderCore
 from tarragonchute.limits import TargetLimiter
 from tarragonchute.messages import ANSWERED
 from tarragonchute.routing import Router
--- /dev/null
+++ b/tarragonchute/holdercore.py
@@ -0,0 +1,618 @@
+"""Decisions of the holder of targets: admission, queues, dispatch and health.
+
+`HolderCore` is pure: it takes the time as an argument, in seconds of the local
+monotonic clock, and returns actions. `holders.Holder` performs them.
+"""
+
+import logging
+import math
+import random
+from typing import Protocol
+
+from . import messages
+from .dispatches import (
+    ENDED,
+    QUEUED,
+    RUNNING,
+    Abort,
+    Answer,
+    Dispatch,
+    FairQueue,
+    Origin,
+    Probe,
+    Retire,
+)
+from .errors import (
+    BadRequestError,
+    DeadlinePassedError,
+    DomainOutError,
+    NotHolderError,
+    NotRunError,
+    Outcome,
+    OverloadedError,
+)
+from .health import FIRST_STATUS_WAIT_S, TargetHealth
+from .limits import COLD, DEAD, DRAINING, TargetLimiter
+from .membership import MAX_SHARD_TIME_S, SKEW_S
+from .messages import LoadEstimate, ShardAnswer
+from .tables import Table, TargetRow
+from .targets import TargetAnswer
+
+logger = logging.getLogger(__name__)
+
+MAX_QUEUED_PER_TEAM = 64  # requests queued for one target
+SEARCH_MEMORY_S = 10.0  # far longer than a search lives; a repeat is harmless
+BOOKING_MEMORY_S = 600.0  # a repeat would charge twice, and bookings are few
+SERVICE_MARGIN = 3.0  # median service times that a queued request still needs
+SHORTEST_CONNECT_S = 0.05  # ten times what a new connection takes
+DEFAULT_SERVICE_S = 0.02  # service time of a target that has not answered yet
+
+CANCELLED = "cancelled"
+"""Code of an attempt that was cancelled; its outcome tells whether it may have run."""
+
+_FINISHED_CODES = frozenset(
+    {
+        messages.ANSWERED,
+        CANCELLED,
+        BadRequestError.code,
+        "shedding",
+        "draining",
+        "deadline_passed",
+        "version_missing",
+        "shard_unknown",
+        "connect_failed",
+    }
+)
+"""Codes that prove that the target no longer works on the request."""
+
+
+class Permission(Protocol):
+    """Tells whether this VM may send to a target now."""
+
+    def check_target(self, target_id, now):
+        """Return if a request may be sent to the target.
+
+        Parameters
+        ----------
+        target_id : str
+        now : float
+            Seconds on the local monotonic clock.
+
+        Raises
+        ------
+        NoLeaseError
+            If the lease of this VM has lapsed.
+        NotHolderError
+            If another VM holds the target, or may still do so.
+        DomainOutError
+            If the target's failure domain is out of service.
+        """
+
+
+class HolderCore:
+    """Queues, admits and answers the shard requests for the held targets.
+
+    Methods that take `now` (seconds of the local monotonic clock) return a list of
+    actions, to be performed in order: `Dispatch`, `Answer`, `Abort`, `Probe` and
+    `Retire`.
+
+    Parameters
+    ----------
+    permission : Permission
+    random : random.Random or None
+        Source of jitter; seed it for a repeatable run.
+
+    Attributes
+    ----------
+    dispatched, cancelled, duplicates : int
+        Counts since the start.
+    refused : dict of str to int
+        Code to count of the requests that were refused here.
+    breaches : int
+        Violations of an invariant that are impossible by design; always 0.
+    """
+
+    def __init__(self, permission, random=random):
+        self._permission = permission
+        self._limiter = TargetLimiter()
+        self._health = TargetHealth(self._limiter, random)
+        self._targets = Table("targets")
+        self._departed = {}
+        self._origins = {}
+        self._booked = {}
+        self._old_keys = []
+        self._occupied = {}
+        self._domains_out = set()
+        self._epoch = 0
+        self._released_epoch = 0
+        self._advanced_at = math.inf
+        self.dispatched = 0
+        self.cancelled = 0
+        self.duplicates = 0
+        self.refused = {}
+        self.breaches = 0
+
+    # Requests.
+
+    def submit(self, sender, number, group, now, wall=None):
+        """Take a group of attempts; each gets exactly one `Answer`.
+
+        Parameters
+        ----------
+        sender : str
+            VM that asks.
+        number : int
+            Its request number.
+        group : messages.ShardGroup
+        now : float
+        wall : float or None
+            Unix time in seconds, read before `now`; needed if the group has a
+            `dispatch_before`.
+        """
+        actions = []
+        is_booking = group.operation == messages.BOOKING
+        key = (sender, number, group.request_id)
+        origin = self._get_origin(key, now, is_booking)
+        expires_at = now + group.remaining_ms / 1000
+        if group.dispatch_before is not None:
+            expires_at = min(expires_at, now + (group.dispatch_before - wall))
+        for item in group.items:
+            if item.attempt in origin.attempts:
+                self.duplicates += 1
+                continue
+            dispatch = Dispatch(origin, group, item, expires_at)
+            origin.attempts[item.attempt] = dispatch
+            origin.open += 1
+            self._admit(dispatch, now, actions)
+        return actions
+
+    def cancel(self, sender, number, cancel, now):
+        """Cancel attempts, also ones that have not arrived yet.
+
+        A booking in flight is not cancelled: its outcome still has to be recorded.
+        """
+        actions = []
+        origin = self._get_origin((sender, number, cancel.request_id), now, False)
+        for attempt in cancel.attempts:
+            if attempt not in origin.attempts:
+                origin.cancelled = origin.cancelled or set()
+                origin.cancelled.add(attempt)
+            elif origin.attempts[attempt] is not None:
+                self._cancel(origin.attempts[attempt], actions)
+        return actions
+
+    def complete(self, dispatch, answer, now):
+        """Take the end of an exchange.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+        answer : targets.TargetAnswer
+            The code ``cancelled`` says that the target acknowledged the cancel.
+        now : float
+        """
+        actions = []
+        if dispatch.state != RUNNING:
+            return actions
+        row = dispatch.row
+        if _is_surely_over(answer):
+            self._free_slot(dispatch, now, actions)
+        self._judge(dispatch, answer, now, actions)
+        self._answer_exchange(dispatch, answer, actions)
+        self._drain(row, now, actions)
+        return actions
+
+    def handle_status(self, target_id, state, now):
+        """Take the result of a `Probe`; None if the status could not be read."""
+        actions = []
+        row = self._targets.get(target_id)
+        if row is not None:
+            self._health.handle_status(row, state, now)
+            self._refuse_if_unfit(row, actions)
+            self._drain(row, now, actions)
+        return actions
+
+    def advance(self, now):
+        """Expire queued requests, free slots, and plan status reads."""
+        actions = []
+        for dispatch in list(self._occupied):
+            if now >= dispatch.deadline + SKEW_S:
+                self._end_overdue(dispatch, now, actions)
+        was_paused = now - self._advanced_at >= FIRST_STATUS_WAIT_S
+        self._advanced_at = now
+        for row in self._targets:
+            self._health.end_first_wait(row, now, was_paused)
+            if row.queue.waiting:
+                self._expire_queue(row, now, actions)
+                self._drain(row, now, actions)
+            if self._health.take_due_probe(row, now):
+                actions.append(Probe(row.target_id))
+        self._forget_origins(self._origins, now)
+        self._forget_origins(self._booked, now)
+        return actions
+
+    # Targets.
+
+    def set_targets(self, targets, epoch, now):
+        """Replace the held targets.
+
+        Queued requests to a removed target are refused; those in flight go on.
+        Requests to a gained target wait in its queue until the returned `Probe` is
+        answered or `health.FIRST_STATUS_WAIT_S` is over.
+
+        Parameters
+        ----------
+        targets : iterable of settings.TargetSettings
+        epoch : int
+            Epoch of the view that assigns them.
+        now : float
+        """
+        actions = []
+        wanted = {target.target_id: target for target in targets}
+        for row in self._targets:
+            if row.target_id not in wanted:
+                self._remove_target(row.target_id, actions)
+        for target in wanted.values():
+            self._set_target(target, epoch, now, actions)
+        self._epoch = epoch
+        self._note_release()
+        return actions
+
+    def set_domain_out(self, domain, now):
+        """Refuse queued and new requests to the targets of a failure domain."""
+        actions = []
+        self._domains_out.add(domain)
+        for row in self._targets:
+            if row.domain == domain:
+                self._refuse_queue(row, DomainOutError.code, actions)
+        return actions
+
+    def set_domain_in(self, domain, now):
+        """Serve a failure domain again; all its targets start cold."""
+        if domain in self._domains_out:
+            self._domains_out.discard(domain)
+            for row in self._targets:
+                if row.domain == domain and row.state not in (DEAD, DRAINING):
+                    self._health.begin(row, now, "its failure domain is back")
+        return []
+
+    @property
+    def released_epoch(self):
+        """Highest epoch for which no request to a target not held is in flight."""
+        return self._released_epoch
+
+    def list_in_flight_elsewhere(self):
+        """Return the ids of targets no longer held that still work for this VM."""
+        return list(self._departed)
+
+    def count_in_flight(self):
+        """Return the number of requests that may occupy a slot of a target."""
+        return len(self._occupied)
+
+    def count_queued(self):
+        """Return the number of requests that wait."""
+        return sum(row.queue.waiting for row in self._targets)
+
+    def list_in_flight(self):
+        """Return target and `Dispatch.gained_epoch` of what is not surely over."""
+        return [(one.target_id, one.gained_epoch) for one in self._occupied]
+
+    def get_row(self, target_id):
+        """Return the `TargetRow` of a held target, or None."""
+        return self._targets.get(target_id)
+
+    def list_rows(self):
+        """Return the rows of all held targets."""
+        return list(self._targets)
+
+    # Admission.
+
+    def _get_origin(self, key, now, is_booking):
+        """Return what is known of a request; bookings are remembered longer."""
+        origin = self._origins.get(key) or self._booked.get(key)
+        if origin is None:
+            origin = self._origins[key] = Origin(*key)
+        if is_booking and key in self._origins:
+            # Also one that a cancel has announced without its operation.
+            self._booked[key] = self._origins.pop(key)
+        memory = BOOKING_MEMORY_S if key in self._booked else SEARCH_MEMORY_S
+        origin.forget_at = now + memory
+        return origin
+
+    def _forget_origins(self, origins, now):
+        """Drop old requests, oldest first; an open one holds back the others."""
+        for key, origin in origins.items():
+            if origin.forget_at > now or origin.open:
+                break
+            self._old_keys.append(key)
+        for key in self._old_keys:
+            del origins[key]
+        self._old_keys.clear()
+
+    def _admit(self, dispatch, now, actions):
+        row = self._targets.get(dispatch.target_id)
+        code = self._find_refusal(dispatch, row, now)
+        if code is not None:
+            self._refuse(dispatch, code, actions)
+            return
+        dispatch.row = row
+        if not row.queue.waiting and self._has_room(row):
+            self._start(dispatch, now, actions)
+            return
+        code = self._check_permission(row.target_id, now)
+        if code is None and self._is_overloaded(dispatch, row, now):
+            code = OverloadedError.code
+        if code is not None:
+            self._refuse(dispatch, code, actions)
+            return
+        row.queue.push(dispatch)
+
+    def _has_room(self, row):
+        return row.first_status_by is None and self._limiter.has_room(row)
+
+    def _find_refusal(self, dispatch, row, now):
+        """Return the code with which a request is refused, or None."""
+        cancelled = dispatch.origin.cancelled
+        if cancelled and dispatch.attempt in cancelled:
+            self.cancelled += 1
+            return CANCELLED
+        if row is None:
+            return NotHolderError.code
+        if row.domain in self._domains_out:
+            return DomainOutError.code
+        # Written so that a remaining time that is not a number is refused too.
+        if not dispatch.expires_at > now:
+            return DeadlinePassedError.code
+        return _UNFIT_CODES.get(row.state)
+
+    def _check_permission(self, target_id, now):
+        """Return the code of the error that forbids sending, or None."""
+        try:
+            self._permission.check_target(target_id, now)
+        except NotRunError as error:
+            return error.code
+        return None
+
+    def _is_overloaded(self, dispatch, row, now):
+        """Whether the request would be answered too late."""
+        team = dispatch.group.team
+        if row.queue.count_team(team) >= MAX_QUEUED_PER_TEAM:
+            return True
+        service = row.median_latency or DEFAULT_SERVICE_S
+        rounds = (row.queue.count_ahead(team) + 1) / max(1, row.limit)
+        return now + (rounds + SERVICE_MARGIN) * service > dispatch.expires_at
+
+    def _is_too_late(self, dispatch, row, now):
+        """Whether a queued request would probably time out if it were sent now.
+
+        A request that times out keeps its slot until the deadline plus `SKEW_S`,
+        so under overload a few of them would take all slots.
+        """
+        service = row.median_latency or 0.0
+        return now + SERVICE_MARGIN * service > dispatch.expires_at
+
+    def _start(self, dispatch, now, actions):
+        """Check permission, then dispatch a request for which there is room."""
+        code = self._check_permission(dispatch.target_id, now)
+        if code is not None:
+            self._refuse(dispatch, code, actions)
+            return
+        row = dispatch.row
+        if not self._limiter.try_acquire(row):
+            self._note_breach(f"no room for a dispatch to {row.target_id}")
+            self._refuse(dispatch, OverloadedError.code, actions)
+            return
+        self._limiter.note_start(row, now)
+        dispatch.state = RUNNING
+        dispatch.started_at = now
+        dispatch.gained_epoch = row.gained_epoch
+        dispatch.deadline = min(dispatch.expires_at, now + MAX_SHARD_TIME_S)
+        dispatch.sequence = row.sequence
+        dispatch.is_alone = row.in_flight == 1
+        self._occupied[dispatch] = None
+        self.dispatched += 1
+        actions.append(dispatch)
+
+    def _drain(self, row, now, actions):
+        """Dispatch queued requests while there is room."""
+        while row.queue.waiting and self._has_room(row):
+            dispatch = row.queue.pop()
+            if dispatch.expires_at <= now:
+                self._refuse(dispatch, DeadlinePassedError.code, actions)
+            elif self._is_too_late(dispatch, row, now):
+                self._refuse(dispatch, OverloadedError.code, actions)
+            else:
+                self._start(dispatch, now, actions)
+
+    def _expire_queue(self, row, now, actions):
+        code = self._check_permission(row.target_id, now)
+        if code is not None:
+            self._refuse_queue(row, code, actions)
+        for dispatch in row.queue.pop_expired(now):
+            self._refuse(dispatch, DeadlinePassedError.code, actions)
+
+    # Ends of requests.
+
+    def _refuse(self, dispatch, code, actions):
+        """Answer a request that was not dispatched."""
+        self.refused[code] = self.refused.get(code, 0) + 1
+        answer = ShardAnswer(dispatch.attempt, code, Outcome.NOT_RUN)
+        self._answer(dispatch, answer, actions)
+
+    def _refuse_queue(self, row, code, actions):
+        for dispatch in row.queue.pop_all():
+            self._refuse(dispatch, code, actions)
+
+    def _refuse_if_unfit(self, row, actions):
+        code = _UNFIT_CODES.get(row.state)
+        if code is not None and row.queue.waiting:
+            self._refuse_queue(row, code, actions)
+
+    def _answer_exchange(self, dispatch, answer, actions):
+        """Answer a request that was dispatched."""
+        code = answer.code
+        if code == messages.ANSWERED:
+            end = Outcome.DONE
+        elif answer.is_provably_not_run or code == BadRequestError.code:
+            end = Outcome.NOT_RUN
+        else:
+            end = Outcome.UNKNOWN
+        reply = ShardAnswer(
+            dispatch.attempt, code, end, answer.result, None, answer.versions
+        )
+        self._answer(dispatch, reply, actions)
+
+    def _answer(self, dispatch, answer, actions):
+        dispatch.state = ENDED
+        origin = dispatch.origin
+        origin.attempts[dispatch.attempt] = None
+        origin.open -= 1
+        if origin.open < 0:
+            self._note_breach("an attempt was answered twice")
+        row = dispatch.row
+        if row is not None:
+            waiting = row.queue.waiting + row.in_flight
+            service_ms = (row.median_latency or DEFAULT_SERVICE_S) * 1000
+            answer.load = LoadEstimate(row.limit, waiting, service_ms)
+        actions.append(Answer(origin, answer, not origin.open))
+
+    def _cancel(self, dispatch, actions):
+        if dispatch.state == QUEUED:
+            self.cancelled += 1
+            dispatch.row.queue.discard(dispatch)
+            self._refuse(dispatch, CANCELLED, actions)
+        elif dispatch.is_cancelled or dispatch.group.operation == messages.BOOKING:
+            return
+        else:
+            self.cancelled += 1
+            dispatch.is_cancelled = True
+            actions.append(Abort(dispatch))
+
+    def _judge(self, dispatch, answer, now, actions):
+        row = dispatch.row
+        latency = now - dispatch.started_at
+        if (
+            answer.code == "connect_failed"
+            and now >= dispatch.deadline
+            and latency < SHORTEST_CONNECT_S
+        ):
+            # The deadline cut the attempt short, which says nothing of the target.
+            return
+        is_alone = dispatch.is_alone and row.sequence == dispatch.sequence
+        self._health.handle_answer(
+            row, answer, latency, is_alone, dispatch.sequence, now
+        )
+        self._refuse_if_unfit(row, actions)
+
+    def _end_overdue(self, dispatch, now, actions):
+        """Free the slot of a request that the target must have ended by now."""
+        row = dispatch.row
+        self._free_slot(dispatch, now, actions)
+        if dispatch.state == RUNNING:
+            answer = TargetAnswer("timed_out")
+            actions.append(Abort(dispatch))
+            self._answer_exchange(dispatch, answer, actions)
+        self._drain(row, now, actions)
+
+    def _free_slot(self, dispatch, now, actions):
+        row = dispatch.row
+        del self._occupied[dispatch]
+        self._limiter.release(row)
+        if row.in_flight < 0:
+            self._note_breach(f"negative count of requests to {row.target_id}")
+        if row.in_flight:
+            return
+        row.idle_since = now
+        if not row.is_held:
+            del self._departed[row.target_id]
+            actions.append(Retire(row.target_id))
+            self._note_release()
+        elif row.pending is not None:
+            self._apply_pending(row, actions)
+
+    def _note_breach(self, text):
+        self.breaches += 1
+        logger.error("impossible state: %s", text)
+
+    # Changes of targets.
+
+    def _remove_target(self, target_id, actions):
+        row = self._targets.remove(target_id)
+        row.is_held = False
+        row.pending = None
+        self._refuse_queue(row, NotHolderError.code, actions)
+        if row.in_flight:
+            self._departed[target_id] = row
+        else:
+            actions.append(Retire(target_id))
+
+    def _set_target(self, target, epoch, now, actions):
+        row = self._targets.get(target.target_id)
+        if row is None:
+            row = self._departed.pop(target.target_id, None)
+            if row is None:
+                row = _build_row(target)
+            # A target regained while its requests are still in flight keeps
+            # counting them, but may have been restarted meanwhile.
+            row.is_held = True
+            row.gained_epoch = epoch
+            self._targets.add(target.target_id, row)
+            row.state = COLD
+            self._health.begin_gained(row, now)
+            actions.append(Probe(row.target_id))
+        self._change_settings(row, target, actions)
+
+    def _change_settings(self, row, target, actions):
+        is_same = (row.address, row.slots, row.max_connections) == (
+            target.address,
+            target.slots,
+            target.max_connections,
+        )
+        row.domain = target.domain
+        if is_same:
+            row.pending = None
+            self._limiter.update(row)
+            return
+        row.pending = target
+        self._limiter.update(row)
+        if not row.in_flight:
+            self._apply_pending(row, actions)
+
+    def _apply_pending(self, row, actions):
+        """Start with changed settings; the client must be created anew."""
+        target = row.pending
+        row.pending = None
+        row.address = target.address
+        row.slots = target.slots
+        row.max_connections = target.max_connections
+        row.boot_id = None
+        self._limiter.restart(row)
+        # Changed settings do not say that a target which drains takes work again;
+        # only its status does.
+        if row.state != DRAINING:
+            row.state = COLD
+        actions.append(Retire(row.target_id))
+
+    def _note_release(self):
+        if not self._departed:
+            self._released_epoch = self._epoch
+
+
+def _is_surely_over(answer):
+    """Whether the target no longer works on the request."""
+    return answer.code in _FINISHED_CODES or answer.is_over
+
+
+_UNFIT_CODES = {DRAINING: "draining", DEAD: "connect_failed"}
+
+
+def _build_row(target):
+    row = TargetRow(
+        target.target_id,
+        target.address,
+        target.domain,
+        target.slots,
+        target.max_connections,
+    )
+    row.queue = FairQueue()
+    return row
--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -272,7 +272,7 @@
     # Permission to send, asked by the holder.
 
     def check_target(self, target_id, now):
-        """Raise unless this VM may send to the target; see `holders.Permission`."""
+        """Raise unless this VM may send to the target; see `holdercore.Permission`."""
         gained = self.held.gained.get(target_id)
         if gained is None:
             raise NotHolderError(f"{self.vm_id} does not hold {target_id}")
--- a/tarragonchute/tables.py
+++ b/tarragonchute/tables.py
@@ -97,7 +97,7 @@
     first_status_by : float or None
         Time until which a gained target gets no work unless its status was read, in
         seconds; None when it need not wait.
-    queue : holders.FairQueue or None
+    queue : dispatches.FairQueue or None
     pending : settings.TargetSettings or None
         Changed settings that apply once nothing is in flight.
     """
--- a/tests/test_holder_faults.py
+++ b/tests/test_holder_faults.py
@@ -12,9 +12,10 @@
 
 import testtools
 
-from tarragonchute import health, holders, limits
+from tarragonchute import dispatches, health, holdercore, limits
+from tarragonchute.dispatches import Abort, Answer, Dispatch, Probe
 from tarragonchute.errors import NoLeaseError, NotHolderError
-from tarragonchute.holders import Abort, Answer, Dispatch, HolderCore, Probe
+from tarragonchute.holdercore import HolderCore
 from tarragonchute.messages import (
     BOOKING,
     SEARCH,
@@ -720,7 +721,7 @@
 
 
 def _build_new_origin(core, key, now, is_booking):
-    return holders.Origin(*key)
+    return dispatches.Origin(*key)
 
 
 def _release_at_once(core):
@@ -728,7 +729,7 @@
 
 
 _ALL_CODES = frozenset(
-    {*holders._FINISHED_CODES, "connection_lost", "timed_out", "wrong_answer"}
+    {*holdercore._FINISHED_CODES, "connection_lost", "timed_out", "wrong_answer"}
 )
 
 MECHANISMS = [
@@ -747,19 +748,19 @@
     ),
     (
         "slot counted until the deadline",
-        lambda: mock.patch.object(holders, "_FINISHED_CODES", _ALL_CODES),
+        lambda: mock.patch.object(holdercore, "_FINISHED_CODES", _ALL_CODES),
         "slots",
         ("answer lost", "answer late", "answer with a wrong id"),
     ),
     (
         "slot counted after a time-out without acknowledgement",
-        lambda: mock.patch.object(holders, "_is_surely_over", lambda _: True),
+        lambda: mock.patch.object(holdercore, "_is_surely_over", lambda _: True),
         "slots",
         ("time-out",),
     ),
     (
         "slot counted for the skew of the clocks",
-        lambda: mock.patch.object(holders, "SKEW_S", 0.0),
+        lambda: mock.patch.object(holdercore, "SKEW_S", 0.0),
         "slots",
         ("answer lost", "answer late", "answer with a wrong id"),
     ),
@@ -783,7 +784,7 @@
     ),
     (
         "longest deadline of a dispatch",
-        lambda: mock.patch.object(holders, "MAX_SHARD_TIME_S", 60.0),
+        lambda: mock.patch.object(holdercore, "MAX_SHARD_TIME_S", 60.0),
         "slots",
         ("long pause",),
     ),
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -6,7 +6,8 @@
 import trio
 import trio.testing
 
-from tarragonchute import holders
+from tarragonchute import holdercore
+from tarragonchute.dispatches import Abort, Answer, Dispatch, Probe, Retire
 from tarragonchute.errors import (
     BadRequestError,
     DomainOutError,
@@ -14,15 +15,8 @@
     NotHolderError,
     Outcome,
 )
-from tarragonchute.holders import (
-    Abort,
-    Answer,
-    Dispatch,
-    Holder,
-    HolderCore,
-    Probe,
-    Retire,
-)
+from tarragonchute.holdercore import HolderCore
+from tarragonchute.holders import Holder
 from tarragonchute.limits import SAFE_IDLE_S
 from tarragonchute.messages import BOOKING, ShardCancel, ShardGroup, ShardItem
 from tarragonchute.settings import TargetSettings
@@ -157,7 +151,7 @@
 
     def test_deadline_of_a_dispatch_is_bounded(self):
         """Guards against a paused holder whose request arrives after hand-over."""
-        for remaining_ms, expected in ((200, 0.2), (5000, holders.MAX_SHARD_TIME_S)):
+        for remaining_ms, expected in ((200, 0.2), (5000, holdercore.MAX_SHARD_TIME_S)):
             self._start_core()
             (dispatch,) = self._submit([1], remaining_ms=remaining_ms)
             self.assertAlmostEqual(expected, dispatch.deadline - self.now)
@@ -199,7 +193,7 @@
 
     def test_queue_is_bounded_for_each_team(self):
         """Guards against memory growth, and one team filling another's queue."""
-        bound = holders.MAX_QUEUED_PER_TEAM
+        bound = holdercore.MAX_QUEUED_PER_TEAM
         actions = self._submit(range(bound + 9), remaining_ms=60000)
         self.assertEqual(8, len(self._answers(actions)))
         actions = self._submit([1], number=2, remaining_ms=60000, team="b")
