Leave a target that fails part of its requests

The next good reply ended the suspicion of 0.25 s, and since a reset comes sooner than a reply, the target even counted as a quick one. Requests that may not be repeated were lost to the same target again and again; searches spent their retry budget on it. Ruled out: late news of health (the targets stay registered and answer probes), and stale connections (the same target also fails on new ones). Change: a moving share of failures in the score, which falls with a time constant of 5 s; a failure never lowers the slowness.

--- a/tarragonchute/legs.py
+++ b/tarragonchute/legs.py
@@ -222,7 +222,7 @@
         self._open.remove(exchange)
         kind = self._context.classify(reply)
         if kind is ReplyClass.GOOD:
-            replicas.note_success(exchange.target)
+            replicas.note_success(exchange.target, now)
             self._query.times.note(now - exchange.started_at)
             self._finish(reply, now)
         elif kind is ReplyClass.REFUSED:
@@ -251,7 +251,7 @@
         if reply.status == 421:
             self._context.registry.note_wrong_process(exchange.target, now)
         else:
-            replicas.note_failure(exchange.target, now)
+            replicas.note_refusal(exchange.target, now)
         reason = f"target refused with {reply.status}"
         is_search = self._query.route.is_search
         limit = SEARCH_MAX_REFUSALS if is_search else MAX_REFUSALS
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -95,6 +95,10 @@
         It failed; until then it is used only if nothing else can be.
     failures : int
         Failures in a row.
+    failure_share : float
+        Moving average of its failures, from 0 to 1; refusals do not count.
+    judged_at : float
+        When `failure_share` was last updated, in monotonic seconds.
     next_cold_send : float or None
         When this VM may send it the next request while it is cold; None before the
         first one was considered.
@@ -115,6 +119,8 @@
         "observed_at",
         "suspect_until",
         "failures",
+        "failure_share",
+        "judged_at",
         "next_cold_send",
         "identity",
         "observer",
@@ -133,6 +139,8 @@
         self.observed_at = 0.0
         self.suspect_until = -math.inf
         self.failures = 0
+        self.failure_share = 0.0
+        self.judged_at = 0.0
         self.next_cold_send = None
         self.identity = registration.target_id.encode("latin-1", "replace")
         self.observer = None
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -32,6 +32,20 @@
 JITTER = 0.2
 """Random part of a score, so that VMs do not all choose the same target."""
 
+FAILURE_WEIGHT = 0.2
+"""Weight of the newest outcome in a target's share of failures."""
+
+FAILURE_FACTOR = 5.0
+"""Growth of a score with the share of failures. A target that fails some of its
+requests is not suspect for long, as the others succeed."""
+
+TOLERATED_FAILURE_SHARE = 0.1
+"""Share of failures that does not matter; a single failure counts for three seconds,
+so that a lost reply does not send the traffic of seconds to other domains."""
+
+FAILURE_FORGET_S = 5.0
+"""Time constant with which the share of failures falls; targets fail for seconds."""
+
 SUSPECT_BASE_S = 0.25
 SUSPECT_MAX_S = 2.0
 """First and longest time for which a target that failed is avoided; it doubles."""
@@ -114,6 +128,9 @@
         score = slowness * (1 + LOAD_WEIGHT * len(link.in_flight))
         if target.registration.domain != self._domain:
             score *= REMOTE_DOMAIN_FACTOR
+        if target.failure_share > TOLERATED_FAILURE_SHARE:
+            share = _estimate_failure_share(target, now)
+            score *= 1 + FAILURE_FACTOR * max(share - TOLERATED_FAILURE_SHARE, 0.0)
         score *= 1 + JITTER * self._random.random()
         if now < target.suspect_until or link.is_broken:
             score += SUSPECT_PENALTY
@@ -130,14 +147,34 @@
     return 1.0 + (target.slowness - 1.0) * math.exp(-age / FORGET_S)
 
 
-def note_success(target):
+def note_success(target, now):
     """Clear the suspicion against a target that gave a good reply."""
     target.failures = 0
     target.suspect_until = -math.inf
+    _blend_failure_share(target, 0.0, now)
 
 
 def note_failure(target, now):
-    """Avoid a target for a time that doubles with each failure in a row."""
+    """Suspect a target, and prefer others also when the suspicion has ended."""
+    note_refusal(target, now)
+    _blend_failure_share(target, 1.0, now)
+    # A target that fails at once is not a quick one.
+    target.slowness = max(target.slowness, 1.0)
+
+
+def _blend_failure_share(target, outcome, now):
+    share = _estimate_failure_share(target, now)
+    share += FAILURE_WEIGHT * (outcome - share)
+    target.failure_share = share
+    target.judged_at = now
+
+
+def _estimate_failure_share(target, now):
+    return target.failure_share * math.exp((target.judged_at - now) / FAILURE_FORGET_S)
+
+
+def note_refusal(target, now):
+    """Suspect a target for a time that doubles with each failure in a row."""
     delay_s = min(SUSPECT_BASE_S * 2**target.failures, SUSPECT_MAX_S)
     target.failures = min(target.failures + 1, 8)
     target.suspect_until = now + delay_s
