--- a/tarragonchute/admin.py
+++ b/tarragonchute/admin.py
@@ -695,12 +695,7 @@
         return self._make_response(value, status=status, headers=headers or {})
 
     def _answer_error(self, error, request_id):
-        body = {
-            "request_id": request_id,
-            "outcome": str(error.outcome),
-            "code": error.code,
-            "message": str(error),
-        }
+        body = error.describe(request_id)
         if isinstance(error, FindingsError):
             body["findings"] = [
                 {"place": finding.place, "message": finding.message}
--- a/tarragonchute/entry.py
+++ b/tarragonchute/entry.py
@@ -285,12 +285,7 @@
     error : TarragonchuteError
         Its attribute `coverage`, if any, is stated too.
     """
-    body = {
-        "request_id": request_id,
-        "outcome": error.outcome,
-        "code": error.code,
-        "message": str(error),
-    }
+    body = error.describe(request_id)
     if isinstance(error, FindingsError):
         body["findings"] = [str(finding) for finding in error.findings]
     coverage = getattr(error, "coverage", None)
--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -39,6 +39,20 @@
     def __init__(self, message=""):
         super().__init__(message or self.code)
 
+    def describe(self, request_id):
+        """Return the JSON that an answer with this error carries.
+
+        Parameters
+        ----------
+        request_id : str or None
+        """
+        return {
+            "request_id": request_id,
+            "outcome": self.outcome,
+            "code": self.code,
+            "message": str(self),
+        }
+
 
 class NotRunError(TarragonchuteError):
     """The request was refused before any of it ran."""
--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -214,13 +214,7 @@
 
 def build_error_response(error, request_id=None):
     """Return the response that reports a `TarragonchuteError` to a caller."""
-    body = {
-        "request_id": request_id,
-        "outcome": error.outcome,
-        "code": error.code,
-        "message": str(error),
-    }
-    response = HttpResponse.from_json(body, error.status)
+    response = HttpResponse.from_json(error.describe(request_id), error.status)
     if error.retry_after_s is not None:
         response.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
     return response
