Notice a watch that falls silent while the store answers

Probes use another connection and succeeded, so the VM waited for the watch's time limit and kept version 1 of the configuration and the registrations for 27 s; targets that had left got requests. Ruled out: late stand-ins (no lag was seen), a lost listing, a relay (the VM watched the store itself), and a missing TCP keep-alive: it is on, but the peer's kernel answers it. Change: a probe is a stale listing of nothing, at the same price as before, and returns the store's revision. If the watch has not brought it by the next probe, everything is listed again. Before: the new test had no change after 1.7 s. After: within 1.6 s.

--- a/tarragonchute/feeds.py
+++ b/tarragonchute/feeds.py
@@ -30,7 +30,8 @@
 
 PROBE_S = 0.8
 """Period of reads that may be stale and cost little. After one that failed, the first
-that succeeds restarts the watch, which the store may have forgotten."""
+that succeeds restarts the watch, which the store may have forgotten. If one tells a
+revision that the watch has not brought by the next probe, the watch fell silent."""
 
 PROBE_TIMEOUT_S = 0.6
 """Longest wait for a probe. Followers must change to the store themselves in time for
@@ -265,10 +266,16 @@
         self._changed = trio.Event()
 
     async def _watch_or_restart(self):
-        """Watch until changes come, or until the store is back from an outage."""
-        failure = StoreUnavailableError("the store was away during a watch")
+        """Watch until changes come, or until the probes show that none would come."""
+        failure = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._probe_during_watch, nursery.cancel_scope)
+
+            async def end_when_useless():
+                nonlocal failure
+                failure = await self._probe_during_watch()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_when_useless)
             try:
                 return await self._store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
             except TarragonchuteError as error:
@@ -278,27 +285,34 @@
                 nursery.cancel_scope.cancel()
         raise failure
 
-    async def _probe_during_watch(self, watch_scope):
-        """End the watch when the store answers again after it did not."""
+    async def _probe_during_watch(self):
+        """Return the reason for which the watch is of no use any more.
+
+        A connection can fall silent while others work, and a store may have forgotten
+        a watch from before an outage.
+        """
         is_away = False
+        told = self.revision
         while True:
             await trio.sleep(PROBE_S)
             try:
-                await self._probe()
+                revision = await self._probe()
             except TarragonchuteError as error:
                 if not is_away:
                     self._note_lost(error)
                 is_away = True
                 continue
             if is_away:
-                watch_scope.cancel()
-                return
+                return StoreUnavailableError("the store was away during a watch")
+            if told > self.revision:
+                return HistoryLostError(f"the watch did not bring revision {told}")
+            if revision is not None:
+                told = revision
             self._last_success = self._clock()
 
     async def _probe(self):
         with trio.move_on_after(PROBE_TIMEOUT_S):
-            await self._store.probe()
-            return
+            return await self._store.probe()
         raise StoreUnavailableError(f"no answer within {PROBE_TIMEOUT_S} s")
 
     async def _wait_for_source(self):
--- a/tarragonchute/platform/store.py
+++ b/tarragonchute/platform/store.py
@@ -23,7 +23,7 @@
 longer than a configuration may take."""
 
 PROBE_KEY = "tarragonchute/probe"
-"""Never written; the answer that there is no such key is small."""
+"""Never written; a listing of what begins so is small."""
 
 PAGE_LIMIT = 200
 """Pages of one listing; a bound against a store that never ends."""
@@ -54,8 +54,10 @@
         return None if answer is None else _decode_item(answer)
 
     async def probe(self):
-        """Return if the store answers; a stale read, which costs a tenth."""
-        await self._read("get", "/kv-key", {"key": PROBE_KEY, "stale-ok": 1})
+        """Return the store's revision; a stale read, which costs a tenth."""
+        query = {"prefix": PROBE_KEY, "stale-ok": 1}
+        answer = await self._read("probe", "/kv-range", query)
+        return answer["store-revision"]
 
     async def list(self, prefix):
         """Return ``(entries, revision)``."""
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -94,7 +94,13 @@
         """
 
     async def probe(self):
-        """Return if the store answers; at the least cost, with no content."""
+        """Return a revision that the store has had; at the least cost, with no content.
+
+        Returns
+        -------
+        int or None
+            None if the store does not tell.
+        """
 
     async def grant_lease(self, ttl_s):
         """Return the id of a new lease that ends after `ttl_s` seconds."""
@@ -245,8 +251,9 @@
         return self._list_changes(prefix, after), self.revision
 
     async def probe(self):
-        """Return if the store answers."""
+        """Return the revision."""
         await self._begin("probe")
+        return self.revision
 
     async def grant_lease(self, ttl_s):
         """Return the id of a new lease."""
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -68,6 +68,25 @@
         return await super().watch(prefix, after, wait_s)
 
 
+class SilentWatchStore(MemoryStore):
+    """A store with a watch whose connection falls silent while others work."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_silent = False
+        self.listings = 0
+
+    async def list(self, prefix):
+        self.listings += 1
+        return await super().list(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        if self.is_silent:
+            self.is_silent = False
+            await trio.sleep_forever()
+        return await super().watch(prefix, after, wait_s)
+
+
 class OneRelay:
     """A relay that answers until it is told to fail."""
 
@@ -225,6 +244,35 @@
             self.assertIn("a", handler.values)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_watch_that_falls_silent_alone_is_noticed(self):
+        """Guards against a VM that keeps an old configuration while probes succeed.
+
+        Found by the soak (seed 319): one connection fell silent between two probes.
+        """
+        store = SilentWatchStore()
+        store.is_silent = True
+        async with trio.open_nursery() as nursery:
+            _, handler = await self.start(nursery, store)
+            await store.put("a", "1", 0)
+            await trio.sleep(2 * feeds.PROBE_S + 0.1)
+            self.assertEqual({"a": "1"}, handler.values)
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_watch_that_brings_changes_is_kept(self):
+        """Guards against listings that a store with many changes does not need."""
+        store = SilentWatchStore()
+        async with trio.open_nursery() as nursery:
+            _, handler = await self.start(nursery, store)
+            for number in range(100):
+                await store.put(f"k{number}", "1", 0)
+                await trio.sleep(0.17)
+            await trio.sleep(feeds.BATCH_MAX_S + 0.1)
+            self.assertEqual(100, len(handler.values))
+            self.assertEqual(1, store.listings)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_start_without_the_store_asks_peers(self):
         """Guards against a restarted VM that knows nothing in an outage."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,7 +210,7 @@
     async def test_probe(self):
         """Guards against a probe that fails because its key does not exist."""
         async with open_store() as (store, server):
-            await store.probe()
+            self.assertEqual(server.store.revision, await store.probe())
             server.refuses = True
             try:
                 await store.probe()
