--- a/tarragonchute/dispatches.py
+++ b/tarragonchute/dispatches.py
@@ -9,6 +9,7 @@
 QUEUED = 1
 RUNNING = 2
 ENDED = 3
+"""States of a `Dispatch`, in their order."""
 
 
 class Dispatch:
