Soak: report a VM that does not come up instead of waiting for it

A VM that was started again never became ready, and the soak waited for it without a limit. Change: a limit and a finding with the exit code; SIGHUP only to VMs that were ready.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from tools.soak.__main__ import soak
 from tools.soak.oracle import Oracle, Run, Sent
 from tools.soak.proxy import Proxy, ProxyMode
+from tools.soak.world import World
 
 from .trial import run_async
 
@@ -238,6 +239,33 @@
             nursery.cancel_scope.cancel()
 
 
+class EndedVm:
+    """A VM whose process ended before it was ready."""
+
+    vm_id = "vm-0"
+
+    def __init__(self):
+        self.process = self
+
+    def poll(self):
+        return -1
+
+    async def is_ready(self):
+        return False
+
+
+class StartTests(testtools.TestCase):
+    """VMs that are started again."""
+
+    def test_process_that_ends_is_found(self):
+        """Guards against a soak that waits for it without end (seed 317)."""
+        oracle = Oracle(top=2, least_coverage=0.5)
+        world = World(None, None, oracle, 1)
+        self.addCleanup(world.close)
+        trio.run(world.wait_until_ready, EndedVm())
+        self.assertEqual(["vm-0 was started and ended with -1"], oracle.findings)
+
+
 class SeededRunTests(testtools.TestCase):
     """A short run of real processes."""
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -85,8 +85,7 @@
         await vm.wait()
         await trio.sleep(self._random.uniform(0.0, 1.0))
         vm.start(self._world.list_seeds())
-        while not await vm.is_ready():
-            await trio.sleep(0.1)
+        await self._world.wait_until_ready(vm)
 
     async def _occupy_vm(self, play, planned=False):
         vm = self._draw_vm()
@@ -120,7 +119,8 @@
 
     async def _signal_settings(self):
         for vm in self._world.vms:
-            vm.send_signal(signal.SIGHUP)
+            if vm.is_up:
+                vm.send_signal(signal.SIGHUP)
 
     async def _refuse_store(self):
         self._disturb(self._world.vms, 3.0)
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -148,6 +148,10 @@
         """Take a caller that waited in vain, at a VM that was at work all the time."""
         self._find(f"{request_id} had no answer after {waited_s:.1f} s")
 
+    def note_not_started(self, vm_id, reason):
+        """Take a VM that did not become ready after its start."""
+        self._find(f"{vm_id} was started and {reason}")
+
     def note_cut(self, request_id):
         """Take a connection that ended without an answer although nothing failed."""
         self._find(f"{request_id} was cut off by a planned stop")
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -100,6 +100,9 @@
         Another one for each process.
     disturbed_until : float
         Until then its requests may be late or cut.
+    is_up : bool
+        Whether this process was ready once. Before that a signal may end it, because
+        its handlers are not there yet.
     """
 
     def __init__(self, number, folder, store_address, ports):
@@ -111,6 +114,7 @@
         self.store = Proxy(store_address)
         self.lifetime = object()
         self.disturbed_until = 0.0
+        self.is_up = False
         self.process = None
         self._folder = folder
         self._ports = [ports.reserve().split(":")[1] for _ in range(4)]
@@ -131,6 +135,7 @@
         path = self._folder / f"{self.vm_id}.toml"
         path.write_text(self._format_settings(seeds))
         self.lifetime = object()
+        self.is_up = False
         self.process = subprocess.Popen(
             [sys.executable, "-m", "tarragonchute", "gateway"],
             cwd=ROOT,
@@ -157,6 +162,7 @@
                 connection = await HttpConnection.open(address, 1.0)
                 response = await connection.exchange("GET", "/ready")
                 connection.close()
+                self.is_up = self.is_up or response.status == 200
                 return response.status == 200
         except (OSError, TarragonchuteError):
             pass
@@ -237,6 +243,18 @@
                 while not await vm.is_ready():
                     await trio.sleep(0.05)
 
+    async def wait_until_ready(self, vm):
+        """Return once a VM is ready, or tell the oracle why it is not."""
+        with trio.move_on_after(START_TIMEOUT_S):
+            while not await vm.is_ready():
+                code = vm.process.poll()
+                if code is not None:
+                    self.oracle.note_not_started(vm.vm_id, f"ended with {code}")
+                    return
+                await trio.sleep(0.1)
+            return
+        self.oracle.note_not_started(vm.vm_id, f"not ready after {START_TIMEOUT_S} s")
+
     def list_seeds(self):
         """Return the addresses of all VMs for other VMs."""
         return [vm.control for vm in self.vms]
