Compute doubling waits in one place; one base for numbered messages

Acknowledgement, Permission and Cancellation were the same class with another name. DomainLeaders.choose asks each VM once without looking it up again. Behaviour and messages are unchanged.

--- a/tarragonchute/delegates.py
+++ b/tarragonchute/delegates.py
@@ -4,6 +4,7 @@
 import logging
 
 from . import leaders
+from .backoff import find_backoff_s
 from .channels import Channel
 from .errors import ProtocolError
 from .subsearches import (
@@ -127,8 +128,8 @@
 
     def note_silent(self, now):
         """Pass the VM over until it has answered a greeting, and for a time."""
-        delay_s = min(SUSPECT_MIN_S * 2**self._failures, SUSPECT_MAX_S)
-        self._failures = min(self._failures + 1, 8)
+        delay_s = find_backoff_s(self._failures, SUSPECT_MIN_S, SUSPECT_MAX_S)
+        self._failures += 1
         self._suspect_until = now + delay_s
         if self._is_greeted:
             logger.warning("VM %s does not acknowledge a subsearch", self.vm.vm_id)
@@ -215,8 +216,9 @@
         self._send(Greeting(self._own_id), now)
 
     def _schedule_connect(self, now):
-        delay_s = min(RECONNECT_MIN_S * 2**self._connect_failures, RECONNECT_MAX_S)
-        self._connect_failures = min(self._connect_failures + 1, 8)
+        failures = self._connect_failures
+        delay_s = find_backoff_s(failures, RECONNECT_MIN_S, RECONNECT_MAX_S)
+        self._connect_failures += 1
         self._connect_at = now + delay_s
 
     def _send(self, message, now):
@@ -245,9 +247,11 @@
 
         A spare VM is slower and knows less of the targets than a leader that is left.
         """
-        usable = [vm for vm in self.vms if is_usable(vm)]
-        chosen = [vm for vm in self.vms[: self._count] if vm in usable]
-        return chosen or usable
+        for vms in (self.vms[: self._count], self.vms[self._count :]):
+            usable = [vm for vm in vms if is_usable(vm)]
+            if usable:
+                return usable
+        return []
 
 
 class Delegates:
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+from .backoff import find_backoff_s
+
 SLOWNESS_WEIGHT = 0.3
 """Weight of the newest observation in a target's average slowness."""
 
@@ -154,6 +156,13 @@
     _blend_failure_share(target, 0.0, now)
 
 
+def note_refusal(target, now):
+    """Suspect a target for a time that doubles with each failure in a row."""
+    delay_s = find_backoff_s(target.failures, SUSPECT_BASE_S, SUSPECT_MAX_S)
+    target.failures += 1
+    target.suspect_until = now + delay_s
+
+
 def note_failure(target, now):
     """Suspect a target, and prefer others also when the suspicion has ended."""
     note_refusal(target, now)
@@ -173,13 +182,6 @@
     return target.failure_share * math.exp((target.judged_at - now) / FAILURE_FORGET_S)
 
 
-def note_refusal(target, now):
-    """Suspect a target for a time that doubles with each failure in a row."""
-    delay_s = min(SUSPECT_BASE_S * 2**target.failures, SUSPECT_MAX_S)
-    target.failures = min(target.failures + 1, 8)
-    target.suspect_until = now + delay_s
-
-
 class ReplyTimes:
     """Usual reply time of one route and its spread, as moving averages.
 
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -66,16 +66,17 @@
         return orjson.dumps([self.kind])
 
 
-class Acknowledgement:
-    """Confirms that a subsearch has begun.
+class _NumberedMessage:
+    """A message that names a subsearch and nothing else.
 
     Parameters
     ----------
     number : int
+        Of the subsearch.
     """
 
     __slots__ = ("number",)
-    kind = "acknowledgement"
+    kind = ""
 
     def __init__(self, number):
         self.number = number
@@ -85,46 +86,30 @@
         return orjson.dumps([self.kind, self.number])
 
 
-class Permission:
+class Acknowledgement(_NumberedMessage):
+    """Confirms that a subsearch has begun."""
+
+    __slots__ = ()
+    kind = "acknowledgement"
+
+
+class Permission(_NumberedMessage):
     """Lets a VM try shards again that it has tried once.
 
     A VM that began late may have been passed over. It never gets the permission, so
     that its attempts and those of the next VM stay within what the route allows.
-
-    Parameters
-    ----------
-    number : int
     """
 
-    __slots__ = ("number",)
+    __slots__ = ()
     kind = "permission"
 
-    def __init__(self, number):
-        self.number = number
 
-    def encode(self):
-        """Return the payload of a frame."""
-        return orjson.dumps([self.kind, self.number])
+class Cancellation(_NumberedMessage):
+    """Ends a subsearch whose answer is not needed any more."""
 
-
-class Cancellation:
-    """Ends a subsearch whose answer is not needed any more.
-
-    Parameters
-    ----------
-    number : int
-    """
-
-    __slots__ = ("number",)
+    __slots__ = ()
     kind = "cancellation"
 
-    def __init__(self, number):
-        self.number = number
-
-    def encode(self):
-        """Return the payload of a frame."""
-        return orjson.dumps([self.kind, self.number])
-
 
 class Subsearch:
     """Some shards of a search.
