Attribute each reply to its request and bound incomplete ones

A late second copy without a request id was delivered as the next answer on its connection; a copy of a refusal could be taken for the second reply under the same id; interim responses and replies to other requests were read without a bound, and incomplete replies of many targets could together exceed a VM's memory. An unexpected error in one handler ended the reactor. Change: a reply without an id counts only as the first on a connection; a request is not sent again on the connection that carried it; 16 interim responses and 4 foreign replies fail an exchange; incomplete replies hold 32 MiB together, the largest fail first; the reactor aborts only the connection whose handler raised. Bodies of shards are freed once merged.

--- a/tarragonchute/channels.py
+++ b/tarragonchute/channels.py
@@ -136,6 +136,11 @@
         if events & ~select.EPOLLOUT and not self.is_closed:
             self._receive(now)
 
+    def abort(self, reason, now):
+        """See `reactor.EventHandler`; the owner is notified."""
+        if not self.is_closed:
+            self._close_and_notify(reason, now)
+
     def _finish_connect(self, now):
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
@@ -226,6 +231,9 @@
             _set_options(sock)
             Channel(self._reactor, sock, self._owner, is_connecting=False)
 
+    def abort(self, reason, now):
+        """See `reactor.EventHandler`; an error on one channel ends no other."""
+
     def close(self):
         """Stop listening; accepted channels stay open."""
         if not self.is_closed:
--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -50,6 +50,14 @@
 MIN_IDLE_TIMEOUT_S = 0.001
 """Idle timeout of connections whose targets state a second or less."""
 
+MAX_DROPPED_REPLIES = 4
+"""Replies to other requests that are dropped before one exchange fails. A target may
+send a late second copy of a reply, but not an endless series."""
+
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""Bytes of incomplete replies that all connections may hold together. The smallest VMs
+have 160 MB of memory."""
+
 SWEEP_PERIOD_S = 0.05
 """Interval between calls of `Gateway.sweep`, and so between the checks for connect
 timeouts and overdue abandoned exchanges."""
@@ -188,6 +196,8 @@
         "opened_at",
         "idle_since",
         "idle_timeout_s",
+        "last_request_id",
+        "dropped_replies",
     )
 
     def __init__(self, pool, sock, now):
@@ -201,6 +211,9 @@
         self.opened_at = now
         self.idle_since = now
         self.idle_timeout_s = None
+        # Id of the latest answered request; None before the first one.
+        self.last_request_id = None
+        self.dropped_replies = 0
 
     @property
     def is_closed(self):
@@ -211,6 +224,10 @@
         """See `reactor.EventHandler`."""
         self.pool.handle_event(self, events, now)
 
+    def abort(self, reason, now):
+        """See `reactor.EventHandler`; its exchange, if any, fails."""
+        self.pool.abort_connection(self, reason, now)
+
 
 class TargetPool:
     """Pool of the connections to one target address, and queue of its exchanges.
@@ -271,6 +288,12 @@
         self.in_flight[exchange] = None
         self._reactor.record_start(self)
         connection = self._pop_idle(now)
+        if connection is not None and (
+            connection.last_request_id == exchange.request_id
+        ):
+            # A late second copy of the earlier reply would state the expected id.
+            self._close_connection(connection)
+            connection = None
         if connection is not None:
             self._send(connection, exchange, now)
             return
@@ -356,6 +379,15 @@
             if events & ~select.EPOLLOUT and connection.phase is _Phase.BUSY:
                 self._receive(connection, now)
 
+    def abort_connection(self, connection, reason, now):
+        """Close a connection at once; its exchange, if any, fails."""
+        if connection.phase is _Phase.CONNECTING:
+            self._fail_connect(connection, reason, now)
+        elif connection.phase is _Phase.IDLE:
+            self._close_idle(connection, now)
+        elif connection.phase is _Phase.BUSY:
+            self._fail_exchange(connection, reason, now)
+
     def _sweep_busy(self, connection, now):
         exchange = connection.exchange
         if exchange.abandoned_at is None:
@@ -489,6 +521,8 @@
                 reply = connection.reader.receive_eof()
             while reply is not None and not self._deliver_reply(connection, reply, now):
                 reply = connection.reader.read_buffered()
+            if reply is None:
+                self._reactor.record_buffered_bytes(connection, now)
         except ProtocolError as error:
             self._fail_exchange(connection, str(error), now)
 
@@ -496,18 +530,21 @@
         """Pass a reply to the owner and return True, or discard it and return False.
 
         A reply is discarded if it states the id of another request.
+
+        Raises
+        ------
+        ProtocolError
+            If the reply cannot be attributed to a request, or if too many replies were
+            discarded.
         """
         exchange = connection.exchange
         reply_id = reply.get(self._reactor.reply_id_field)
-        if reply_id is not None and reply_id != exchange.request_id:
-            logger.info(
-                "dropped a reply to another request",
-                extra={"request_id": exchange.request_id.decode("latin-1")},
+        if reply_id is None and connection.last_request_id is not None:
+            raise ProtocolError(
+                "a reply without a request id may belong to an earlier request"
             )
-            if not connection.reader.is_reusable:
-                raise ProtocolError(
-                    "the connection ended with a reply to another request"
-                )
+        if reply_id is not None and reply_id != exchange.request_id:
+            self._drop_reply(connection, exchange)
             return False
         self._release(connection, reply, now)
         owner = exchange.owner
@@ -516,8 +553,22 @@
             owner.handle_reply(exchange, reply)
         return True
 
+    def _drop_reply(self, connection, exchange):
+        logger.info(
+            "dropped a reply to another request",
+            extra={"request_id": exchange.request_id.decode("latin-1")},
+        )
+        if not connection.reader.is_reusable:
+            raise ProtocolError("the connection ended with a reply to another request")
+        connection.dropped_replies += 1
+        if connection.dropped_replies > MAX_DROPPED_REPLIES:
+            raise ProtocolError("too many replies to other requests")
+
     def _release(self, connection, reply, now):
+        connection.last_request_id = connection.exchange.request_id
         connection.exchange = None
+        connection.dropped_replies = 0
+        self._reactor.forget_buffered_bytes(connection)
         reader = connection.reader
         is_reusable = reader.is_reusable and not reader.has_data
         if not is_reusable or connection.unsent_data is not None:
@@ -573,6 +624,7 @@
 
     def _close_connection(self, connection):
         connection.phase = _Phase.CLOSED
+        self._reactor.forget_buffered_bytes(connection)
         self._connections.pop(connection.fd, None)
         self._reactor.remove(connection)
         connection.sock.close()
@@ -596,6 +648,7 @@
     __slots__ = (
         "_pools_to_sweep",
         "_next_idle_sweep_at",
+        "_buffered_bytes",
         "pools",
         "disconnected_pools",
         "reply_id_field",
@@ -606,6 +659,8 @@
         self.reply_id_field = reply_id_field
         self._pools_to_sweep = {}
         self._next_idle_sweep_at = 0.0
+        # Bytes of the incomplete reply on each connection that has received any.
+        self._buffered_bytes = {}
         self.pools = set()
         self.disconnected_pools = collections.deque()
 
@@ -628,6 +683,23 @@
         """Count an exchange that ended or was abandoned."""
         self.in_flight -= 1
 
+    def record_buffered_bytes(self, connection, now):
+        """Update the size of a connection's incomplete reply.
+
+        If all incomplete replies together exceed `MAX_BUFFERED_BYTES`, the exchanges
+        with the largest ones fail.
+        """
+        self._buffered_bytes[connection] = connection.reader.buffered_bytes
+        while sum(self._buffered_bytes.values()) > MAX_BUFFERED_BYTES:
+            largest = max(self._buffered_bytes, key=self._buffered_bytes.get)
+            largest.pool.abort_connection(
+                largest, "incomplete replies exceed the memory limit", now
+            )
+
+    def forget_buffered_bytes(self, connection):
+        """Stop counting a connection whose reply is complete or given up."""
+        self._buffered_bytes.pop(connection, None)
+
     def include_in_next_sweep(self, pool):
         """Check the connections of a pool at the next sweep."""
         self._pools_to_sweep[pool] = None
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -162,6 +162,7 @@
         if subrequest.state is SubrequestState.DONE:
             self._included_directly += 1
             self._merge.add(subrequest.reply.body)
+            subrequest.reply.discard_body()
         if not self.is_finished:
             self._open_subrequests -= 1
             self._check_end(now)
--- a/tarragonchute/reactor.py
+++ b/tarragonchute/reactor.py
@@ -4,11 +4,14 @@
 connection.
 """
 
+import logging
 import select
 from typing import Protocol
 
 import trio
 
+logger = logging.getLogger(__name__)
+
 COALESCE_MIN_EXCHANGES = 12
 COALESCE_DELAY_S = 0.001
 """With at least `COALESCE_MIN_EXCHANGES` in flight, the loop sleeps for
@@ -39,6 +42,17 @@
             Monotonic seconds.
         """
 
+    def abort(self, reason, now):
+        """Close the socket after `handle_event` raised an unexpected error.
+
+        Parameters
+        ----------
+        reason : str
+            Text for the log.
+        now : float
+            Monotonic seconds.
+        """
+
 
 class Reactor:
     """An epoll set and the handlers of its sockets.
@@ -88,7 +102,21 @@
             # Handling an earlier event of this batch may have closed this socket, and a
             # new socket may already use its file descriptor.
             if handler is not None and not handler.is_closed:
-                handler.handle_event(events, now)
+                self._call_handler(handler, events, now)
+
+    def _call_handler(self, handler, events, now):
+        try:
+            handler.handle_event(events, now)
+        except Exception as error:
+            # An error on one connection must not end all others with the process.
+            logger.exception("unexpected error on a connection")
+            self._abort(handler, f"unexpected error: {error!r}", now)
+
+    def _abort(self, handler, reason, now):
+        try:
+            handler.abort(reason, now)
+        except Exception:
+            logger.exception("cannot abort a connection")
 
     def close(self):
         """Close the epoll set; the sockets stay open."""
--- a/tarragonchute/replies.py
+++ b/tarragonchute/replies.py
@@ -16,6 +16,9 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of a reply head; limits the memory for the same reason."""
 
+MAX_INTERIM_RESPONSES = 16
+"""Maximum number of interim responses (1xx) before a reply."""
+
 _HEAD = re.compile(
     rb"HTTP/1\.1 ([2-5][0-9][0-9])(?: [\t \x21-\x7e\x80-\xff]*)?"
     rb"(\r\n(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[\t \x21-\x7e\x80-\xff]*\r\n)+)\r\n"
@@ -45,6 +48,10 @@
         self._head = head
         self._lowercase_head = head.lower()
 
+    def discard_body(self):
+        """Free the memory of the body; the head can still be read."""
+        self.body = b""
+
     def get(self, name):
         """Return the value of the first header with a name, or None.
 
@@ -94,6 +101,13 @@
         """Whether bytes beyond the last complete reply are buffered."""
         return bool(self._buffer) or self._h11_reader is not None
 
+    @property
+    def buffered_bytes(self):
+        """Number of bytes held of a reply that is not complete yet."""
+        if self._h11_reader is not None:
+            return self._h11_reader.size
+        return len(self._buffer)
+
     def start(self, method):
         """Prepare to read the reply to a request with this method (bytes)."""
         self._method = method
@@ -111,7 +125,13 @@
         if self._h11_reader is not None:
             self._h11_reader.receive_data(data)
             return self._read_with_h11()
-        self._buffer = self._buffer + data if self._buffer else data
+        if not self._buffer:
+            self._buffer = data
+        else:
+            if type(self._buffer) is bytes:
+                # Appending to bytes would copy a large reply once for each segment.
+                self._buffer = bytearray(self._buffer)
+            self._buffer += data
         return self._read_buffer()
 
     def read_buffered(self):
@@ -151,8 +171,8 @@
         end = start + length
         if len(buffer) < end:
             return None
-        reply = Reply(status, head, buffer[start:end])
-        self._buffer = buffer[end:]
+        reply = Reply(status, head, bytes(buffer[start:end]))
+        self._buffer = bytes(buffer[end:])
         self._head = None
         self.is_reusable = not _requests_close(reply)
         return reply
@@ -162,7 +182,7 @@
         if buffer.find(b"\r\n\r\n") < 0 and buffer.find(b"\n\n") < 0:
             if len(buffer) > MAX_HEAD_BYTES:
                 raise ProtocolError(f"the reply head exceeds {MAX_HEAD_BYTES} bytes")
-            if not buffer.startswith(b"HTTP/1."[: len(buffer)]):
+            if not b"HTTP/1.".startswith(buffer[:7]):
                 raise ProtocolError("the bytes are not an HTTP response")
             return False
         head = self._parse_simple_head()
@@ -184,12 +204,13 @@
         status = int(match[1])
         if status in _BODILESS_STATUSES or self._method == b"HEAD":
             return None
-        length = _parse_content_length(match[2])
+        head = bytes(match[2])
+        length = _parse_content_length(head)
         if length is None:
             return None
         if length > MAX_REPLY_BYTES:
             raise ProtocolError(f"the reply body exceeds {MAX_REPLY_BYTES} bytes")
-        return status, match[2], match.end(), length
+        return status, head, match.end(), length
 
     def _start_h11_reader(self):
         connection = h11.Connection(h11.CLIENT)
@@ -198,7 +219,7 @@
         )
         connection.send(request)
         connection.send(h11.EndOfMessage())
-        connection.receive_data(self._buffer)
+        connection.receive_data(bytes(self._buffer))
         self._buffer = b""
         self._h11_reader = _H11ReplyReader(connection)
 
@@ -215,13 +236,14 @@
 class _H11ReplyReader:
     """Reads one reply with h11."""
 
-    __slots__ = ("connection", "_response", "_parts", "_size")
+    __slots__ = ("connection", "size", "_response", "_parts", "_interim_responses")
 
     def __init__(self, connection):
         self.connection = connection
         self._response = None
         self._parts = []
-        self._size = 0
+        self._interim_responses = 0
+        self.size = 0
 
     def receive_data(self, data):
         try:
@@ -240,6 +262,8 @@
                 return None
             if kind is h11.Response:
                 self._response = event
+            elif kind is h11.InformationalResponse:
+                self._count_interim_response()
             elif kind is h11.Data:
                 self._append_body(event.data)
             elif kind is h11.EndOfMessage:
@@ -247,9 +271,16 @@
             elif kind is h11.ConnectionClosed:
                 raise ProtocolError("the connection ended before a reply")
 
+    def _count_interim_response(self):
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise ProtocolError(
+                f"more than {MAX_INTERIM_RESPONSES} interim responses before the reply"
+            )
+
     def _append_body(self, data):
-        self._size += len(data)
-        if self._size > MAX_REPLY_BYTES:
+        self.size += len(data)
+        if self.size > MAX_REPLY_BYTES:
             raise ProtocolError(f"the reply body exceeds {MAX_REPLY_BYTES} bytes")
         self._parts.append(bytes(data))
 
