Keep a process running through malformed messages and early signals

A response of the store that is JSON but misses a field, a malformed answer of a relay, a registration with a host name that cannot be encoded, a message between VMs with a field of another type, and a settings file that is not UTF-8 each raised an error that nothing handled, which ended the process with all its requests. An id of a target with CR LF added headers to requests. A planned stop ended the subsearches of other VMs as soon as the last own caller was answered. Change: the adapter and the messages check types; addresses must be IPv4; background tasks run again after an unexpected error; one entry that cannot be applied is logged; SIGHUP is ignored from the entry point on; a stop waits for the subsearches in progress, within its grace. Left: SIGHUP before Python runs the entry point still ends the process.

--- a/tarragonchute/__main__.py
+++ b/tarragonchute/__main__.py
@@ -4,6 +4,7 @@
 VM is billed for its memory.
 """
 
+import signal
 import sys
 
 GATEWAY_COMMAND = "gateway"
@@ -12,6 +13,9 @@
 def main():
     """Run the command that the arguments name and return its exit code."""
     if sys.argv[1:] == [GATEWAY_COMMAND]:
+        # Until the handler is installed, SIGHUP would end the process. The settings
+        # file is read later than this, so no change is missed.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from .platform.main import main as run_gateway
 
         return run_gateway()
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -49,6 +49,7 @@
     ValueError,
     KeyError,
     TypeError,
+    AttributeError,
 )
 
 
@@ -151,7 +152,7 @@
                 connection = await HttpConnection.open(address, PEER_TIMEOUT_S)
                 response = await connection.exchange("GET", SNAPSHOT_PATH)
             if response.status == 200:
-                entries, revision = _decode_answer(response)
+                entries, revision, _ = _decode_answer(response)
                 answers.append((revision, address, entries))
         except _PEER_ERRORS as error:
             logger.info("no snapshot from %s: %r", address, error)
@@ -208,7 +209,7 @@
             if response.status != 200:
                 text = f"{self.address} cannot relay the store"
                 raise RelayWithoutStoreError(text)
-            return *_decode_answer(response), response.parse_json()["all"]
+            return _decode_answer(response)
         except _PEER_ERRORS as error:
             text = f"{self.address} does not answer: {error!r}"
             raise RelayUnavailableError(text) from error
@@ -341,6 +342,20 @@
     return [entry.key, entry.value, entry.revision]
 
 
+def _decode_entry(row):
+    key, value, revision = row
+    if not isinstance(key, str) or not isinstance(revision, int):
+        raise TypeError(f"{row!r} is not an entry")
+    if value is not None and not isinstance(value, str):
+        raise TypeError(f"the value of {key!r} is not a string")
+    return Entry(key, value, revision)
+
+
 def _decode_answer(response):
+    """Return the entries, the revision, and whether they are a full snapshot."""
     body = orjson.loads(response.body)
-    return [Entry(*row) for row in body["rows"]], body["revision"]
+    revision = body["revision"]
+    if not isinstance(revision, int):
+        raise TypeError(f"the revision {revision!r} is not an integer")
+    entries = [_decode_entry(row) for row in body["rows"]]
+    return entries, revision, bool(body.get("all", True))
--- a/tarragonchute/platform/decoding.py
+++ b/tarragonchute/platform/decoding.py
@@ -4,6 +4,8 @@
 Comments give the meaning of a field where its name on the wire does not.
 """
 
+import ipaddress
+
 import orjson
 
 from ..httpio import split_address
@@ -14,6 +16,9 @@
 _VALID_STATES = ("ready", "draining")
 _IDEMPOTENT_KIND = "idempotent"
 
+# Ids are sent in a header of each request; longer or other ones would change it.
+_MAX_ID_LENGTH = 200
+
 
 def decode_configuration(text):
     """Decode a configuration; return its `RouteTable`, or None if it is invalid."""
@@ -88,12 +93,14 @@
         numbers = (cold_ms, started_ms, slots)
         if state not in _VALID_STATES or not all(isinstance(t, str) for t in texts):
             return None
+        if not _is_valid_id(target_id):
+            return None
         if not all(_is_number(n) for n in numbers) or not isinstance(started_ms, int):
             return None
         return Registration(
             target_id,
             body["service"],
-            split_address(body["address"]),
+            _decode_address(body["address"]),
             body["zone"],
             slots,
             state == "draining",
@@ -104,6 +111,24 @@
         return None
 
 
+def _is_valid_id(target_id):
+    return (
+        target_id.isascii()
+        and target_id.isprintable()
+        and " " not in target_id
+        and len(target_id) <= _MAX_ID_LENGTH
+    )
+
+
+def _decode_address(text):
+    """Return the host and port; the host must be an IPv4 address.
+
+    Looking up a name would block the process, and an invalid one raises on connecting.
+    """
+    host, port = split_address(text)
+    return str(ipaddress.IPv4Address(host)), port
+
+
 def decode_evacuated_domain(key):
     """Return the failure domain that a key evacuates, or None for other keys."""
     if not key.startswith(EVACUATION_PREFIX):
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -18,7 +18,7 @@
     try:
         with open(path, "rb") as file:
             content = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError) as error:
         raise FindingsError([Finding(path, str(error))]) from error
     return decode_settings(content, path)
 
@@ -30,7 +30,7 @@
     def read(section, name, expected_type, default=None):
         field_path = f"{section}.{name}" if section else name
         table = content.get(section, {}) if section else content
-        value = table.get(name, default)
+        value = table.get(name, default) if isinstance(table, dict) else None
         is_valid = isinstance(value, expected_type) and not isinstance(value, bool)
         if not is_valid:
             text = f"{field_path} must be {expected_type}, not {value!r}"
--- a/tarragonchute/platform/store.py
+++ b/tarragonchute/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import contextlib
 from urllib.parse import urlencode
 
 import orjson
@@ -52,13 +53,17 @@
     async def get(self, key):
         """Return the `Entry`, or None if the key does not exist."""
         content = await self._read("get", "/kv-key", {"key": key})
-        return None if content is None else _decode_item(content)
+        if content is None:
+            return None
+        with _report_malformed(StoreUnavailableError):
+            return _decode_item(content)
 
     async def probe(self):
         """Return the store's revision by a stale read, at a tenth of the usual cost."""
         query = {"prefix": PROBE_PREFIX, "stale-ok": 1}
         content = await self._read("probe", "/kv-range", query)
-        return content["store-revision"]
+        with _report_malformed(StoreUnavailableError):
+            return _check_revision(content["store-revision"])
 
     async def list(self, prefix):
         """Return ``(entries, revision)``; see `Store.list`."""
@@ -70,12 +75,15 @@
             if after is not None:
                 query["after"] = after
             content = await self._read("list", "/kv-range", query)
-            items = [_decode_item(item) for item in content["items"]]
+            with _report_malformed(StoreUnavailableError):
+                items = [_decode_item(item) for item in content["items"]]
+                page_revision = _check_revision(content["store-revision"])
+                is_last = not content["truncated"] or not items
             entries += items
             # The pages are not one snapshot. A watch from the first page's revision
             # returns all changes after that page.
-            revision = content["store-revision"] if revision is None else revision
-            if not content["truncated"] or not items:
+            revision = page_revision if revision is None else revision
+            if is_last:
                 return entries, revision
             after = items[-1].key
         raise StoreUnavailableError(f"{prefix!r} has more than {MAX_PAGES} pages")
@@ -90,8 +98,9 @@
         """
         query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1000)}
         content = await self._read("watch", "/kv-watch", query, wait_s)
-        entries = [_decode_item(event) for event in content["events"]]
-        return entries, content["store-revision"]
+        with _report_malformed(StoreUnavailableError):
+            entries = [_decode_item(event) for event in content["events"]]
+            return entries, _check_revision(content["store-revision"])
 
     async def put(self, key, value, expect, lease=None):
         """Write by compare-and-swap and return the new revision; see `Store.put`."""
@@ -109,7 +118,8 @@
         content = await self._write(
             "grant_lease", "POST", "/kv-lease", {"ttl-ms": int(ttl_s * 1000)}
         )
-        return content["lease"]
+        with _report_malformed(StoreOutcomeUnknownError):
+            return content["lease"]
 
     async def renew_lease(self, lease):
         """Renew a lease; raises `LeaseNotFoundError` if it has ended."""
@@ -126,7 +136,8 @@
             "deletes": list(deletes),
         }
         content = await self._write(name, "POST", "/kv-txn", body)
-        return content["revision"]
+        with _report_malformed(StoreOutcomeUnknownError):
+            return _check_revision(content["revision"])
 
     async def _read(self, name, path, query, wait_s=0.0):
         target = f"{path}?{urlencode(query)}"
@@ -145,7 +156,8 @@
         if response.status == 404:
             raise LeaseNotFoundError("the lease does not exist or has ended")
         if response.status == 412:
-            raise _build_conflict_error(response)
+            with _report_malformed(StoreOutcomeUnknownError):
+                raise _build_conflict_error(response)
         return _decode_response(response, StoreOutcomeUnknownError)
 
 
@@ -174,7 +186,10 @@
 
 
 def _build_conflict_error(response):
-    items = response.parse_json().get("items") or []
+    try:
+        items = response.parse_json()["items"] or []
+    except ProtocolError as error:
+        raise ValueError(str(error)) from error
     entry = _decode_item(items[0]) if items else None
     if entry is not None and entry.revision == 0:
         entry = None
@@ -187,10 +202,35 @@
     A value that is not base64 of UTF-8 is replaced by the empty string: the key exists,
     but its value cannot be decoded.
     """
+    key = item["key"]
+    revision = _check_revision(item["revision"])
+    if not isinstance(key, str):
+        raise TypeError(f"the key {key!r} is not a string")
     if item.get("removed"):
-        return Entry(item["key"], None, item["revision"])
+        return Entry(key, None, revision)
     try:
         value = base64.b64decode(item.get("value") or "", validate=True).decode()
     except (binascii.Error, UnicodeDecodeError, TypeError):
         value = ""
-    return Entry(item["key"], value, item["revision"])
+    return Entry(key, value, revision)
+
+
+def _check_revision(revision):
+    if not isinstance(revision, int):
+        raise TypeError(f"the revision {revision!r} is not an integer")
+    return revision
+
+
+@contextlib.contextmanager
+def _report_malformed(error_type):
+    """Raise a store error in place of the errors of decoding a malformed response.
+
+    Parameters
+    ----------
+    error_type : type
+        Error to raise.
+    """
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise error_type(f"the store's response is malformed: {error!r}") from error
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -27,6 +27,9 @@
 SETTINGS_CHECK_PERIOD_S = 2.0
 """Period at which the settings file is checked for changes."""
 
+TASK_RESTART_DELAY_S = 0.5
+"""Delay before a background task that raised an unexpected error runs again."""
+
 
 def build_server_options(stop_grace_s):
     """Return the options of the HTTP server for callers."""
@@ -84,10 +87,10 @@
             self._scope = nursery.cancel_scope
             nursery.start_soon(self._handle_signals)
             nursery.start_soon(timers.run)
-            nursery.start_soon(gateway.reactor.run)
+            nursery.start_soon(run_supervised, gateway.reactor.run)
             nursery.start_soon(gateway.shard_server.run)
             for task in self._tasks:
-                nursery.start_soon(task.run)
+                nursery.start_soon(run_supervised, task.run)
             # Bound before the probe's listener: a VM must not report ready while
             # callers are refused. Until they are served, they wait in the backlog.
             listeners = await bind_listeners(settings.caller_address)
@@ -102,6 +105,8 @@
             gc.collect()
             gc.freeze()
             await serve_http(gateway.handle, listeners, self._options, self._shutdown)
+            # Other VMs still wait for the subsearches that this VM has acknowledged.
+            await gateway.shard_server.wait_until_idle()
             nursery.cancel_scope.cancel()
         logger.info("stopped")
 
@@ -142,3 +147,22 @@
 
     def _check_settings(self, _now):
         self._reload_settings()
+
+
+async def run_supervised(run):
+    """Run a background task, and again after an unexpected error.
+
+    One malformed message or an error in the code must not end the process, which has
+    requests of other callers in flight.
+
+    Parameters
+    ----------
+    run : callable
+        Async; returns or runs until cancelled.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception:
+            logger.exception("a background task failed; it is started again")
+            await trio.sleep(TASK_RESTART_DELAY_S)
--- a/tarragonchute/shardserver.py
+++ b/tarragonchute/shardserver.py
@@ -56,6 +56,7 @@
         self._running = {}
         self._nursery = None
         self._is_accepting = False
+        self._ended = trio.Event()
 
     async def run(self):
         """Run the tasks of the subsearches until cancelled."""
@@ -63,6 +64,11 @@
             self._nursery = nursery
             await trio.sleep_forever()
 
+    async def wait_until_idle(self):
+        """Wait until no subsearch is in progress."""
+        while self._running:
+            await self._ended.wait()
+
     def start_accepting(self, now):
         """Accept subsearches: answer each `Hello`, also those that arrived earlier.
 
@@ -151,6 +157,11 @@
         except TarragonchuteError as error:
             outcome = str(error)
             report(SubsearchAnswer(subsearch.number, True, False, [], b"", [outcome]))
+        except Exception as error:
+            # An error in one subsearch must not end the process.
+            logger.exception("unexpected error in a subsearch")
+            outcome = repr(error)
+            report(SubsearchAnswer(subsearch.number, True, True, [], b"", [outcome]))
         finally:
             self._remove_running(channel, subsearch.number)
             self._record_end(query)
@@ -161,6 +172,8 @@
         del running_on_channel[number]
         if not running_on_channel:
             del self._running[channel]
+        self._ended.set()
+        self._ended = trio.Event()
 
     def _log_end(self, query, subsearch, outcome, started_at):
         elapsed_s = trio.current_time() - started_at
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -265,12 +265,19 @@
                 self._entries.pop(entry.key, None)
             else:
                 self._entries[entry.key] = entry
-            self._handler.apply_change(entry.key, entry.value)
+            self._apply_change(entry)
             self._append_history(entry)
         self.revision = self._last_applied_revision = revision
         if entries:
             self._notify_followers()
 
+    def _apply_change(self, entry):
+        try:
+            self._handler.apply_change(entry.key, entry.value)
+        except Exception:
+            # One entry that cannot be applied must not stop all later changes.
+            logger.exception("cannot apply a change", extra={"key": entry.key})
+
     def _append_history(self, entry):
         if len(self._history) == MAX_HISTORY_ENTRIES:
             self._history_start = self._history[0].revision
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -188,6 +188,7 @@
     def decode(cls, fields):
         """Return the message that the fields after the kind describe."""
         *values, method, request_id, head, body = fields
+        _check_types(values, _SUBSEARCH_TYPES)
         outgoing = OutgoingRequest(
             method.encode("latin-1"),
             request_id.encode("latin-1"),
@@ -259,6 +260,7 @@
     @classmethod
     def decode(cls, fields):
         """Return the message that the fields after the kind describe."""
+        _check_types(fields, _ANSWER_TYPES)
         number, is_final, has_run, digests, records, missing, unasked = fields
         return cls(
             number,
@@ -271,12 +273,45 @@
         )
 
 
+_NUMBER = (int, float)
+_SUBSEARCH_TYPES = (
+    int,
+    str,
+    _NUMBER,
+    _NUMBER,
+    _NUMBER,
+    _NUMBER,
+    int,
+    int,
+    bool,
+    list,
+)
+_ANSWER_TYPES = (int, bool, bool, list, str, list, list)
+
+
+def _check_types(values, types):
+    """Raise TypeError unless each value has the type at the same position."""
+    for value, expected_type in zip(values, types, strict=True):
+        if not isinstance(value, expected_type):
+            raise TypeError(f"{value!r} is not {expected_type}")
+        if expected_type is list and not all(isinstance(item, str) for item in value):
+            raise TypeError(f"{value!r} is not a list of strings")
+
+
+def _decode_number(message_type):
+    def decode(fields):
+        _check_types(fields, (int,))
+        return message_type(*fields)
+
+    return decode
+
+
 _DECODERS = {
     Hello.kind: lambda fields: Hello(*fields),
     GoAway.kind: lambda fields: GoAway(*fields),
-    Acknowledgement.kind: lambda fields: Acknowledgement(*fields),
-    RetryPermission.kind: lambda fields: RetryPermission(*fields),
-    Cancellation.kind: lambda fields: Cancellation(*fields),
+    Acknowledgement.kind: _decode_number(Acknowledgement),
+    RetryPermission.kind: _decode_number(RetryPermission),
+    Cancellation.kind: _decode_number(Cancellation),
     Subsearch.kind: Subsearch.decode,
     SubsearchAnswer.kind: SubsearchAnswer.decode,
 }
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -164,6 +164,24 @@
             self.assertEqual([vms.harness.started[0]], pool.abandoned)
             self.assertEqual([], delegated.answers)
 
+    @run_async
+    async def test_stop_waits_for_the_subsearches_in_progress(self):
+        """Guards against a planned stop that ends subsearches of other VMs.
+
+        Their callers wait for shards that this VM has acknowledged.
+        """
+        async with open_vms() as vms:
+            await vms.connect()
+            delegated = vms.delegate_two_shards()
+            await wait_for(lambda: delegated.is_acknowledged)
+            vms.server.start_draining(trio.current_time())
+            with trio.move_on_after(0.05) as scope:
+                await vms.server.wait_until_idle()
+            self.assertTrue(scope.cancelled_caught)
+            vms.delegate.cancel(delegated.number, trio.current_time())
+            with trio.fail_after(1):
+                await vms.server.wait_until_idle()
+
     @run_async
     async def test_lost_channel_ends_the_subsearch_on_both_sides(self):
         """Guards against running a subsearch of, or waiting for, a VM that is gone."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,6 +56,27 @@
 class RelayTests(testtools.TestCase):
     """Requests to one relay."""
 
+    @run_async
+    async def test_malformed_answer_makes_the_relay_unavailable(self):
+        """Guards against a malformed answer that ends the follower's process."""
+        for body in (
+            {"rows": [[1, "v", 2]], "revision": 3, "all": False},
+            {"rows": [["k", 7, 2]], "revision": 3, "all": False},
+            {"rows": [["k"]], "revision": 3, "all": False},
+            {"rows": [], "revision": "3", "all": False},
+            [],
+        ):
+
+            async def handle(_request, body=body):
+                return httpio.HttpResponse.from_json(body)
+
+            async with start_server(handle) as address:
+                try:
+                    await Relay(address).watch(1)
+                except RelayUnavailableError:
+                    continue
+                self.fail(f"{body} was accepted")
+
     @run_async
     async def test_changes_come_through(self):
         """Guards against a follower that misses a change of the configuration."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,9 +22,16 @@
     LeaseNotFoundError,
     PortInUseError,
     StoreConflictError,
+    StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from tarragonchute.httpio import HttpConnection, bind_listeners, get_address, serve_http
+from tarragonchute.httpio import (
+    HttpConnection,
+    HttpResponse,
+    bind_listeners,
+    get_address,
+    serve_http,
+)
 from tarragonchute.platform import decoding, settings
 from tarragonchute.platform.store import PlatformStore
 from tarragonchute.process import METRICS_PORT
@@ -73,6 +80,8 @@
             {**REGISTRATION, "capacity": "2"},
             {**REGISTRATION, "address": "nowhere"},
             {**REGISTRATION, "address": 7},
+            {**REGISTRATION, "address": "target.example:80"},
+            {**REGISTRATION, "address": "x" * 70 + ".example:80"},
             {**REGISTRATION, "service": None},
             {**REGISTRATION, "born": 1.5},
             {**REGISTRATION, "warmup-left-ms": True},
@@ -86,6 +95,12 @@
             self.assertIsNone(decoding.decode_registration("i-1", text), body)
         self.assertIsNone(decoding.decode_registration("i-1", ""))
 
+    def test_malformed_target_id_is_rejected(self):
+        """Guards against an id that adds headers to the requests to a target."""
+        text = orjson.dumps(REGISTRATION).decode()
+        for target_id in ("i\r\nX-Added: 1", "i 1", "\xe4", "i" * 300):
+            self.assertIsNone(decoding.decode_registration(target_id, text), target_id)
+
     def test_configuration(self):
         """Guards against a route without its kind, shards or limits."""
         table = decoding.decode_configuration(build_configuration(7, ["a", "b"], "c"))
@@ -122,6 +137,14 @@
         self.assertIn("settings: zone", places)
         self.assertIn("settings: platform.address", places)
 
+    def test_malformed_file_is_a_finding(self):
+        """Guards against a changed settings file that ends the process."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.toml"
+            for content in (b"\xff", b"limits = 3\n", b"[platform"):
+                path.write_bytes(content)
+                self.assertRaises(FindingsError, settings.load_settings, str(path))
+
     def test_missing_file_is_a_finding(self):
         """Guards against an unreadable file that raises no FindingsError."""
         self.assertRaises(FindingsError, settings.load_settings, "/nonexistent")
@@ -226,6 +249,56 @@
         self.fail("the probe did not raise StoreUnavailableError")
 
 
+class MalformedResponseTests(testtools.TestCase):
+    """Responses of the store that are JSON but not what the protocol promises.
+
+    Reported by operators of similar systems: one malformed message took a whole process
+    down.
+    """
+
+    @run_async
+    async def test_reads_raise_a_store_error(self):
+        """Guards against an exception that nothing handles."""
+        for body in (
+            {},
+            {"items": 5, "events": 5, "truncated": False, "store-revision": 1},
+            {"items": [7], "events": [7], "truncated": False, "store-revision": 1},
+            {"items": [{}], "events": [{}], "truncated": True, "store-revision": 1},
+            {"items": [], "events": [], "truncated": False, "store-revision": "x"},
+        ):
+
+            async def handle(_request, body=body):
+                return HttpResponse.from_json(body)
+
+            async with start_server(handle) as address:
+                store = PlatformStore(address)
+                await self.check_error(StoreUnavailableError, store.list, "")
+                await self.check_error(StoreUnavailableError, store.watch, "", 1, 0.1)
+                if body.get("store-revision") != 1:
+                    await self.check_error(StoreUnavailableError, store.probe)
+                store.close()
+
+    @run_async
+    async def test_writes_have_an_unknown_outcome(self):
+        """Guards against treating a malformed answer as a confirmation or a refusal."""
+        for status, body in ((200, {}), (200, {"revision": "x"}), (412, {"items": 5})):
+
+            async def handle(_request, status=status, body=body):
+                return HttpResponse.from_json(body, status)
+
+            async with start_server(handle) as address:
+                store = PlatformStore(address)
+                await self.check_error(StoreOutcomeUnknownError, store.put, "k", "v", 0)
+                store.close()
+
+    async def check_error(self, error_type, call, *arguments):
+        try:
+            await call(*arguments)
+        except error_type:
+            return
+        self.fail(f"{call} did not raise {error_type}")
+
+
 class Deployment:
     """A stand-in store and targets in this process, and one gateway process."""
 
@@ -235,7 +308,7 @@
         self.server = PlatformStoreServer()
         self.targets = []
         self.process = None
-        self.callers = self.ready = ""
+        self.callers = self.ready = self.server_address = ""
 
     async def start(self, services):
         """Start all parts and return once the gateway is ready."""
@@ -247,7 +320,8 @@
         shards = [name for name in services if name != "desk"]
         configuration = build_configuration(1, shards, "desk")
         await self.server.store.put("op/config", configuration, 0)
-        await self.start_gateway(get_address(listeners))
+        self.server_address = get_address(listeners)
+        await self.start_gateway(self.server_address)
         await self.wait_until_ready()
 
     async def add_target(self, service, domain):
@@ -434,3 +508,28 @@
                 deployment.process.kill()
                 await deployment.process.wait()
                 nursery.cancel_scope.cancel()
+
+    @run_async
+    async def test_hangup_during_the_start_does_not_end_the_process(self):
+        """Guards against SIGHUP that arrives before its handler is installed.
+
+        The imports of the gateway take longer than its entry point; the signal is sent
+        while they run.
+        """
+        async with open_deployment() as deployment:
+            store_address = deployment.server_address
+            for delay_s in (0.0, 0.03, 0.06, 0.1):
+                deployment.process.kill()
+                await deployment.process.wait()
+                await deployment.start_gateway(store_address)
+                await self.wait_for_imports(deployment.process.pid)
+                await trio.sleep(delay_s)
+                deployment.process.send_signal(signal.SIGHUP)
+                await deployment.wait_until_ready()
+                self.assertIsNone(deployment.process.returncode)
+
+    async def wait_for_imports(self, pid):
+        """Wait until the process has loaded a library that the gateway imports."""
+        with trio.fail_after(START_TIMEOUT_S):
+            while b"orjson" not in await trio.Path(f"/proc/{pid}/maps").read_bytes():
+                await trio.sleep(0.001)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,10 +1,15 @@
 """Tests of the start of a gateway process."""
 
 import testtools
+import trio
 
 from tarragonchute import process
 from tarragonchute.gateway import Gateway
-from tarragonchute.process import GatewayProcess, build_server_options
+from tarragonchute.process import (
+    GatewayProcess,
+    build_server_options,
+    run_supervised,
+)
 
 from .test_gateway import build_settings
 from .test_queries import HEADER_NAMES
@@ -43,3 +48,27 @@
         except* StartAbortedError:
             pass
         self.assertEqual([settings.caller_address], bound)
+
+
+class SupervisionTests(testtools.TestCase):
+    """Background tasks that raise unexpected errors."""
+
+    @run_in_virtual_time
+    async def test_failed_task_runs_again(self):
+        """Guards against one error in a task that ends the whole process."""
+        runs = []
+
+        async def fail_once():
+            runs.append(trio.current_time())
+            if len(runs) == 1:
+                raise KeyError("injected")
+
+        await run_supervised(fail_once)
+        self.assertEqual(2, len(runs))
+
+    @run_in_virtual_time
+    async def test_cancelled_task_ends(self):
+        """Guards against a task that cannot be stopped."""
+        with trio.move_on_after(1) as scope:
+            await run_supervised(trio.sleep_forever)
+        self.assertTrue(scope.cancelled_caught)
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -397,3 +397,29 @@
             await trio.sleep(3.0)
             self.assertTrue(watcher.is_connected)
             nursery.cancel_scope.cancel()
+
+
+class UnexpectedErrorTests(testtools.TestCase):
+    """Changes that the handler cannot apply."""
+
+    @run_in_virtual_time
+    async def test_later_changes_are_applied(self):
+        """Guards against one entry that stops a VM from following the store."""
+
+        class FailingHandler(RecordingHandler):
+            def apply_change(self, key, value):
+                if key == "bad":
+                    raise RuntimeError("injected")
+                super().apply_change(key, value)
+
+        store = MemoryStore()
+        handler = FailingHandler()
+        watcher = StoreWatcher(store, handler)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            await trio.sleep(1)
+            await store.put("bad", "1", 0)
+            await store.put("good", "1", 0)
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        self.assertEqual({"good": "1"}, handler.values)
--- a/tests/test_subsearches.py
+++ b/tests/test_subsearches.py
@@ -1,5 +1,6 @@
 """Tests of the messages with which VMs delegate shards of a search."""
 
+import orjson
 import testtools
 
 from tarragonchute import errors, subsearches
@@ -53,5 +54,17 @@
             b'["subsearch", 1, 2]',
             b'["answer", 1, true, true, [1], "", [], []]',
             b'["answer", 1, true, true, ["d"], "*", [], []]',
+            b'["answer", 1, true, true, ["d"], "", [], [5]]',
+            b'["answer", "1", true, true, [], "", [], []]',
+            b'["acknowledgement", [1]]',
+            b'["cancellation", {}]',
         ):
             self.assertRaises(errors.ProtocolError, subsearches.decode_message, payload)
+
+    def test_subsearch_with_a_field_of_another_type_is_a_protocol_error(self):
+        """Guards against a subsearch that raises later, when it is started."""
+        fields = orjson.loads(build_subsearch().encode())
+        for index, value in ((1, "1"), (3, "0.1"), (5, None), (7, 1.5), (10, [1])):
+            malformed = [*fields[:index], value, *fields[index + 1 :]]
+            payload = orjson.dumps(malformed)
+            self.assertRaises(errors.ProtocolError, subsearches.decode_message, payload)
