Let time limits run out while a VM is suspended or paused

Cause: reports of other operators: a paused process acted on a permission that had run out. The steady clock stops while a VM is suspended, so time limits, suspicions and intervals moved by that time. A subsearch that waited in the socket of a paused VM was started with all its time. A hedge that came due during a pause was sent before the deadline was checked. Change: the gateway runs on the clock that counts suspensions; the timer service reports a pause, and a subsearch read after one has that much less time, or is not run; a request at its deadline sends nothing.

--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..clocks import BootTimeClock
 from ..errors import FindingsError
 from ..fleet import VmRegistration, decode_vm_key
 from ..gateway import Gateway
@@ -158,7 +159,7 @@
         return 2
     stream = NonBlockingStream(1)
     configure_logging("json", "info", settings.vm_id, stream)
-    trio.run(_run, settings, file, stream)
+    trio.run(_run, settings, file, stream, clock=BootTimeClock())
     return 0
 
 
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -81,6 +81,7 @@
         settings = gateway.settings
         logger.info("started", extra={"domain": settings.domain})
         timers = TimerService(trio.current_time())
+        gateway.shard_server.get_pause_s = timers.get_pause_s
         timers.subscribe("sweep", SWEEP_PERIOD_S, gateway.sweep)
         timers.subscribe("settings", SETTINGS_CHECK_PERIOD_S, self._check_settings)
         async with trio.open_nursery() as nursery:
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -235,10 +235,12 @@
         """Send the hedges that are due, and finish the request at its deadline."""
         if self.is_finished:
             return
-        for subrequest in self.subrequests:
-            subrequest.hedge(now)
         if now >= self.deadline:
+            # Checked first: after a pause of this process, hedges are due as well.
             self._finish()
+            return
+        for subrequest in self.subrequests:
+            subrequest.hedge(now)
 
     def close(self, now):
         """Cancel all attempts that are still in flight."""
--- a/tarragonchute/shardserver.py
+++ b/tarragonchute/shardserver.py
@@ -43,6 +43,12 @@
         Called with the name and the goal of a route; returns its `replicas.ReplyTimes`.
     record_end : callable
         Called with each `fanout.DelegatedQuery` that has ended.
+
+    Attributes
+    ----------
+    get_pause_s : callable
+        Called with the time; returns for how long this process was just paused, in
+        seconds.
     """
 
     def __init__(self, vm_id, context, find_reply_times, record_end):
@@ -50,6 +56,7 @@
         self._context = context
         self._find_reply_times = find_reply_times
         self._record_end = record_end
+        self.get_pause_s = lambda now: 0.0
         # Channels whose `Hello` was answered, and those on which it is to be answered.
         self._answered_channels = set()
         self._waiting_channels = set()
@@ -140,6 +147,14 @@
         def report(answer):
             channel.send(answer.encode(), trio.current_time())
 
+        # The message may have waited while this process was paused; its times count
+        # from when it was sent.
+        subsearch.age(self.get_pause_s(now))
+        if subsearch.limit_left_s <= 0:
+            logger.info("dropped a subsearch whose time limit passed during a pause")
+            reason = "the time limit had passed"
+            report(SubsearchAnswer(subsearch.number, True, False, [], b"", [reason]))
+            return
         channel.send(Acknowledgement(subsearch.number).encode(), now)
         times = self._find_reply_times(subsearch.route_name, subsearch.goal_s)
         query = DelegatedQuery(subsearch, self._context, times, report, now)
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -170,6 +170,8 @@
         self.hedge_at = None
         if not self._query.route.is_idempotent or len(self._in_flight) != 1:
             return
+        if not self._query.has_time_for_retry(now):
+            return
         if self.possible_runs >= self._get_allowed_attempts():
             return
         target = self._choose_target(now)
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -184,6 +184,12 @@
             ]
         )
 
+    def age(self, elapsed_s):
+        """Subtract the time for which the message has waited from the times left."""
+        self.goal_left_s -= elapsed_s
+        self.limit_left_s -= elapsed_s
+        self.target_limit_left_s -= elapsed_s
+
     @classmethod
     def decode(cls, fields):
         """Return the message that the fields after the kind describe."""
--- a/tarragonchute/timers.py
+++ b/tarragonchute/timers.py
@@ -10,6 +10,10 @@
 logger = logging.getLogger(__name__)
 
 
+MIN_PAUSE_S = 0.4
+"""Time without a call of the timers after which the process counts as paused."""
+
+
 class Subscription:
     """A callback that is called periodically.
 
@@ -50,6 +54,8 @@
 
     def __init__(self, now=0.0):
         self._now = now
+        self._advanced_at = now
+        self._previously_advanced_at = now
         self._queue = []
         self._sequence = itertools.count()
 
@@ -115,6 +121,8 @@
             Time in seconds at which the next subscriber is due, or infinity.
         """
         self._now = max(self._now, now)
+        self._previously_advanced_at = self._advanced_at
+        self._advanced_at = self._now
         while self._queue and self._queue[0][0] <= self._now:
             subscription = heapq.heappop(self._queue)[2]
             if not subscription.is_active:
@@ -124,6 +132,17 @@
             self._call(subscription)
         return self._queue[0][0] if self._queue else math.inf
 
+    def get_pause_s(self, now):
+        """Return for how long this process has just been paused, in seconds.
+
+        Data that is read now may have waited for that long. The result is 0 unless the
+        timers were late by more than `MIN_PAUSE_S`.
+        """
+        # The timers may have been called first after the pause, so the time before
+        # their latest call counts as well.
+        pause_s = now - self._previously_advanced_at
+        return pause_s if pause_s > MIN_PAUSE_S else 0.0
+
     async def run(self):
         """Call subscribers on trio's clock until cancelled."""
         while True:
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -182,6 +182,33 @@
             with trio.fail_after(1):
                 await vms.server.wait_until_idle()
 
+    @run_async
+    async def test_subsearch_that_expired_during_a_pause_is_not_run(self):
+        """Guards against acting on a time limit that ran out during a pause.
+
+        The message waited in the socket of a VM that was paused for three seconds.
+        """
+        async with open_vms() as vms:
+            await vms.connect()
+            vms.server.get_pause_s = lambda now: 3.0
+            delegated = vms.delegate_two_shards()
+            await wait_for(lambda: delegated.answers)
+            self.assertFalse(delegated.is_acknowledged)
+            self.assertFalse(delegated.answers[0].has_run)
+            self.assertEqual([], vms.harness.started)
+
+    @run_async
+    async def test_subsearch_that_waited_has_less_time_left(self):
+        """Guards against giving targets more time than the caller has."""
+        async with open_vms() as vms:
+            await vms.connect()
+            vms.server.get_pause_s = lambda now: 0.2
+            vms.delegate_two_shards()
+            await wait_for(lambda: vms.harness.started)
+            request = vms.harness.started[0].request
+            time_limit_ms = int(request.partition(b"Time-Limit: ")[2].split(b"\r\n")[0])
+            self.assertLess(time_limit_ms, 200)
+
     @run_async
     async def test_lost_channel_ends_the_subsearch_on_both_sides(self):
         """Guards against running a subsearch of, or waiting for, a VM that is gone."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -138,26 +138,30 @@
         self.run_scenario(self._trace_search, log_level="debug")
 
     async def _trace_search(self, deployment, balancer):
-        status, answer = await self.search(balancer, "vm-2")
-        self.assertEqual(200, status)
-        coverage = {"answered": 6, "total": 6, "missing": []}
-        self.assertEqual(coverage, answer["coverage"])
-        self.assertEqual("1", answer["snapshot"])
-        found = [
-            vm_id
-            for vm_id in deployment.vm_ids
-            if answer["request_id"] in deployment.processes[vm_id].read_log()
-        ]
-        self.assertIn("vm-2", found)
-        self.assertGreaterEqual(len(found), 2)
-        explained = await trio.to_thread.run_sync(
-            commands.explain_request,
-            deployment.admins["vm-3"],
-            TOKEN,
-            answer["request_id"],
-        )
-        traced = [trace.vm_id for trace in explained if trace.trace]
-        self.assertGreaterEqual(len(traced), 2)
+        # A VM that holds a target of each shard needs no other VM. Six shards have
+        # twelve targets, so not all three VMs hold one of each: at least one search
+        # involves two VMs.
+        traced_by_search = []
+        for asked in deployment.vm_ids:
+            status, answer = await self.search(balancer, asked)
+            self.assertEqual(200, status)
+            coverage = {"answered": 6, "total": 6, "missing": []}
+            self.assertEqual(coverage, answer["coverage"])
+            self.assertEqual("1", answer["snapshot"])
+            request_id = answer["request_id"]
+            found = [
+                vm_id
+                for vm_id in deployment.vm_ids
+                if request_id in deployment.processes[vm_id].read_log()
+            ]
+            self.assertIn(asked, found)
+            explained = await trio.to_thread.run_sync(
+                commands.explain_request, deployment.admins["vm-3"], TOKEN, request_id
+            )
+            traced = [trace.vm_id for trace in explained if trace.trace]
+            self.assertEqual(found, sorted(traced))
+            traced_by_search.append(traced)
+        self.assertGreaterEqual(max(len(traced) for traced in traced_by_search), 2)
 
     def test_metrics_are_recorded(self):
         """Guards against metrics that no component records."""
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -478,3 +478,27 @@
         self.assertAlmostEqual(
             0.010, without_lag.goal_at - with_lag.goal_at, delta=0.001
         )
+
+
+class PauseTests(testtools.TestCase):
+    """A VM that was paused for longer than the time limit of its requests.
+
+    Reported by operators of similar systems: a process that had been paused acted on a
+    permission that had run out meanwhile.
+    """
+
+    def test_no_attempt_is_sent_after_the_deadline(self):
+        """Guards against a hedge that was due during the pause."""
+        for build in (build_single, lambda h: build_search(h, ("s",))):
+            harness = QueryHarness(["s"])
+            query = build(harness)
+            query.advance(5.0)
+            self.assertEqual(1, len(harness.started))
+            self.assertTrue(query.is_finished)
+
+    def test_late_failure_is_not_retried(self):
+        """Guards against a retry whose time limit ran out during the pause."""
+        harness = QueryHarness(["s"])
+        build_single(harness)
+        harness.fail(harness.started[0], 5.0)
+        self.assertEqual(1, len(harness.started))
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -35,3 +35,29 @@
         subscription.cancel()
         service.advance(5.0)
         self.assertEqual([], calls)
+
+
+class PauseTests(testtools.TestCase):
+    """Detection of a pause of the process."""
+
+    def build(self):
+        timers = TimerService(0.0)
+        for number in range(1, 21):
+            timers.advance(number * 0.05)
+        return timers
+
+    def test_running_process_is_not_paused(self):
+        """Guards against treating every message as old."""
+        self.assertEqual(0.0, self.build().get_pause_s(1.05))
+
+    def test_pause_is_seen_before_and_after_the_timers_are_called(self):
+        """Guards against reading old data as new after a pause.
+
+        Either the sockets or the timers may be handled first.
+        """
+        timers = self.build()
+        self.assertGreaterEqual(timers.get_pause_s(4.0), 3.0)
+        timers.advance(4.0)
+        self.assertGreaterEqual(timers.get_pause_s(4.01), 3.0)
+        timers.advance(4.05)
+        self.assertEqual(0.0, timers.get_pause_s(4.06))
