--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -3,11 +3,13 @@
 A VM that watches the store serves its changes to others, as their relay. It answers
 each request within `MAX_POLL_HOLD_S`, even without changes, and with an error at once
 if it cannot reach the store. A follower thus detects within about a second that its
-relay has stopped, or cannot reach the store. A VM that starts during a store outage
-loads the newest snapshot of another VM.
+relay has stopped, or cannot reach the store. A VM that starts loads the snapshot of
+another VM, because listing the store takes many billed calls; if the store is
+unreachable, it loads the newest snapshot that any VM has.
 """
 
 import logging
+import zlib
 
 import orjson
 import trio
@@ -39,6 +41,28 @@
 relays its changes. The answers of one relay then stay below the 5 KB/s that a VM may
 use for control traffic."""
 
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+"""Largest snapshot that is decompressed."""
+
+START_TIMEOUT_S = 1.0
+"""Longest time for which a starting VM waits for another one to have a snapshot. When
+all VMs start at once, the seeds take this long to list the store."""
+
+START_UNREACHABLE_TIMEOUT_S = 0.5
+"""The same if no seed accepts connections; VMs that start together do so within less
+than that."""
+
+START_RETRY_DELAY_S = 0.1
+"""Delay between two rounds of requests to the seeds."""
+
+START_STAGGER_S = 0.15
+"""Delay after which the next seed is asked, too."""
+
+COMPRESSION_LEVEL = 1
+COMPRESSION = "deflate"
+"""Content coding of snapshots. They consist of similar registrations, so that even the
+fastest level reduces them to about a fifth."""
+
 RELAY_EXCLUSION_S = 10.0
 """Time for which a relay is not chosen after a failure."""
 
@@ -61,25 +85,43 @@
     watcher : storewatcher.StoreWatcher
     """
 
-    __slots__ = ("_watcher",)
+    __slots__ = ("_watcher", "_compressed", "_compressed_key")
 
     def __init__(self, watcher):
         self._watcher = watcher
+        # Compressed snapshot, and the state for which it was built: all VMs of the
+        # fleet may ask for it at the same time.
+        self._compressed = None
+        self._compressed_key = None
 
     async def handle(self, request):
         """Return the response to one `HttpRequest`."""
         if request.path == SNAPSHOT_PATH:
-            return self._answer_snapshot()
+            return self._answer_snapshot(request)
         if request.path == CHANGES_PATH:
             return await self._answer_changes(request)
         return HttpResponse(404)
 
-    def _answer_snapshot(self):
+    def _answer_snapshot(self, request):
         watcher = self._watcher
         if watcher.revision is None:
             return HttpResponse(503)
-        rows = [_encode_entry(entry) for entry in watcher.list_entries()]
-        return HttpResponse.from_json({"revision": watcher.revision, "rows": rows})
+        if COMPRESSION not in request.headers.get("accept-encoding", ""):
+            return HttpResponse.from_json(self._build_snapshot())
+        key = (watcher.revision, watcher.is_connected)
+        if key != self._compressed_key:
+            data = orjson.dumps(self._build_snapshot())
+            self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
+            self._compressed_key = key
+        return HttpResponse(200, self._compressed, {"Content-Encoding": COMPRESSION})
+
+    def _build_snapshot(self):
+        watcher = self._watcher
+        return {
+            "revision": watcher.revision,
+            "rows": [_encode_entry(entry) for entry in watcher.list_entries()],
+            "current": watcher.is_connected,
+        }
 
     async def _answer_changes(self, request):
         text = request.query.get("after", "")
@@ -112,6 +154,25 @@
         )
 
 
+class PeerSnapshot:
+    """The store's content as another VM knows it.
+
+    Parameters
+    ----------
+    entries : list of store.Entry
+    revision : int
+    is_current : bool
+        Whether that VM reaches the store, or a relay that does.
+    """
+
+    __slots__ = ("entries", "revision", "is_current")
+
+    def __init__(self, entries, revision, is_current):
+        self.entries = entries
+        self.revision = revision
+        self.is_current = is_current
+
+
 class PeerSnapshots:
     """Fetches a snapshot of the store from other VMs.
 
@@ -122,43 +183,113 @@
     own_address : str
     """
 
-    __slots__ = ("_addresses",)
+    __slots__ = ("_addresses", "_is_seed")
 
     def __init__(self, addresses, own_address):
-        self._addresses = [a for a in addresses if a != own_address]
+        self._is_seed = own_address in addresses
+        # The order differs from VM to VM, so that the seeds share the requests.
+        self._addresses = sorted(
+            (address for address in addresses if address != own_address),
+            key=lambda address: hash_to_fraction(address + own_address),
+        )
+
+    async def fetch_at_start(self):
+        """Return a current `PeerSnapshot`, or None to list the store.
+
+        The seeds list the store themselves; the other VMs wait for one of them, up to
+        `START_TIMEOUT_S`.
+        """
+        if self._is_seed or not self._addresses:
+            return None
+        started_at = trio.current_time()
+        limit_s = START_UNREACHABLE_TIMEOUT_S
+        while True:
+            snapshot, has_answer = await self._fetch_first_current()
+            if snapshot is not None:
+                return snapshot
+            if has_answer:
+                # A seed runs and may have a snapshot soon.
+                limit_s = START_TIMEOUT_S
+            if trio.current_time() - started_at + START_RETRY_DELAY_S > limit_s:
+                logger.info("no other VM has a current snapshot; listing the store")
+                return None
+            await trio.sleep(START_RETRY_DELAY_S)
+
+    async def _fetch_first_current(self):
+        """Ask the seeds, one after the other until one has a current snapshot.
+
+        The next one is asked after `START_STAGGER_S` even if the one before has not
+        answered.
+
+        Returns
+        -------
+        tuple of (PeerSnapshot or None, bool)
+            The snapshot, and whether any seed answered.
+        """
+        found = None
+        has_answer = False
+
+        async def ask(address, delay_s):
+            nonlocal found, has_answer
+            await trio.sleep(delay_s)
+            try:
+                snapshot = await self._fetch_from(address)
+            except _PEER_ERRORS as error:
+                logger.debug("no snapshot from %s: %r", address, error)
+                return
+            has_answer = True
+            if snapshot is not None and snapshot.is_current and found is None:
+                found = snapshot
+                _log_start(address, snapshot)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for index, address in enumerate(self._addresses):
+                nursery.start_soon(ask, address, index * START_STAGGER_S)
+        return found, has_answer
 
     async def fetch(self):
-        """Return the entries of the VM with the newest revision.
+        """Return the `PeerSnapshot` with the newest revision, current or not.
 
         Raises
         ------
         StoreUnavailableError
             If no VM returned a snapshot.
         """
-        answers = []
+        snapshots = []
+
+        async def fetch_from(address):
+            try:
+                snapshot = await self._fetch_from(address)
+            except _PEER_ERRORS as error:
+                logger.info("no snapshot from %s: %r", address, error)
+                return
+            if snapshot is not None:
+                snapshots.append((snapshot.revision, address, snapshot))
+
         async with trio.open_nursery() as nursery:
             for address in self._addresses:
-                nursery.start_soon(self._fetch_from, address, answers)
-        if not answers:
+                nursery.start_soon(fetch_from, address)
+        if not snapshots:
             raise StoreUnavailableError("no other VM has a snapshot")
-        _, address, entries = max(answers, key=lambda answer: answer[0])
-        logger.info("starting with the snapshot of another VM", extra={"peer": address})
-        return entries
+        _, address, snapshot = max(snapshots, key=lambda item: item[:2])
+        _log_start(address, snapshot)
+        return snapshot
 
-    async def _fetch_from(self, address, answers):
+    async def _fetch_from(self, address):
+        """Return the `PeerSnapshot` of one VM, or None if it has none yet."""
         connection = None
         try:
             with trio.fail_after(PEER_TIMEOUT_S):
                 connection = await HttpConnection.open(address, PEER_TIMEOUT_S)
-                response = await connection.exchange("GET", SNAPSHOT_PATH)
-            if response.status == 200:
-                entries, revision, _ = _decode_answer(response)
-                answers.append((revision, address, entries))
-        except _PEER_ERRORS as error:
-            logger.info("no snapshot from %s: %r", address, error)
+                headers = [("Accept-Encoding", COMPRESSION)]
+                response = await connection.exchange("GET", SNAPSHOT_PATH, headers)
         finally:
             if connection is not None:
                 connection.close()
+        if response.status != 200:
+            return None
+        return _decode_snapshot(response)
 
 
 class Relay:
@@ -342,6 +473,34 @@
     return [entry.key, entry.value, entry.revision]
 
 
+def _log_start(address, snapshot):
+    logger.info(
+        "starting with the snapshot of another VM",
+        extra={"peer": address, "revision": snapshot.revision},
+    )
+
+
+def _decode_snapshot(response):
+    data = response.body
+    if response.headers.get("content-encoding") == COMPRESSION:
+        data = _decompress(data)
+    body = orjson.loads(data)
+    entries, revision = _decode_rows(body)
+    return PeerSnapshot(entries, revision, body.get("current") is True)
+
+
+def _decompress(data):
+    """Return the decompressed data; raises ValueError if it is too large or invalid."""
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(data, MAX_SNAPSHOT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"invalid compressed data: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(f"the snapshot exceeds {MAX_SNAPSHOT_BYTES} bytes or is cut")
+    return plain
+
+
 def _decode_entry(row):
     key, value, revision = row
     if not isinstance(key, str) or not isinstance(revision, int):
@@ -354,8 +513,12 @@
 def _decode_answer(response):
     """Return the entries, the revision, and whether they are a full snapshot."""
     body = orjson.loads(response.body)
+    return *_decode_rows(body), bool(body["all"])
+
+
+def _decode_rows(body):
+    """Return the entries and the revision of an answer."""
     revision = body["revision"]
     if not isinstance(revision, int):
         raise TypeError(f"the revision {revision!r} is not an integer")
-    entries = [_decode_entry(row) for row in body["rows"]]
-    return entries, revision, bool(body.get("all", True))
+    return [_decode_entry(row) for row in body["rows"]], revision
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -93,7 +93,7 @@
     relays : peers.RelayChooser or None
         Chooses the relay to follow, if any.
     peers : peers.PeerSnapshots or None
-        Source of the first snapshot if the store is unreachable at startup.
+        Source of the first snapshot.
     clock : callable or None
         Returns monotonic seconds; `trio.current_time` by default.
     random_source : random.Random or None
@@ -145,7 +145,7 @@
         while True:
             try:
                 if self.revision is None:
-                    await self._load_listing()
+                    await self._load_first_content()
                 await self._watch_once()
             except HistoryLostError as error:
                 logger.info("listing the store again: %s", error)
@@ -189,17 +189,31 @@
         if not may_retry:
             self.revision = None
 
+    async def _load_first_content(self):
+        """Load a current snapshot of another VM at the start, or list the store.
+
+        The snapshot has a revision, so the watch that follows delivers all later
+        changes, as after a listing.
+        """
+        snapshot = None
+        if not self.is_loaded and self._peers is not None:
+            snapshot = await self._peers.fetch_at_start()
+        if snapshot is None:
+            await self._load_listing()
+        else:
+            self._apply_snapshot(snapshot.entries, snapshot.revision, False)
+
     async def _load_from_peers(self):
         if self.is_loaded or self._peers is None:
             return
         try:
-            entries = await self._peers.fetch()
+            snapshot = await self._peers.fetch()
         except TarragonchuteError as error:
             logger.info("no initial snapshot from other VMs: %s", error)
             return
         # The snapshot of a peer may be outdated. With the revision None, the store is
         # listed before a watch starts.
-        self._apply_snapshot(entries, None, is_after_outage=True)
+        self._apply_snapshot(snapshot.entries, None, is_after_outage=True)
 
     async def _load_listing(self):
         entries, revision = await self._store.list(ALL_KEYS)
@@ -224,6 +238,11 @@
             await self._watch_relay(relay)
             return
         self.is_watching_store = True
+        if self._last_success_at is None:
+            # The content came from another VM. A first call shows whether this VM
+            # reaches the store; a watch may wait long for its first change.
+            await self._probe()
+            self._record_success()
         entries, revision = await self._watch_with_probes()
         if revision < self.revision:
             raise HistoryLostError(f"the store's revision decreased to {revision}")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -230,8 +230,58 @@
                 await trio.sleep(0.05)
             dead = await reserve_closed_port()
             snapshots = PeerSnapshots((dead, address), "10.0.0.1:1")
-            entries = await snapshots.fetch()
-            self.assertEqual({"a", "b"}, {entry.key for entry in entries})
+            snapshot = await snapshots.fetch()
+            keys = {entry.key for entry in snapshot.entries}
+            self.assertEqual({"a", "b"}, keys)
+
+    @run_async
+    async def test_start_uses_the_snapshot_of_a_connected_vm(self):
+        """Guards against a VM that lists the store although a seed has its content."""
+        async with open_relay() as (_, watcher, address):
+            dead = await reserve_closed_port()
+            snapshots = PeerSnapshots((dead, address), "10.0.0.1:1")
+            snapshot = await snapshots.fetch_at_start()
+            self.assertEqual(watcher.revision, snapshot.revision)
+            self.assertEqual(["a"], [entry.key for entry in snapshot.entries])
+
+    @run_async
+    async def test_start_does_not_use_a_vm_without_the_store(self):
+        """Guards against a restart that brings back a target that had left.
+
+        The seed is cut off from the store and does not know what has changed.
+        """
+        self.patch(peers, "START_TIMEOUT_S", 0.3)
+        async with open_relay() as (_, watcher, address):
+            watcher.is_connected = False
+            snapshots = PeerSnapshots((address,), "10.0.0.1:1")
+            self.assertIsNone(await snapshots.fetch_at_start())
+
+    @run_async
+    async def test_start_waits_for_a_seed_that_starts_too(self):
+        """Guards against all VMs listing the store after a loss of power."""
+        async with open_relay() as (_, watcher, address):
+            revision, watcher.revision = watcher.revision, None
+            snapshots = PeerSnapshots((address,), "10.0.0.1:1")
+            async with trio.open_nursery() as nursery:
+
+                @nursery.start_soon
+                async def finish_listing():
+                    await trio.sleep(0.3)
+                    watcher.revision = revision
+
+                snapshot = await snapshots.fetch_at_start()
+            self.assertEqual(revision, snapshot.revision)
+
+    @run_async
+    async def test_wait_at_the_start_is_bounded(self):
+        """Guards against a VM that never starts when its seeds are gone or stuck."""
+        dead = await reserve_closed_port()
+        snapshots = PeerSnapshots((dead,), "10.0.0.1:1")
+        with trio.fail_after(peers.START_UNREACHABLE_TIMEOUT_S + 0.5):
+            self.assertIsNone(await snapshots.fetch_at_start())
+        seed = PeerSnapshots((dead, "10.0.0.1:1"), "10.0.0.1:1")
+        with trio.fail_after(0.1):
+            self.assertIsNone(await seed.fetch_at_start())
 
     @run_async
     async def test_bad_requests_are_refused(self):
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -9,6 +9,7 @@
     RelayUnavailableError,
     StoreUnavailableError,
 )
+from tarragonchute.peers import PeerSnapshot
 from tarragonchute.store import Entry, MemoryStore
 from tarragonchute.storewatcher import StoreWatcher
 
@@ -170,10 +171,21 @@
 
 
 class FakePeers:
-    """Other VMs whose snapshot has one entry."""
+    """Other VMs whose snapshot has one entry.
+
+    `revision` is that of a current snapshot, or None if no VM has one.
+    """
+
+    def __init__(self, revision=None):
+        self.revision = revision
+
+    async def fetch_at_start(self):
+        if self.revision is None:
+            return None
+        return PeerSnapshot([Entry("a", "from a peer", 1)], self.revision, True)
 
     async def fetch(self):
-        return [Entry("a", "from a peer", 0)]
+        return PeerSnapshot([Entry("a", "from a peer", 0)], 0, False)
 
 
 class StoreWatcherTests(testtools.TestCase):
@@ -288,6 +300,26 @@
             self.assertEqual({"a": "from the store"}, handler.values)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_start_from_a_current_peer_needs_no_listing(self):
+        """Guards against many VMs that list the store when all start at once.
+
+        Changes after the snapshot's revision must arrive, removals included.
+        """
+        store = HungWatchStore()
+        await store.put("a", "1", 0)
+        await store.put("b", "2", 0)
+        async with trio.open_nursery() as nursery:
+            watcher, handler = await self.start(nursery, store, FakePeers(1))
+            self.assertTrue(watcher.is_connected)
+            await trio.sleep(0.5)
+            self.assertEqual({"a": "from a peer", "b": "2"}, handler.values)
+            await store.delete("a", 1)
+            await trio.sleep(storewatcher.BATCH_PAUSE_MAX_S + 0.1)
+            self.assertEqual({"b": "2"}, handler.values)
+            self.assertEqual(0, store.listings)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_change_during_a_relay_failure_is_not_missed(self):
         """Guards against missing a change made after a relay failed.
