Keep only the assigned shards of a leader connected

Cause: every leader of every failure domain kept all targets of all wide shards connected and opened them again at each idle timeout. Change: a leader keeps the targets of the shards connected that are assigned to it and have a target in its domain. Others are connected when they are used. Tests: one leader of each domain with a target keeps a shard's targets.

--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -448,7 +448,7 @@
             preferred, connection_limit = shares.assign_wide_targets(
                 service, targets, limit
             )
-            is_kept_connected = shares.is_leader
+            is_kept_connected = shares.is_assigned(service, targets)
         else:
             preferred = shares.choose_preferred(service, targets, limit)
             connection_limit = shares.compute_connection_limit(limit, len(targets))
--- a/tarragonchute/leaders.py
+++ b/tarragonchute/leaders.py
@@ -86,13 +86,17 @@
     """
     assigned = {vm.vm_id: [] for vm in vms}
     for service in services:
-        best = max(vms, key=lambda vm: _compute_rendezvous_score(service, vm))
-        assigned[best.vm_id].append(service)
+        assigned[choose_assignee(service, vms).vm_id].append(service)
     return {
         vm_id: vm_services for vm_id, vm_services in assigned.items() if vm_services
     }
 
 
+def choose_assignee(service, vms):
+    """Return the VM to which `assign_shards` assigns a service."""
+    return max(vms, key=lambda vm: _compute_rendezvous_score(service, vm))
+
+
 def _compute_rendezvous_score(service, vm):
     """Return the score of a VM for a service in weighted rendezvous hashing."""
     return -vm.rate / math.log(hash_to_fraction(f"{service} {vm.vm_id}"))
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -8,7 +8,7 @@
 import collections
 import zlib
 
-from .leaders import list_leaders
+from .leaders import choose_assignee, list_leaders
 
 ASSUMED_VMS = 16
 """Number of VMs assumed until the list of VMs is known."""
@@ -83,7 +83,7 @@
         "vm_count",
         "is_leader",
         "_leaders",
-        "_own_domain_leader_count",
+        "_own_domain_leaders",
         "_vm_id",
         "_domain",
         "_rank",
@@ -101,7 +101,7 @@
         self.vm_count = ASSUMED_VMS
         self.is_leader = False
         self._leaders = frozenset()
-        self._own_domain_leader_count = 0
+        self._own_domain_leaders = []
         self._rank = zlib.crc32(vm_id.encode())
 
     def set_vms(self, vms):
@@ -122,9 +122,9 @@
         if is_same_place and leaders == self._leaders:
             return False
         self._leaders = leaders
-        self._own_domain_leader_count = sum(
-            vm.domain == self._domain and vm.vm_id in leaders for vm in vms
-        )
+        self._own_domain_leaders = [
+            vm for vm in vms if vm.domain == self._domain and vm.vm_id in leaders
+        ]
         self.is_leader = self._vm_id in leaders
         self._rank = rank
         self._vms_by_domain = vms_by_domain
@@ -177,7 +177,7 @@
         """
         share = OTHERS_COLD_SHARE / self.vm_count
         if self.is_leader and domain == self._domain:
-            share += LEADER_COLD_SHARE / self._own_domain_leader_count
+            share += LEADER_COLD_SHARE / len(self._own_domain_leaders)
         return self._compute_interval_s(rate, share)
 
     def _compute_interval_s(self, rate, share):
@@ -222,6 +222,18 @@
         rest = max_connections - leader_connections
         return self.choose_preferred(service, targets, rest), 1
 
+    def is_assigned(self, service, targets):
+        """Return whether this VM normally sends the requests of a wide-search shard.
+
+        It does if it is the leader of its failure domain to which the service is
+        assigned, and the service has a target in that domain.
+        """
+        if not self.is_leader:
+            return False
+        if not any(t.registration.domain == self._domain for t in targets):
+            return False
+        return choose_assignee(service, self._own_domain_leaders).vm_id == self._vm_id
+
     def choose_preferred(self, service, targets, max_connections):
         """Return the targets of a service that this VM normally uses.
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -31,26 +31,28 @@
     ]
 
 
+def build_wide_fleet(size=79):
+    """Return the shares of each VM of a fleet that accepts subsearches."""
+    domains = ("a", "b", "c", "d")
+    vms = [
+        VmInfo(f"vm-{n:03}", domains[n % 4], "10.0.0.1:1", f"10.0.0.1:{n + 2}", 9.0)
+        for n in range(size)
+    ]
+    fleet = []
+    for vm in vms:
+        shares = FleetShares(vm.vm_id, vm.domain, 198.0, ColdLimits(1.5, 5.0))
+        shares.set_vms(vms)
+        fleet.append(shares)
+    return fleet
+
+
 class WideSharesTests(testtools.TestCase):
     """Shares for wide-search shards, whose requests come mostly from the leaders."""
 
-    def build(self, size=79):
-        domains = ("a", "b", "c", "d")
-        vms = [
-            VmInfo(f"vm-{n:03}", domains[n % 4], "10.0.0.1:1", f"10.0.0.1:{n + 2}", 9.0)
-            for n in range(size)
-        ]
-        fleet = []
-        for vm in vms:
-            shares = FleetShares(vm.vm_id, vm.domain, 198.0, ColdLimits(1.5, 5.0))
-            shares.set_vms(vms)
-            fleet.append(shares)
-        return fleet
-
     def test_retry_slack_adds_up(self):
         """Guards against a fleet that exceeds a shard's retry limit."""
         for size in (1, 9, 79):
-            slacks = [vm.compute_wide_retry_slack() for vm in self.build(size)]
+            slacks = [vm.compute_wide_retry_slack() for vm in build_wide_fleet(size)]
             self.assertLessEqual(sum(slacks), 198.0)
         # A leader can hedge its requests while each of the replicas pauses.
         self.assertGreater(max(slacks), 10)
@@ -62,7 +64,7 @@
         those of its own.
         """
         for size in (1, 9, 79):
-            fleet = self.build(size)
+            fleet = build_wide_fleet(size)
             rate = sum(1 / vm.compute_wide_cold_interval_s(2.0, "a") for vm in fleet)
             self.assertLessEqual(rate, (2.0 * 1.5 + 5.0) * COLD_SHARE * 1.01)
 
@@ -71,7 +73,7 @@
 
         Targets reset connections beyond their limit.
         """
-        fleet = self.build()
+        fleet = build_wide_fleet()
         targets = build_targets("a", "b", "c")
         for number in range(20):
             opened = collections.Counter()
@@ -83,6 +85,36 @@
             self.assertEqual(3, len(opened))
 
 
+class AssignedShardTests(testtools.TestCase):
+    """Shards whose targets a leader keeps connected.
+
+    Load pattern: more leaders than failure domains with targets, as on a fleet of
+    hundreds of VMs over two domains of targets. Each new connection occupies a slot of
+    its target for some milliseconds.
+    """
+
+    def test_one_leader_of_each_domain_with_a_target(self):
+        """Guards against connections of all leaders to all targets."""
+        fleet = build_wide_fleet(195)
+        targets = build_targets("a", "b")
+        for service in (f"s{number}" for number in range(87)):
+            assigned = [vm for vm in fleet if vm.is_assigned(service, targets)]
+            self.assertEqual(["a", "b"], sorted(vm._domain for vm in assigned))
+
+    def test_shards_are_spread_over_the_leaders(self):
+        """Guards against one leader that keeps all targets of its domain."""
+        fleet = build_wide_fleet(195)
+        targets = build_targets("a", "b")
+        counts = collections.Counter()
+        for service in (f"s{number}" for number in range(87)):
+            for vm in fleet:
+                counts[vm._vm_id] += vm.is_assigned(service, targets)
+        leaders = [vm for vm in fleet if vm.is_leader and vm._domain in ("a", "b")]
+        for vm in leaders:
+            self.assertGreater(counts[vm._vm_id], 0)
+            self.assertLess(counts[vm._vm_id], 87 / 2)
+
+
 class FleetSharesTests(testtools.TestCase):
     """Shares that add up to at most the limit."""
 
