Follow another VM when the store falls silent

Ruled out: the fallback relays themselves; they are used as soon as the watch ends. Change: two failed probes end a watch; the VM then follows one that the store answers. Content from before an outage is offered to starting VMs as not current.

--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -104,11 +104,11 @@
 
     def _answer_snapshot(self, request):
         watcher = self._watcher
-        if watcher.revision is None:
+        if not watcher.is_loaded:
             return HttpResponse(503)
         if COMPRESSION not in request.headers.get("accept-encoding", ""):
             return HttpResponse.from_json(self._build_snapshot())
-        key = (watcher.revision, watcher.is_connected)
+        key = (watcher.last_applied_revision, self._is_current())
         if key != self._compressed_key:
             data = orjson.dumps(self._build_snapshot())
             self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
@@ -118,11 +118,16 @@
     def _build_snapshot(self):
         watcher = self._watcher
         return {
-            "revision": watcher.revision,
+            "revision": watcher.last_applied_revision,
             "rows": [_encode_entry(entry) for entry in watcher.list_entries()],
-            "current": watcher.is_connected,
+            "current": self._is_current(),
         }
 
+    def _is_current(self):
+        """Whether a VM may start with this one's content in place of a listing."""
+        watcher = self._watcher
+        return watcher.is_connected and watcher.revision is not None
+
     async def _answer_changes(self, request):
         text = request.query.get("after", "")
         if not text.isdecimal():
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -36,6 +36,10 @@
 returns a revision that the watch has not delivered by the next probe, the watch is
 treated as hung and restarted."""
 
+MAX_FAILED_PROBES = 2
+"""Consecutive failed probes after which a watch that still waits is abandoned, so that
+the VM follows another one that the store answers."""
+
 PROBE_TIMEOUT_S = 0.6
 """Timeout of a probe. It is short so that a relay that cannot reach the store soon
 stops serving its followers. They then watch the store themselves, in time to apply a
@@ -108,6 +112,9 @@
         Whether this VM watches the store itself.
     is_loaded : bool
         Whether a first snapshot was applied.
+    last_applied_revision : int
+        Revision of the newest content that was applied, also while `revision` is None;
+        0 if it came from a VM that could not reach the store.
     """
 
     def __init__(
@@ -134,7 +141,7 @@
         self._failures = 0
         self._registrations_may_have_expired = False
         # Kept while `revision` is None: a fallback relay is asked for later changes.
-        self._last_applied_revision = 0
+        self.last_applied_revision = 0
         self.revision = None
         self.is_connected = False
         self.is_watching_store = False
@@ -217,8 +224,11 @@
 
     async def _load_listing(self):
         entries, revision = await self._store.list(ALL_KEYS)
+        is_after_outage = self._registrations_may_have_expired or (
+            not self.is_connected and self._was_outage_long()
+        )
         self._record_success()
-        self._apply_snapshot(entries, revision, self._registrations_may_have_expired)
+        self._apply_snapshot(entries, revision, is_after_outage)
         self._registrations_may_have_expired = False
 
     def _apply_snapshot(self, entries, revision, is_after_outage):
@@ -226,7 +236,7 @@
         self._history.clear()
         self._history_start = math.inf if revision is None else revision
         self.revision = revision
-        self._last_applied_revision = revision or 0
+        self.last_applied_revision = revision or 0
         self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
 
@@ -270,7 +280,7 @@
             self._apply_snapshot(entries, revision, is_after_outage=False)
         else:
             # The relay's revision may be older than what this VM has applied already.
-            self._apply_changes(entries, max(revision, self._last_applied_revision))
+            self._apply_changes(entries, max(revision, self.last_applied_revision))
 
     async def _pause_for_batch(self, is_burst):
         """Pause, so that the next watch returns several changes at once."""
@@ -286,7 +296,7 @@
                 self._entries[entry.key] = entry
             self._apply_change(entry)
             self._append_history(entry)
-        self.revision = self._last_applied_revision = revision
+        self.revision = self.last_applied_revision = revision
         if entries:
             self._notify_followers()
 
@@ -332,18 +342,20 @@
         A single connection can hang while others work, and the store may have dropped
         a watch that started before an outage.
         """
-        has_probe_failed = False
+        failed_probes = 0
         reported_revision = self.revision
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
             try:
                 revision = await self._probe()
             except TarragonchuteError as error:
-                if not has_probe_failed:
+                if not failed_probes:
                     self._record_disconnect(error)
-                has_probe_failed = True
+                failed_probes += 1
+                if failed_probes == MAX_FAILED_PROBES:
+                    return StoreUnavailableError(f"probes fail during a watch: {error}")
                 continue
-            if has_probe_failed:
+            if failed_probes:
                 return StoreUnavailableError("store outage during a watch")
             if reported_revision > self.revision:
                 return HistoryLostError(
@@ -384,7 +396,7 @@
         self.is_watching_store = False
         try:
             while True:
-                answer = await relay.watch(self._last_applied_revision)
+                answer = await relay.watch(self.last_applied_revision)
                 self._record_success()
                 self._apply_relayed(*answer)
                 if await self._is_store_reachable():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -261,6 +261,7 @@
         """Guards against all VMs listing the store after a loss of power."""
         async with open_relay() as (_, watcher, address):
             revision, watcher.revision = watcher.revision, None
+            watcher.is_loaded = False
             snapshots = PeerSnapshots((address,), "10.0.0.1:1")
             async with trio.open_nursery() as nursery:
 
@@ -268,10 +269,24 @@
                 async def finish_listing():
                     await trio.sleep(0.3)
                     watcher.revision = revision
+                    watcher.is_loaded = True
 
                 snapshot = await snapshots.fetch_at_start()
             self.assertEqual(revision, snapshot.revision)
 
+    @run_async
+    async def test_content_from_before_an_outage_is_offered(self):
+        """Guards against a VM that cannot start during an outage of the store.
+
+        The other VM has given up its watch, but still knows the content.
+        """
+        async with open_relay() as (_, watcher, address):
+            watcher.revision = None
+            watcher.is_connected = False
+            snapshot = await PeerSnapshots((address,), "10.0.0.1:1").fetch()
+            self.assertFalse(snapshot.is_current)
+            self.assertEqual(["a"], [entry.key for entry in snapshot.entries])
+
     @run_async
     async def test_wait_at_the_start_is_bounded(self):
         """Guards against a VM that never starts when its seeds are gone or stuck."""
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -406,6 +406,29 @@
             self.assertTrue(watcher.is_watching_store)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_vm_that_the_store_ignores_follows_another(self):
+        """Guards against a VM that misses an index change while its watch hangs.
+
+        Pattern: the store falls silent for a third of the VMs just before a reshard.
+        Their searches then asked the old targets until the store returned.
+        """
+        store = FaultyStore()
+        await store.put("a", "1", 0)
+        handler = RecordingHandler()
+        # The relay sees the same content as the store, but its watches do not hang.
+        relay = FallbackRelay(MemoryStore())
+        await relay.store.put("a", "1", 0)
+        watcher = StoreWatcher(store, handler, relays=relay)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            await trio.sleep(1.0)
+            store.is_hung = True
+            await relay.store.put("b", "2", 0)
+            await trio.sleep(4.0)
+            self.assertEqual({"a": "1", "b": "2"}, handler.values)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_failed_fallback_relay_is_excluded(self):
         """Guards against waiting for a relay that is gone."""
