Delegate each shard to a failure domain that has a target of it

A VM sent all shards without a target in its own domain to the leaders of one other domain, chosen by a hash of the VM. Change: the leaders of every domain with targets are used. A shard goes to the own domain if it has a target there, otherwise to one that all VMs of a domain choose alike. Ruled out: the second domain's leaders themselves; they answered. Cost: a search has about twelve subsearches in place of four or five.

--- a/tarragonchute/delegates.py
+++ b/tarragonchute/delegates.py
@@ -1,5 +1,6 @@
 """Channels to the VMs that run subsearches for this one, and the choice among them."""
 
+import collections
 import itertools
 import logging
 
@@ -289,36 +290,33 @@
 class Delegates:
     """The VMs to which this VM delegates shards.
 
-    Shards with a target in the home domain go to the leaders of that domain, the others
-    to the leaders of a second domain, because sending one merged answer between domains
-    costs far less than sending the replies of all its shards. The home domain is the
-    failure domain of this VM, or another one if it has no targets there.
+    Each shard goes to the leaders of a failure domain that has a target of it: this
+    VM's own domain if possible, otherwise one that all VMs of this domain choose alike.
+    So a target is normally asked by one leader in its own domain, which learns how fast
+    it is, and only merged answers are sent between domains.
 
     Parameters
     ----------
     own_vm : fleet.VmInfo
     reactor : reactor.Reactor
-    is_served_in : callable
-        Takes a service and a failure domain; returns whether the service has a target
-        there.
+    list_served_domains : callable
+        Takes a service; returns the set of failure domains with a usable target of it.
     """
 
     __slots__ = (
         "_own_vm",
         "_reactor",
-        "_is_served_in",
-        "_home_domain",
+        "_list_served_domains",
         "_domain_leaders",
         "_delegates",
         "_assignments",
     )
 
-    def __init__(self, own_vm, reactor, is_served_in):
+    def __init__(self, own_vm, reactor, list_served_domains):
         self._own_vm = own_vm
         self._reactor = reactor
-        self._is_served_in = is_served_in
-        self._home_domain = None
-        self._domain_leaders = []
+        self._list_served_domains = list_served_domains
+        self._domain_leaders = {}
         self._delegates = {}
         self._assignments = {}
 
@@ -329,17 +327,16 @@
         ----------
         vms : list of fleet.VmInfo
         domains : list of str
-            The home domain, and a second domain if there is one.
+            The first one replaces a VM that fails, so long as its leaders are usable.
         now : float
         """
-        self._home_domain = domains[0]
-        self._domain_leaders = [
-            DomainLeaders([vm for vm in vms if vm.domain == domain])
+        self._domain_leaders = {
+            domain: DomainLeaders([vm for vm in vms if vm.domain == domain])
             for domain in domains
-        ]
+        }
         wanted = {
             vm.vm_id: vm
-            for domain_leaders in self._domain_leaders
+            for domain_leaders in self._domain_leaders.values()
             for vm in domain_leaders.ranked_vms
         }
         wanted.pop(self._own_vm.vm_id, None)
@@ -357,11 +354,11 @@
         """See `Delegation`."""
         if len(services) < leaders.MIN_WIDE_SEARCH_SHARDS:
             return services, ()
-        usable_by_domain = [
-            domain_leaders.choose(lambda vm: self._is_usable(vm, now))
-            for domain_leaders in self._domain_leaders
-        ]
-        usable_by_domain = [vms for vms in usable_by_domain if vms]
+        usable_by_domain = {}
+        for domain, domain_leaders in self._domain_leaders.items():
+            usable = domain_leaders.choose(lambda vm: self._is_usable(vm, now))
+            if usable:
+                usable_by_domain[domain] = usable
         if not usable_by_domain:
             return services, ()
         assigned = self._get_assignment(services, usable_by_domain)
@@ -375,7 +372,7 @@
 
     def choose_untried(self, tried, now):
         """See `Delegation`."""
-        for domain_leaders in self._domain_leaders:
+        for domain_leaders in self._domain_leaders.values():
             for vm in domain_leaders.ranked_vms:
                 delegate = self._delegates.get(vm.vm_id)
                 if delegate is None or delegate in tried:
@@ -399,7 +396,8 @@
         return self._delegates[vm.vm_id].is_usable(now)
 
     def _get_assignment(self, services, usable_by_domain):
-        key = (services, *(vm.vm_id for vms in usable_by_domain for vm in vms))
+        usable_ids = (vm.vm_id for vms in usable_by_domain.values() for vm in vms)
+        key = (services, *usable_ids)
         assigned = self._assignments.get(key)
         if assigned is None:
             if len(self._assignments) >= MAX_CACHED_ASSIGNMENTS:
@@ -412,19 +410,34 @@
     def _compute_assignment(self, services, usable_by_domain):
         """Return the services by the id of the VM that sends requests to their targets.
 
-        `usable_by_domain` has one list of VMs for each domain with a usable VM. If only
-        one domain has any, its VMs get all services.
+        `usable_by_domain` has a list of VMs for each domain with a usable VM.
         """
-        if len(usable_by_domain) == 1:
-            return leaders.assign_shards(services, usable_by_domain[0])
-        in_home_domain, elsewhere = [], []
+        services_by_domain = collections.defaultdict(list)
         for service in services:
-            (
-                in_home_domain
-                if self._is_served_in(service, self._home_domain)
-                else elsewhere
-            ).append(service)
-        return {
-            **leaders.assign_shards(in_home_domain, usable_by_domain[0]),
-            **leaders.assign_shards(elsewhere, usable_by_domain[1]),
-        }
+            domain = self._choose_domain(service, usable_by_domain)
+            services_by_domain[domain].append(service)
+        assigned = {}
+        for domain, domain_services in services_by_domain.items():
+            usable = usable_by_domain[domain]
+            assigned.update(leaders.assign_shards(domain_services, usable))
+        return assigned
+
+    def _choose_domain(self, service, usable_by_domain):
+        """Return the domain whose leaders send the requests for a shard.
+
+        The VMs of different domains choose differently, so that the requests are spread
+        over the targets of the shard.
+        """
+        served = self._list_served_domains(service)
+        domains = [domain for domain in usable_by_domain if domain in served]
+        if not domains:
+            domains = list(usable_by_domain)
+        own_domain = self._own_vm.domain
+        if own_domain in domains:
+            return own_domain
+        return max(
+            domains,
+            key=lambda domain: leaders.hash_to_fraction(
+                f"{service} {domain} {own_domain}"
+            ),
+        )
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -70,10 +70,6 @@
 DOMAIN_CHECK_INTERVAL_S = 1.0
 """Interval between updates of the failure domains from which leaders are chosen."""
 
-MAX_DOMAIN_CHECK_SHARDS = 8
-"""Maximum number of shards whose targets are examined to find the failure domains in
-use."""
-
 NO_CONFIGURATION_RETRY_S = 0.2
 """Retry delay sent to a caller of a VM that has not received its configuration yet."""
 
@@ -202,7 +198,9 @@
             self._assign_targets,
             self.chooser.record_exchange_end,
         )
-        self._delegates = Delegates(own_vm, self.reactor, self._has_targets_in)
+        self._delegates = Delegates(
+            own_vm, self.reactor, self.registry.list_served_domains
+        )
         self._leader_domains = None
         self._next_domain_check = 0.0
         self._context = QueryContext(
@@ -377,30 +375,22 @@
         self._delegates.update(vms, domains, now)
 
     def _choose_leader_domains(self):
-        """Return the failure domains whose leaders this VM uses, preferred first.
+        """Return the failure domains whose leaders this VM uses, its own one first.
 
-        The first is this VM's own domain, unless only other domains have targets. A
-        second domain, if there is one, serves shards without a replica in the first.
+        These are the domains with targets of wide searches. This VM's own domain is
+        left out if only others have any.
         """
+        domains = set()
+        for service in self.table.wide_shards:
+            domains |= self.registry.list_served_domains(service)
         own_domain = self.settings.domain
-        domains = {
-            target.registration.domain
-            for service in self.table.wide_shards[:MAX_DOMAIN_CHECK_SHARDS]
-            for target in self.registry.list_usable(service)
-        }
         others = sorted(
             domains - {own_domain},
             key=lambda domain: hash_to_fraction(domain + self.settings.vm_id),
         )
         if own_domain in domains or not others:
-            return [own_domain, *others[:1]]
-        return others[:2]
-
-    def _has_targets_in(self, service, domain):
-        return any(
-            target.registration.domain == domain
-            for target in self.registry.list_usable(service)
-        )
+            return [own_domain, *others]
+        return others
 
     def _delete_obsolete_state(self, table):
         """Delete the state of routes and services that no longer exist."""
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -230,6 +230,14 @@
             self._usable_by_service[service] = usable
         return usable
 
+    def list_served_domains(self, service):
+        """Return the set of failure domains with a usable target of a service."""
+        return {
+            target.registration.domain
+            for target in self._targets_by_service.get(service, {}).values()
+            if self._is_usable(target)
+        }
+
     def refresh(self, limit):
         """Recompute the usable targets of up to `limit` changed services."""
         for _ in range(min(limit, len(self._changed_services))):
