Give the assigned leaders most of a shard's retry budget

Change: most of the slack belongs to the leaders to which the shard is assigned, a part to all leaders for the moments in which they replace one. The connections to a target are divided alike: on 195 VMs the shares of all VMs exceeded the 120 connections of a target. Tests: the shares add up at 195 VMs; the assigned leaders' part; both fail before.

--- a/tarragonchute/budgets.py
+++ b/tarragonchute/budgets.py
@@ -126,13 +126,13 @@
     Parameters
     ----------
     limits : WindowLimits
-        Shared by the budgets of many services; changes take effect immediately.
+        May be shared by the budgets of many services; changes take effect immediately.
     """
 
-    __slots__ = ("_limits", "_slot", "_first_attempts", "_extra_attempts")
+    __slots__ = ("limits", "_slot", "_first_attempts", "_extra_attempts")
 
     def __init__(self, limits):
-        self._limits = limits
+        self.limits = limits
         self._slot = 0
         self._first_attempts = [0] * _WINDOW_SLOTS
         self._extra_attempts = [0] * _WINDOW_SLOTS
@@ -151,14 +151,14 @@
             Monotonic seconds.
         """
         self._advance_window(now)
-        allowed = self._limits.ratio * sum(self._first_attempts) + self._limits.slack
+        allowed = self.limits.ratio * sum(self._first_attempts) + self.limits.slack
         if sum(self._extra_attempts) + 1 > allowed:
             return False
         self._extra_attempts[self._slot % _WINDOW_SLOTS] += 1
         return True
 
     def _advance_window(self, now):
-        slot = int(now / self._limits.window_s * (_WINDOW_SLOTS - 1))
+        slot = int(now / self.limits.window_s * (_WINDOW_SLOTS - 1))
         if slot <= self._slot:
             return
         for expired in range(self._slot + 1, min(slot, self._slot + _WINDOW_SLOTS) + 1):
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -180,11 +180,6 @@
             self._shares.compute_retry_slack(),
             settings.retry_window_s,
         )
-        self._wide_retry_limits = WindowLimits(
-            settings.retry_share,
-            self._shares.compute_wide_retry_slack(),
-            settings.retry_window_s,
-        )
         self._retry_budgets = {}
         self._reply_times = {}
         self._service_choices = {}
@@ -342,16 +337,28 @@
     def _get_retry_budget(self, service):
         budget = self._retry_budgets.get(service)
         if budget is None:
-            is_wide = self.table is not None and self.table.is_wide_shard(service)
-            limits = self._wide_retry_limits if is_wide else self._retry_limits
-            budget = self._retry_budgets[service] = WindowBudget(limits)
+            budget = self._retry_budgets[service] = WindowBudget(self._retry_limits)
+            if self.table is not None and self.table.is_wide_shard(service):
+                self._update_wide_retry_limits(
+                    service, self.registry.list_usable(service)
+                )
         return budget
 
+    def _update_wide_retry_limits(self, service, targets):
+        """Set the retry limits of a wide-search shard; each shard has its own."""
+        budget = self._retry_budgets.get(service)
+        if budget is not None:
+            settings = self.settings
+            budget.limits = WindowLimits(
+                settings.retry_share,
+                self._shares.compute_wide_retry_slack(service, targets),
+                settings.retry_window_s,
+            )
+
     def _update_shares(self, now):
         """Update the shares of fleet-wide limits if the list of VMs has changed."""
         if self._shares.set_vms(self.fleet.list_vms(now)):
             self._retry_limits.slack = self._shares.compute_retry_slack()
-            self._wide_retry_limits.slack = self._shares.compute_wide_retry_slack()
             self.registry.invalidate_all()
             self._next_domain_check = now
             logger.info(
@@ -439,6 +446,7 @@
                 service, targets, limit
             )
             is_kept_connected = shares.is_assigned(service, targets)
+            self._update_wide_retry_limits(service, targets)
         else:
             preferred = shares.choose_preferred(service, targets, limit)
             connection_limit = shares.compute_connection_limit(limit, len(targets))
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -18,11 +18,13 @@
 restarted VM does not know how much of its share it has already spent in the current
 window."""
 
-LEADER_RETRY_SHARE = 0.65
+ASSIGNED_RETRY_SHARE = 0.45
+LEADER_RETRY_SHARE = 0.15
 OTHERS_RETRY_SHARE = 0.15
 """Fractions of the retry slack of a wide-search shard. The first is divided among the
-leaders. The second is divided among all VMs, which send requests to such a shard only
-if no leader answers."""
+leaders to which the shard is assigned, one in each failure domain that has a target of
+it; they normally send all its requests. The second is divided among all leaders, the
+third among all VMs, which send requests to such a shard only if no leader answers."""
 
 COLD_SHARE = 0.5
 """Fraction of a cold target's rate limit that is distributed. The rest covers requests
@@ -37,9 +39,11 @@
 """Fractions of the rate limit of a cold wide-search target. The first is divided among
 the leaders of the target's own failure domain, the second among all VMs."""
 
-LEADER_CONNECTION_SHARE = 0.5
-"""Fraction of the connections to a wide-search target that is divided among the
-leaders. The others are for VMs that receive no answer from any leader."""
+ASSIGNED_CONNECTION_SHARE = 0.12
+LEADER_CONNECTION_SHARE = 0.2
+"""Fractions of the connections to a wide-search target. The first is divided among the
+leaders to which the shard is assigned, the second among all leaders. The others are for
+VMs that receive no answer from any leader."""
 
 
 class ColdLimits:
@@ -135,11 +139,20 @@
         """Return this VM's share of the retry slack of a service."""
         return self._retry_slack * RETRY_SLACK_SHARE / self.vm_count
 
-    def compute_wide_retry_slack(self):
-        """Return this VM's share of the retry slack of a wide-search shard."""
+    def compute_wide_retry_slack(self, service, targets):
+        """Return this VM's share of the retry slack of a wide-search shard.
+
+        Parameters
+        ----------
+        service : str
+        targets : list of RegisteredTarget
+            All usable targets of the service.
+        """
         slack = OTHERS_RETRY_SHARE / self.vm_count
         if self.is_leader:
             slack += LEADER_RETRY_SHARE / len(self._leaders)
+        if self.is_assigned(service, targets):
+            slack += ASSIGNED_RETRY_SHARE / _count_domains(targets)
         return self._retry_slack * slack
 
     def compute_cold_interval_s(self, rate):
@@ -215,11 +228,14 @@
             Preferred targets, and this VM's connection limit for each. Leaders prefer
             all targets.
         """
-        leader_connections = max_connections * LEADER_CONNECTION_SHARE
         if self.is_leader:
-            usable = leader_connections * CONNECTION_SHARE
-            return list(targets), max(int(usable // len(self._leaders)), 1)
-        rest = max_connections - leader_connections
+            share = LEADER_CONNECTION_SHARE / len(self._leaders)
+            if self.is_assigned(service, targets):
+                share += ASSIGNED_CONNECTION_SHARE / _count_domains(targets)
+            usable = max_connections * CONNECTION_SHARE * share
+            return list(targets), max(int(usable), 1)
+        others_share = 1 - ASSIGNED_CONNECTION_SHARE - LEADER_CONNECTION_SHARE
+        rest = max_connections * others_share
         return self.choose_preferred(service, targets, rest), 1
 
     def is_assigned(self, service, targets):
@@ -290,5 +306,9 @@
         return max(min(int(usable // self.vm_count), replica_count), 1)
 
 
+def _count_domains(targets):
+    return len({target.registration.domain for target in targets})
+
+
 def _select_cyclic(items, first, count):
     return [items[(first + step) % len(items)] for step in range(count)]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -51,12 +51,28 @@
 
     def test_retry_slack_adds_up(self):
         """Guards against a fleet that exceeds a shard's retry limit."""
-        for size in (1, 9, 79):
-            slacks = [vm.compute_wide_retry_slack() for vm in build_wide_fleet(size)]
-            self.assertLessEqual(sum(slacks), 198.0)
+        for domains in (("a",), ("a", "b"), ("a", "b", "c")):
+            targets = build_targets(*domains)
+            for size in (1, 9, 79, 195):
+                fleet = build_wide_fleet(size)
+                slacks = [vm.compute_wide_retry_slack("s", targets) for vm in fleet]
+                self.assertLessEqual(sum(slacks), 198.0)
         # A leader can hedge its requests while each of the replicas pauses.
         self.assertGreater(max(slacks), 10)
 
+    def test_assigned_leader_has_most_of_a_shards_retries(self):
+        """Guards against retries reserved for leaders that send no requests.
+
+        Load pattern: hundreds of VMs over two targets of each shard, one of which has
+        stopped without a word. The one leader of its domain that asks it has to hedge
+        every request until the target is known to be bad, 15 a second for seconds.
+        """
+        fleet = build_wide_fleet(195)
+        targets = build_targets("a", "b")
+        slacks = sorted(vm.compute_wide_retry_slack("s", targets) for vm in fleet)
+        self.assertGreater(slacks[-2], 40)
+        self.assertLess(slacks[-3], 10)
+
     def test_cold_sends_add_up(self):
         """Guards against exceeding the rate limit of a cold wide-search target.
 
@@ -73,16 +89,19 @@
 
         Targets reset connections beyond their limit.
         """
-        fleet = build_wide_fleet()
-        targets = build_targets("a", "b", "c")
-        for number in range(20):
-            opened = collections.Counter()
-            for vm in fleet:
-                preferred, count = vm.assign_wide_targets(f"s{number}", targets, 62)
-                for target in preferred:
-                    opened[target.registration.target_id] += count
-            self.assertLessEqual(max(opened.values()), 62)
-            self.assertEqual(3, len(opened))
+        for size, limit, domains in ((79, 62, "abc"), (195, 120, "ab")):
+            fleet = build_wide_fleet(size)
+            targets = build_targets(*domains)
+            for number in range(20):
+                opened = collections.Counter()
+                for vm in fleet:
+                    preferred, count = vm.assign_wide_targets(
+                        f"s{number}", targets, limit
+                    )
+                    for target in preferred:
+                        opened[target.registration.target_id] += count
+                self.assertLessEqual(max(opened.values()), limit)
+                self.assertEqual(len(domains), len(opened))
 
 
 class AssignedShardTests(testtools.TestCase):
