Keep only targets connected that a route uses

Cause: while an index moves to other shards, the shards of the next or the former index are named by no route. Ruled out, tried first and reverted: not replacing connections of targets without requests for 20 s. Change: targets are kept connected once a route names their service. Test: targets of a service are connected when a route names it; fails before.

--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -440,7 +440,7 @@
             return
         limit = policy.max_connections
         shares = self._shares
-        is_kept_connected = True
+        is_kept_connected = table.is_routed(service)
         if table.is_wide_shard(service) and self.settings.search_address:
             preferred, connection_limit = shares.assign_wide_targets(
                 service, targets, limit
@@ -453,7 +453,7 @@
         for target in targets:
             target.is_preferred = target in preferred
             target.pool.is_kept_connected = target.is_preferred and is_kept_connected
-            if target.pool.is_kept_connected and not target.pool.connections_opened:
+            if target.pool.is_kept_connected and not target.pool.count_connections():
                 self.reactor.disconnected_pools.append(target.pool)
             target.pool.max_connections = connection_limit if target.is_preferred else 1
 
--- a/tarragonchute/routes.py
+++ b/tarragonchute/routes.py
@@ -165,6 +165,7 @@
         "limits",
         "wide_shards",
         "_wide_shard_set",
+        "_routed_services",
         "_routes_by_host",
     )
 
@@ -176,14 +177,24 @@
         wide = [route.shards for route in self.routes if route.is_wide]
         self.wide_shards = tuple(dict.fromkeys(itertools.chain.from_iterable(wide)))
         self._wide_shard_set = frozenset(self.wide_shards)
+        self._routed_services = set()
         self._routes_by_host = {}
         for route in self.routes:
+            self._routed_services.update(route.shards)
+            self._routed_services.update(name for name, _ in route.weighted_services)
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
 
     def is_wide_shard(self, service):
         """Whether a service is a shard of a wide search."""
         return service in self._wide_shard_set
 
+    def is_routed(self, service):
+        """Whether any route sends requests to a service.
+
+        None does for the shards of an index that is not in force yet or any more.
+        """
+        return service in self._routed_services
+
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, or None.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -204,6 +204,39 @@
         self.assertIn(b'result="caller_left"', body)
 
 
+class UnroutedServiceTests(testtools.TestCase):
+    """Services that no route names.
+
+    Load pattern: an index is moved to other shards. Before and after that, the targets
+    of one of the two indexes get no requests, while hundreds of VMs know them. Each new
+    connection occupies a slot of its target, and targets accept a limited number.
+    """
+
+    @run_in_virtual_time
+    async def test_targets_are_connected_when_a_route_names_them(self):
+        """Guards against connections of all VMs to targets that get no requests."""
+        gateway = Gateway(build_settings(), HEADER_NAMES, ServerOptions())
+        self.addCleanup(gateway.reactor.close)
+        table = build_table(1)
+        table.services["next"] = ServicePolicy("next", "/health", 26, 3.0, 0.0)
+        gateway.apply_table(table)
+        for number, service in enumerate(("s", "next")):
+            address = ("127.0.0.1", 9 + number)
+            registration = Registration(f"i-{number}", service, address, "d")
+            gateway.registry.apply(f"i-{number}", registration, 0.0)
+        gateway.registry.refresh(10)
+        pools = gateway.reactor.disconnected_pools
+        self.assertEqual([("127.0.0.1", 9)], [pool.address for pool in pools])
+        pools.clear()
+        next_route = Route("r2", "h", "/y/", weighted_services=[("next", 1.0)])
+        next_table = build_table(2)
+        gateway.apply_table(
+            RouteTable(2, [*next_table.routes, next_route], table.services)
+        )
+        gateway.registry.refresh(10)
+        self.assertIn(("127.0.0.1", 10), [pool.address for pool in pools])
+
+
 class GatewayMetricsTests(testtools.TestCase):
     """Rendering of the metrics."""
 
