Skip shards that are expected to reply after the goal if enough remain

In more shards than may be missing one replica is dark and the other so slow that it cannot run the requests of all searches; each search still asks all of them, their queues grow beyond the time limit, and searches end with 504. Change: a search that asks its targets itself leaves out shards whose quickest usable target is expected to reply after the goal, as many as may be missing, chosen at random among the late ones. They are asked when others fail, or late in the time limit if the others do not suffice.

--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -24,6 +24,15 @@
 """Time reserved before the goal for the merge at another VM, in addition to the time
 that its acknowledgements take."""
 
+SKIP_SPREAD = 1.0
+"""Maximum random increase of an expected reply time, as a fraction of it, when the
+shards to skip are chosen. It spreads the requests over all overloaded shards."""
+
+RESUME_FRACTION = 0.6
+"""Fraction of the time limit after which skipped shards are asked as well, if the
+others do not suffice. Sooner would add their load again to that of the overloaded
+shards."""
+
 MAX_LOGGED_SHARDS = 8
 """Maximum number of missing shards in the log line of a search."""
 
@@ -42,7 +51,14 @@
         itself.
     """
 
-    __slots__ = ("goal_at", "delegated_shards", "_included_directly", "_merge")
+    __slots__ = (
+        "goal_at",
+        "delegated_shards",
+        "_included_directly",
+        "_merge",
+        "_skipped",
+        "_resume_at",
+    )
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -53,6 +69,9 @@
         self.delegated_shards = []
         self._included_directly = 0
         self._merge = RecordMerge(self.route.top)
+        self._skipped = []
+        time_left_s = self.deadline - self.started_at
+        self._resume_at = self.started_at + RESUME_FRACTION * time_left_s
 
     @property
     def total(self):
@@ -81,8 +100,45 @@
             delegated = DelegatedShards(names, self, delegation)
             self.delegated_shards.append(delegated)
             delegated.start(delegate, now)
+        if not delegated_services:
+            self._skip_late_shards(subrequests, services_with_target, now)
+            subrequests = [s for s in subrequests if s not in self._skipped]
         self._start_subrequests(subrequests, now)
 
+    def _skip_late_shards(self, subrequests, services_with_target, now):
+        """Skip shards that are expected to reply after the goal, if enough remain.
+
+        A partial answer is sent at the goal if its coverage suffices, so their replies
+        would be dropped. If more shards are overloaded than may be missing, each
+        search then asks only as many of them as it needs.
+        """
+        skippable = services_with_target - self._count_required()
+        if skippable <= 0:
+            return
+        goal_left_s = self.goal_at - now
+        late = []
+        for subrequest in subrequests:
+            if not subrequest.has_first_target:
+                continue
+            expected_s = subrequest.estimate_reply_s(now)
+            if expected_s > goal_left_s:
+                rank = self._context.chooser.add_jitter(expected_s, SKIP_SPREAD)
+                late.append((rank, len(late), subrequest))
+        for _, _, subrequest in sorted(late, reverse=True)[:skippable]:
+            subrequest.skip("skipped, as its reply is expected after the goal")
+            self._skipped.append(subrequest)
+            self._open_subrequests -= 1
+
+    def _resume_skipped(self, count, now):
+        """Send requests for skipped shards, because the others do not suffice."""
+        resumed = self._skipped[:count]
+        del self._skipped[:count]
+        self._open_subrequests += len(resumed)
+        for subrequest in resumed:
+            if not self.is_finished:
+                subrequest.resume(now)
+        self.wake()
+
     def check_target_count(self, services_with_target):
         """See `Query`."""
         if services_with_target < self._count_required():
@@ -152,8 +208,11 @@
             delegated_due_at = delegated.next_due()
             if delegated_due_at is not None:
                 due_at = min(due_at, delegated_due_at)
-        if self.goal_at > trio.current_time():
+        now = trio.current_time()
+        if self.goal_at > now:
             due_at = min(due_at, self.goal_at)
+        if self._skipped and self._resume_at > now:
+            due_at = min(due_at, self._resume_at)
         return due_at
 
     def advance(self, now):
@@ -254,9 +313,16 @@
         """
         if self.is_finished:
             return
+        is_late = now >= self.goal_at
+        lacking = self._count_required() - self.included - self._count_open()
+        if now >= self._resume_at and not self._is_sufficient():
+            lacking = len(self._skipped)
+        if lacking > 0 and self._skipped:
+            self._resume_skipped(lacking, now)
+            if self.is_finished:
+                return
         open_shards = self._count_open()
         can_suffice = self.included + open_shards >= self._count_required()
-        is_late = now is not None and now >= self.goal_at
         if not open_shards or not can_suffice or is_late and self._is_sufficient():
             self._finish()
 
@@ -357,7 +423,7 @@
             return
         if not self._open_subrequests:
             self._finish()
-        elif now is not None and now >= self.goal_at:
+        elif now >= self.goal_at:
             self._report_progress()
 
     def _report_progress(self):
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -257,10 +257,7 @@
         return self.deadline - now > MIN_RETRY_TIME_S
 
     def handle_subrequest_end(self, subrequest, now):
-        """Finish the request when its last subrequest has ended.
-
-        `now` is None if the subrequest failed.
-        """
+        """Finish the request when its last subrequest has ended."""
         if self.is_finished:
             return
         self._open_subrequests -= 1
--- a/tarragonchute/replicas.py
+++ b/tarragonchute/replicas.py
@@ -117,6 +117,28 @@
                 return target
         return None
 
+    def add_jitter(self, value, fraction):
+        """Return the value increased at random by up to a fraction of it."""
+        return value * (1 + fraction * self._random.random())
+
+    def estimate_reply_s(self, targets, now, mean_reply_time_s):
+        """Return the expected reply time of the quickest target of a service.
+
+        Returns
+        -------
+        float
+            Seconds; infinity if all targets are suspect or cold.
+        """
+        return min(
+            (
+                self._estimate_slowness_under_load(target, now, mean_reply_time_s)
+                * mean_reply_time_s
+                for target in targets
+                if not _is_suspect(target, now) and now >= target.cold_until
+            ),
+            default=math.inf,
+        )
+
     def record_exchange_end(self, target, exchange, now):
         """Update the statistics of a target from an exchange that ended in any way."""
         if exchange.sent_at is None or exchange.mean_reply_time_s <= 0:
@@ -137,19 +159,14 @@
         target.slowness_updated_at = now
 
     def _score(self, target, now, mean_reply_time_s):
-        pool = target.pool
-        slowness = estimate_slowness(target, now)
-        oldest_age_s = pool.oldest_exchange_age(now)
-        if oldest_age_s > 2 * mean_reply_time_s:
-            slowness = max(slowness, oldest_age_s / mean_reply_time_s)
-        score = slowness * (1 + LOAD_WEIGHT * len(pool.in_flight))
+        score = self._estimate_slowness_under_load(target, now, mean_reply_time_s)
         if target.registration.domain != self._domain:
             score *= REMOTE_DOMAIN_FACTOR
         if target.failure_share > TOLERATED_FAILURE_SHARE:
             share = _estimate_failure_share(target, now)
             score *= 1 + FAILURE_FACTOR * max(share - TOLERATED_FAILURE_SHARE, 0.0)
-        score *= 1 + JITTER * self._random.random()
-        if now < target.suspect_until or pool.has_connect_failed:
+        score = self.add_jitter(score, JITTER)
+        if _is_suspect(target, now):
             score += SUSPECT_PENALTY
         if now < target.cold_until:
             score += COLD_PENALTY
@@ -157,6 +174,18 @@
             score += NOT_PREFERRED_PENALTY
         return score
 
+    def _estimate_slowness_under_load(self, target, now, mean_reply_time_s):
+        pool = target.pool
+        slowness = estimate_slowness(target, now)
+        oldest_age_s = pool.oldest_exchange_age(now)
+        if oldest_age_s > 2 * mean_reply_time_s:
+            slowness = max(slowness, oldest_age_s / mean_reply_time_s)
+        return slowness * (1 + LOAD_WEIGHT * len(pool.in_flight))
+
+
+def _is_suspect(target, now):
+    return now < target.suspect_until or target.pool.has_connect_failed
+
 
 def estimate_slowness(target, now):
     """Return the slowness of a target, decayed towards 1 since its last observation."""
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -31,6 +31,7 @@
     """State of a subrequest."""
 
     OPEN = "open"
+    SKIPPED = "skipped"
     DONE = "done"
     FAILED = "failed"
 
@@ -136,6 +137,11 @@
         """Whether the request may have run on a target."""
         return self.possible_runs > 0
 
+    @property
+    def has_first_target(self):
+        """Whether `choose_first_target` found a target."""
+        return self._first_target is not None
+
     def choose_first_target(self, now):
         """Choose the target of the first attempt; return whether there is one."""
         self._first_target = self._choose_target(now)
@@ -152,15 +158,35 @@
             have sent a first attempt already.
         """
         if self._first_target is None:
-            self._fail("no usable target")
+            self._fail("no usable target", now)
             return
         if not uses_retry_budget:
             self._budget.record_first_attempt(now)
         elif not self._budget.try_spend(now):
-            self._fail("no retry budget to replace another VM's attempt")
+            self._fail("no retry budget to replace another VM's attempt", now)
             return
         self._send(self._first_target, now)
 
+    def estimate_reply_s(self, now):
+        """Return the expected time until a reply in seconds; infinity if unknown."""
+        return self._context.chooser.estimate_reply_s(
+            self._context.registry.list_usable(self.service),
+            now,
+            self._query.reply_times.mean_s,
+        )
+
+    def skip(self, reason):
+        """Send no request unless `resume` is called; the query is not notified."""
+        self.state = SubrequestState.SKIPPED
+        self.reason = reason
+
+    def resume(self, now):
+        """Send the first attempt of a skipped subrequest."""
+        self.state = SubrequestState.OPEN
+        self.reason = ""
+        self.choose_first_target(now)
+        self.start(now)
+
     def hedge(self, now):
         """Send another attempt if the reply is late and the retry budget allows it."""
         if self.state is not SubrequestState.OPEN or self.hedge_at is None:
@@ -236,7 +262,7 @@
                 "attempts in flight"
             )
             self.is_cancelled = True
-            self._fail("; ".join(filter(None, (self.reason, attempts))))
+            self._fail("; ".join(filter(None, (self.reason, attempts))), now)
         self._abandon_in_flight(now)
 
     def handle_reply(self, exchange, reply):
@@ -302,13 +328,13 @@
         if self.state is not SubrequestState.OPEN or self._in_flight:
             return
         if not is_allowed or not self._query.has_time_for_retry(now):
-            self._fail(reason)
+            self._fail(reason, now)
             return
         target = self._choose_target(now)
         if target is None:
-            self._fail(reason)
+            self._fail(reason, now)
         elif needs_budget and not self._budget.try_spend(now):
-            self._fail(f"{reason}; the retry budget is exhausted")
+            self._fail(f"{reason}; the retry budget is exhausted", now)
         else:
             self.retries += 1
             self._send(target, now)
@@ -354,10 +380,10 @@
         self._abandon_in_flight(now)
         self._query.handle_subrequest_end(self, now)
 
-    def _fail(self, reason):
+    def _fail(self, reason, now):
         self.state = SubrequestState.FAILED
         self.reason = reason
-        self._query.handle_subrequest_end(self, None)
+        self._query.handle_subrequest_end(self, now)
 
     def _abandon_in_flight(self, now):
         for exchange in self._in_flight:
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -5,6 +5,7 @@
 replies, and callers that disconnect.
 """
 
+import collections
 import random
 
 import testtools
@@ -502,3 +503,83 @@
         build_single(harness)
         harness.fail(harness.started[0], 5.0)
         self.assertEqual(1, len(harness.started))
+
+
+class OverloadedShardTests(testtools.TestCase):
+    """More shards are overloaded than may be missing.
+
+    Load pattern: in four of twenty shards one replica has stopped and the other is
+    slow, so that it cannot run the requests of all searches. Each search may lack two.
+    """
+
+    shards = tuple(f"s{number:02}" for number in range(20))
+
+    def build_harness(self):
+        """Return a harness in which four shards are overloaded."""
+        harness = QueryHarness(self.shards)
+        for service in self.shards[:4]:
+            stopped, slow = harness.registry.list_usable(service)
+            stopped.suspect_until = 10.0
+            slow.slowness = 8.0
+        return harness
+
+    def build(self, least_coverage=0.89):
+        """Return the harness and a search while four shards are overloaded."""
+        harness = self.build_harness()
+        return harness, build_search(harness, self.shards, least_coverage)
+
+    def list_asked(self, harness):
+        return [exchange.target.registration.service for exchange in harness.started]
+
+    def test_only_the_shards_that_are_needed_are_asked(self):
+        """Guards against an overload that keeps all searches from enough coverage."""
+        harness, _ = self.build()
+        asked = self.list_asked(harness)
+        self.assertEqual(18, len(asked))
+        self.assertTrue(set(asked).issuperset(self.shards[4:]))
+
+    def test_requests_are_spread_over_the_overloaded_shards(self):
+        """Guards against an overload that only moves to some of the shards."""
+        counts = collections.Counter()
+        harness = self.build_harness()
+        for _ in range(40):
+            del harness.started[:]
+            build_search(harness, self.shards, 0.89)
+            counts.update(self.list_asked(harness))
+        for service in self.shards[:4]:
+            self.assertGreater(counts[service], 8)
+            self.assertLess(counts[service], 32)
+
+    def test_no_overloaded_shard_is_asked_if_none_is_needed(self):
+        """Guards against load whose replies would be dropped at the goal."""
+        harness, query = self.build(least_coverage=0.75)
+        self.assertEqual(16, len(harness.started))
+        for exchange in list(harness.started):
+            harness.reply(exchange, 0.02, digest=exchange.request_id + b"x")
+        self.assertTrue(query.is_finished)
+
+    def test_skipped_shard_replaces_a_failed_one(self):
+        """Guards against a search that fails although skipped shards could reply."""
+        harness, query = self.build()
+        for _ in range(2):
+            harness.fail(harness.started[-1], 0.02)
+        self.assertFalse(query.is_finished)
+        self.assertEqual(19, len(set(self.list_asked(harness))))
+
+    def test_skipped_shards_are_asked_late_if_needed(self):
+        """Guards against waiting for a shard that hangs until the deadline.
+
+        At the goal it is too early, because overloaded shards reply later than that.
+        """
+        harness, query = self.build()
+        query.advance(query.goal_at + 0.001)
+        self.assertEqual(18, len(set(self.list_asked(harness))))
+        query.advance(0.7 * query.deadline)
+        self.assertEqual(20, len(set(self.list_asked(harness))))
+        self.assertFalse(query.is_finished)
+
+    def test_healthy_shards_are_all_asked(self):
+        """Guards against lower coverage without an overload."""
+        harness = QueryHarness(self.shards)
+        build_search(harness, self.shards, 0.75)
+        self.assertEqual(20, len(harness.started))
