Bound what an HTTP client connection reads of one response

A response that is discarded was read without a bound, which occupied a connection slot of a target for ever, and interim responses were read without a bound. Change: at most 16 interim responses and 8 MiB of a body, whether the response is used or discarded. Ruled out: a head cut anywhere is an error (test passes before); heads and header lines without end end at h11's limit, a body that is used at 8 MiB. Tests: three of the six new ones fail before.

--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -22,6 +22,7 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_INTERIM_RESPONSES = 16
 RECEIVE_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 75.0
 REQUEST_TIMEOUT_S = 10.0
@@ -720,23 +721,11 @@
 
     async def receive_response(self):
         """Return the response to the last request; raises the errors of `exchange`."""
-        status = 0
-        headers = {}
-        parts = []
-        size = 0
-        while size <= MAX_BODY_BYTES:
-            event = await self._next_event()
-            kind = type(event)
-            if kind is h11.Response:
-                status = event.status_code
-                headers = _decode_headers(event.headers)
-            elif kind is h11.Data:
-                parts.append(bytes(event.data))
-                size += len(event.data)
-            elif kind is h11.EndOfMessage:
-                self._finish_exchange()
-                return HttpResponse(status, b"".join(parts), headers)
-        raise ProtocolError(f"the response exceeds {MAX_BODY_BYTES} bytes")
+        head = await self._receive_head()
+        parts = [part async for part in self._iterate_body()]
+        self._finish_exchange()
+        headers = _decode_headers(head.headers)
+        return HttpResponse(head.status_code, b"".join(parts), headers)
 
     async def skip_response(self):
         """Read and discard the response, or what is left of it.
@@ -748,9 +737,11 @@
             before.
         """
         request_id = None
-        while type(event := await self._next_event()) is not h11.EndOfMessage:
-            if type(event) is h11.Response:
-                request_id = dict(event.headers).get(b"x-request-id")
+        if self._h11.their_state is h11.SEND_RESPONSE:
+            head = await self._receive_head()
+            request_id = dict(head.headers).get(b"x-request-id")
+        async for _ in self._iterate_body():
+            pass
         return request_id and request_id.decode("latin-1")
 
     def close(self):
@@ -774,6 +765,21 @@
         self._h11.send(h11.EndOfMessage())
         return data
 
+    async def _receive_head(self):
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if type(event) is h11.Response:
+                return event
+        raise ProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+
+    async def _iterate_body(self):
+        size = 0
+        while type(event := await self._next_event()) is not h11.EndOfMessage:
+            size += len(event.data)
+            if size > MAX_BODY_BYTES:
+                raise ProtocolError(f"the response exceeds {MAX_BODY_BYTES} bytes")
+            yield bytes(event.data)
+
     async def _next_event(self):
         is_eof = False
         try:
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -275,9 +275,81 @@
         self.assertEqual(("::1", 80), httpio.split_address("[::1]:80"))
 
 
+async def send_without_end(start, piece, stream):
+    """Send `start`, then `piece` again and again until the client closes."""
+    await stream.receive_some(65536)
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(start)
+        while True:
+            await stream.send_all(piece)
+
+
+class EndlessResponseTests(testtools.TestCase):
+    """Bytes without end, in a head or a body, until the client closes.
+
+    A faulty target sends them. The client reads a bounded number of them, whether it
+    waits for the response or discards it.
+    """
+
+    async def check(self, start, piece):
+        handler = functools.partial(send_without_end, start, piece)
+        serve = functools.partial(trio.serve_listeners, handler)
+        for receive in (HttpConnection.receive_response, HttpConnection.skip_response):
+            async with start_server(None, serve=serve) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                await connection.send_request("GET", "/")
+                with testtools.ExpectedException(errors.ProtocolError):
+                    await receive(connection)
+                self.assertFalse(connection.is_reusable)
+                connection.close()
+
+    @run_async
+    async def test_head_without_end(self):
+        """Guards against reading header lines for ever."""
+        await self.check(b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 100)
+
+    @run_async
+    async def test_header_line_without_end(self):
+        """Guards against reading one header value for ever."""
+        await self.check(b"HTTP/1.1 200 OK\r\nX-A: ", b"b" * 1000)
+
+    @run_async
+    async def test_body_without_end(self):
+        """Guards against a body without a length that fills the memory."""
+        await self.check(b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65536)
+
+    @run_async
+    async def test_chunks_without_end(self):
+        """Guards against a chunked body that fills the memory."""
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.check(start, b"8000\r\n" + b"b" * 0x8000 + b"\r\n")
+
+    @run_async
+    async def test_interim_responses_without_end(self):
+        """Guards against interim responses that occupy the processor for ever."""
+        await self.check(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20)
+
+
 class ConnectionTests(testtools.TestCase):
     """Reuse and failures of client connections and the pool."""
 
+    @run_async
+    async def test_response_cut_in_its_head_is_an_error(self):
+        """Guards against an empty response made of a head that was cut.
+
+        The server stops anywhere in the head and closes the connection.
+        """
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n"
+        for length in range(len(head)):
+            handler = functools.partial(send_fixed_response, head[:length], True)
+            serve = functools.partial(trio.serve_listeners, handler)
+            async with start_server(None, serve=serve) as address:
+                connection = await HttpConnection.open(address, 1.0)
+                with testtools.ExpectedException(ConnectionResetError):
+                    await connection.exchange("GET", "/")
+                self.assertFalse(connection.is_reusable)
+                connection.close()
+
     @with_fixed_response(
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" * 2, ends=False
     )
