Skip overloaded shards only if more of them are late than may be missing

From 21.4 s one shard has a single target left, whose replies are late for some searches. It counted as late, so 8 VMs left it out of 61 to 75% of all searches for 12 s, and of a tenth of them until the end, although without skipping 2% lacked it then. Its customers' records were missing for no need. Ruled out: a dead target; it replied to a part of the searches that asked it. Change: shards are left out only if more are late than may be missing, so that the answer depends on them. How to spare them without losing replies that come in time is open.

--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -106,11 +106,11 @@
         self._start_subrequests(subrequests, now)
 
     def _skip_late_shards(self, subrequests, services_with_target, now):
-        """Skip shards that are expected to reply after the goal, if enough remain.
+        """Skip some of the overloaded shards if there are more than may be missing.
 
-        A partial answer is sent at the goal if its coverage suffices, so their replies
-        would be dropped. If more shards are overloaded than may be missing, each
-        search then asks only as many of them as it needs.
+        Each search then asks only as many of them as it needs, so that they can reply
+        to a part of all searches. If fewer are overloaded, the answer does not depend
+        on them, and those that reply before the goal improve it.
         """
         skippable = services_with_target - self._count_required()
         if skippable <= 0:
@@ -124,6 +124,8 @@
             if expected_s > goal_left_s:
                 rank = self._context.chooser.add_jitter(expected_s, SKIP_SPREAD)
                 late.append((rank, len(late), subrequest))
+        if len(late) <= skippable:
+            return
         for _, _, subrequest in sorted(late, reverse=True)[:skippable]:
             subrequest.skip("skipped, as its reply is expected after the goal")
             self._skipped.append(subrequest)
