List the store without waiting for a seed that is loading

After the loss of power at 34 s, 21 to 26 requests got 503 'no configuration', none before: a VM waited up to 0.3 s for a seed that was loading the content itself. Test: a VM does not wait for a seed that starts too. The bound of the start is tried with a seed that accepts and never answers.

--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -44,14 +44,12 @@
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 """Largest snapshot that is decompressed."""
 
-START_TIMEOUT_S = 0.3
-"""Longest time for which a starting VM waits for a seed that is loading the content
-itself. Listing takes less than 0.1 s while the store is not busy."""
+START_TIMEOUT_S = 0.06
+"""Longest time for which a starting VM waits for the snapshot of a seed, which takes
+some 20 ms. Listing the store takes less than 0.1 s, and callers are refused
+meanwhile."""
 
-START_RETRY_DELAY_S = 0.05
-"""Delay between two rounds of requests to the seeds."""
-
-START_STAGGER_S = 0.05
+START_STAGGER_S = 0.02
 """Delay after which the next seed is asked, too."""
 
 COMPRESSION_LEVEL = 1
@@ -182,11 +180,14 @@
     addresses : tuple of str
         ``host:port`` of other VMs; some may be stale.
     own_address : str
+    start_timeout_s : float
+        Longest time for which `fetch_at_start` waits.
     """
 
-    __slots__ = ("_addresses", "_is_seed")
+    __slots__ = ("_addresses", "_is_seed", "_start_timeout_s")
 
-    def __init__(self, addresses, own_address):
+    def __init__(self, addresses, own_address, start_timeout_s=START_TIMEOUT_S):
+        self._start_timeout_s = start_timeout_s
         self._is_seed = own_address in addresses
         # The order differs from VM to VM, so that the seeds share the requests.
         self._addresses = sorted(
@@ -197,56 +198,35 @@
     async def fetch_at_start(self):
         """Return a current `PeerSnapshot`, or None to list the store.
 
-        The seeds list the store themselves. The other VMs wait for a seed only while
-        one is loading the content: when all VMs start at once, callers are served
-        sooner by a VM that lists the store than by one that waits for a seed to start.
+        The seeds list the store themselves. The seeds are asked one after the other
+        until one has a current snapshot; the next one is asked after `START_STAGGER_S`
+        even if the one before has not answered. If all VMs start at once, no seed has a
+        snapshot, and each VM lists the store without waiting for one.
         """
         if self._is_seed or not self._addresses:
             return None
-        with trio.move_on_after(START_TIMEOUT_S):
-            while True:
-                snapshot, is_any_loading = await self._fetch_first_current()
-                if snapshot is not None:
-                    return snapshot
-                if not is_any_loading:
-                    break
-                await trio.sleep(START_RETRY_DELAY_S)
-        logger.info("no other VM has a current snapshot; listing the store")
-        return None
-
-    async def _fetch_first_current(self):
-        """Ask the seeds, one after the other until one has a current snapshot.
-
-        The next one is asked after `START_STAGGER_S` even if the one before has not
-        answered.
-
-        Returns
-        -------
-        tuple of (PeerSnapshot or None, bool)
-            The snapshot, and whether a seed answered that it has none yet.
-        """
         found = None
-        is_any_loading = False
 
         async def ask(address, delay_s):
-            nonlocal found, is_any_loading
+            nonlocal found
             await trio.sleep(delay_s)
             try:
                 snapshot = await self._fetch_from(address)
             except _PEER_ERRORS as error:
                 logger.debug("no snapshot from %s: %r", address, error)
                 return
-            if snapshot is None:
-                is_any_loading = True
-            elif snapshot.is_current and found is None:
+            if snapshot is not None and snapshot.is_current and found is None:
                 found = snapshot
                 _log_start(address, snapshot)
                 nursery.cancel_scope.cancel()
 
-        async with trio.open_nursery() as nursery:
-            for index, address in enumerate(self._addresses):
-                nursery.start_soon(ask, address, index * START_STAGGER_S)
-        return found, is_any_loading
+        with trio.move_on_after(self._start_timeout_s):
+            async with trio.open_nursery() as nursery:
+                for index, address in enumerate(self._addresses):
+                    nursery.start_soon(ask, address, index * START_STAGGER_S)
+        if found is None:
+            logger.info("no other VM has a current snapshot; listing the store")
+        return found
 
     async def fetch(self):
         """Return the `PeerSnapshot` with the newest revision, current or not.
