--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -13,6 +13,7 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 from urllib.parse import parse_qsl, unquote
@@ -108,8 +109,10 @@
 
     PAGE_ITEMS = 500
 
-    def __init__(self, staleness_s=0.0):
+    def __init__(self, staleness_s=0.0, history_s=None):
         self.staleness_s = staleness_s
+        self.history_s = history_s
+        self._dropped_revision = 0
         self.revision = 1
         self.items = {}
         self.events = []
@@ -155,9 +158,18 @@
     def _append(self, event):
         self.events.append(event)
         self._event_times.append(time.monotonic())
+        self._drop_history()
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _drop_history(self):
+        if self.history_s is None:
+            return
+        oldest = time.monotonic() - self.history_s
+        while self._event_times[0] < oldest:
+            self._dropped_revision = self.events.pop(0)["revision"]
+            self._event_times.pop(0)
+
     async def expire_leases(self):
         """Remove the keys of ended leases until cancelled."""
         while True:
@@ -194,6 +206,8 @@
         if path == "/kv-range":
             return 200, self._list(query)
         if path == "/kv-watch":
+            if int(query["after"]) < self._dropped_revision:
+                return 410, {}
             return 200, await self._watch(query)
         if path == "/kv-txn":
             return self._commit(body)
@@ -633,6 +647,21 @@
     return await asyncio.wait_for(run(), timeout_s)
 
 
+def run_case(main):
+    """Run a case and end the process with its exit code.
+
+    `main` returns 1 if the rule was broken, 0 if it held, 2 if the case proves nothing.
+    """
+    try:
+        code = asyncio.run(main())
+    except (RuntimeError, OSError) as error:
+        print(f"the case could not run: {error}", file=sys.stderr)
+        code = 2
+    sys.stdout.flush()
+    # Skips the finalizers of connections that were cut; they only complain.
+    os._exit(code)
+
+
 class Deployment:
     """A store, servers and VMs; an async context manager that ends all of them."""
 
@@ -644,9 +673,10 @@
         single_counts=(("planshelf", 4),),
         staleness_s=0.0,
         uses_store_proxies=False,
+        history_s=None,
     ):
         self.record = Record(folder)
-        self.store = Store(staleness_s)
+        self.store = Store(staleness_s, history_s)
         self.shards = [f"listmaker{number}" for number in range(shard_count)]
         self.servers = []
         self.vms = []
