--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -104,6 +105,17 @@
     return f"{host}:{port}"
 
 
+def list_free_ports(host, count):
+    """Return numbers of ports that are free on a loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind((host, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
 class Store:
     """The platform's metadata store."""
 
@@ -428,9 +440,10 @@
         # id keeps concurrent scripts apart.
         pid = os.getpid()
         self.ip = f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{number + 1}"
-        self.front = f"{self.ip}:8104"
-        self.ready = f"{self.ip}:8108"
-        self.control = f"{self.ip}:8106"
+        self.front, self.ready, self.control, search = (
+            f"{self.ip}:{port}" for port in list_free_ports(self.ip, 4)
+        )
+        self._search_port = search.rpartition(":")[2]
         self.process = None
         self._folder = folder
         self._store_address = store_address
@@ -487,7 +500,7 @@
 ip = "{self.ip}"
 zone = "{self.zone}"
 region = "qld-south"
-port-range = [7380, 7395]
+port-range = [{self._search_port}, {self._search_port}]
 seeds = {json.dumps(seeds)}
 bootstrap = true
 loss-counts = false
