--- a/review/1/run.py
+++ b/review/1/run.py
@@ -10,13 +10,14 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 VMS = 2
-SHARE = 0.35
-SPOILED = 0.02
-"""The dose of `garble` among the troubles of sites/shedlist-qld.toml."""
+SHARE = 0.5
+SPOILED = 0.04
+TROUBLE_S = 5.0
+"""share, x and for_s of one `garble` on a standard day of sites/shedlist-qld.toml."""
 CALM_S = 4.0
-TROUBLE_S = 15.0
-RATE_PER_VM = 16.0
-"""Requests per second; six of ten are list-build, two aisle-check, two plan-fetch."""
+RATE_PER_VM = 56.2 / 6
+"""Requests per second: those of the sheet, over its six VMs. Six of ten are list-build,
+two aisle-check and two plan-fetch."""
 ROUTES = {"/list/x": 0.4, "/check/x": 0.25, "/plan/x": 1.5}
 """Time limits of the routes (timeout-ms) in seconds."""
 MIX = ["/list/x"] * 6 + ["/check/x"] * 2 + ["/plan/x"] * 2
