Log polls and timers that take too long

Two lines tell them apart: 'timers were late' (the process was paused or busy) and 'events took long to handle' (the reactor was what kept it busy), with the number of events.

--- a/tarragonchute/reactor.py
+++ b/tarragonchute/reactor.py
@@ -6,6 +6,7 @@
 
 import logging
 import select
+import time
 from typing import Protocol
 
 import trio
@@ -18,6 +19,10 @@
 `COALESCE_DELAY_S` after each poll, so that one wake-up handles several events. A
 wake-up costs about as much processor time as the handling of one reply."""
 
+SLOW_POLL_S = 0.1
+"""Duration of one poll above which it is logged. Meanwhile no caller is answered and no
+time limit takes effect."""
+
 
 class EventHandler(Protocol):
     """Callback interface for the events of one socket.
@@ -98,11 +103,18 @@
         ready = [
             (self._handlers_by_fd.get(fd), events) for fd, events in self._epoll.poll(0)
         ]
+        if not ready:
+            return
+        started_at = time.perf_counter()
         for handler, events in ready:
             # Handling an earlier event of this batch may have closed this socket, and a
             # new socket may already use its file descriptor.
             if handler is not None and not handler.is_closed:
                 self._call_handler(handler, events, now)
+        duration_s = time.perf_counter() - started_at
+        if duration_s > SLOW_POLL_S:
+            fields = {"events": len(ready), "duration_s": round(duration_s, 3)}
+            logger.warning("events took long to handle", extra=fields)
 
     def _call_handler(self, handler, events, now):
         try:
--- a/tarragonchute/timers.py
+++ b/tarragonchute/timers.py
@@ -13,6 +13,9 @@
 MIN_PAUSE_S = 0.4
 """Time without a call of the timers after which the process counts as paused."""
 
+LOGGED_DELAY_S = 0.2
+"""Delay of the timers above which it is logged."""
+
 
 class Subscription:
     """A callback that is called periodically.
@@ -148,7 +151,12 @@
         while True:
             due_at = self.advance(trio.current_time())
             # Bounded, because a subscriber added meanwhile may be due earlier.
-            await trio.sleep_until(min(due_at, trio.current_time() + _MAX_SLEEP_S))
+            wake_at = min(due_at, trio.current_time() + _MAX_SLEEP_S)
+            await trio.sleep_until(wake_at)
+            delay_s = trio.current_time() - wake_at
+            if delay_s > LOGGED_DELAY_S:
+                fields = {"duration_s": round(delay_s, 3)}
+                logger.warning("timers were late", extra=fields)
 
     def _push(self, subscription):
         entry = (subscription.due_at, next(self._sequence), subscription)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,8 +1,19 @@
 """Tests of the timer service."""
 
+import logging
+import time
+
 import testtools
+import trio
+
+from tarragonchute.timers import LOGGED_DELAY_S, TimerService
+
+from .trial import run_async
+
 
-from tarragonchute.timers import TimerService
+def block_event_loop(duration_s):
+    """Keep the processor without giving up control."""
+    time.sleep(duration_s)
 
 
 class TimerServiceTests(testtools.TestCase):
@@ -61,3 +72,18 @@
         self.assertGreaterEqual(timers.get_pause_s(4.01), 3.0)
         timers.advance(4.05)
         self.assertEqual(0.0, timers.get_pause_s(4.06))
+
+    @run_async
+    async def test_task_that_does_not_give_up_control_is_logged(self):
+        """Guards against late answers whose logs show no cause.
+
+        The logs then tell a VM that was busy from one that waited for others.
+        """
+        with self.assertLogs("tarragonchute.timers", logging.WARNING) as logs:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(TimerService(trio.current_time()).run)
+                await trio.sleep(0.01)
+                block_event_loop(LOGGED_DELAY_S + 0.1)
+                await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+        self.assertEqual("timers were late", logs.records[0].getMessage())
