--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -425,6 +425,15 @@
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         await self.check_failure(head, b"8000\r\n" + b"x" * 0x8000 + b"\r\n")
 
+    @run_async
+    async def test_chunks_of_one_byte_without_end(self):
+        """Guards against a body of tiny chunks that keeps a VM busy until 8 MB came.
+
+        Callers of all other targets got no answer in time meanwhile.
+        """
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.check_failure(head, b"1\r\nx\r\n" * 10_000)
+
     @run_async
     async def test_chunk_header_without_end(self):
         """Guards against reading the extension of one chunk for ever."""
