Bound the small chunks of requests and of responses to HTTP clients

Both now count chunks as the replies of targets do, and let other tasks run every 64 chunks. A request above the limit gets 400 and its connection is closed.

--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -16,6 +16,7 @@
 import orjson
 import trio
 
+from .chunks import check_chunk_count
 from .errors import BadRequestError, PortInUseError, ProtocolError, TarragonchuteError
 
 logger = logging.getLogger(__name__)
@@ -40,6 +41,10 @@
 # is no longer watched for a disconnect.
 MAX_PIPELINED_BYTES = 256 * 1024
 
+CHUNKS_PER_CHECKPOINT = 64
+"""Chunks of one body after which other tasks run. h11 takes some 30 microseconds for
+each, and one receive may hold thousands of them."""
+
 JSON_TYPE = "application/json"
 
 
@@ -444,13 +449,14 @@
         return _build_request(event, await self._read_body())
 
     async def _read_body(self):
-        parts = []
-        size = 0
-        while type(event := await self._next_event()) is h11.Data:
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            self._check_body_size(size)
-        return b"".join(parts)
+        body = _BodyCollector()
+        try:
+            while type(event := await self._next_event()) is h11.Data:
+                await body.append(event)
+                self._check_body_size(body.size)
+        except ProtocolError as error:
+            raise _build_request_error(400, str(error)) from error
+        return body.join()
 
     async def _next_event(self):
         while (event := self._h11.next_event()) is h11.NEED_DATA:
@@ -546,6 +552,38 @@
                 pass
 
 
+class _BodyCollector:
+    """Collects the content of one body and bounds the time that its chunks take."""
+
+    __slots__ = ("size", "_parts", "_chunks")
+
+    def __init__(self):
+        self.size = 0
+        self._parts = []
+        self._chunks = 0
+
+    async def append(self, event):
+        """Add the content of an `h11.Data` event.
+
+        Raises
+        ------
+        ProtocolError
+            If the body has too many small chunks.
+        """
+        self._parts.append(bytes(event.data))
+        self.size += len(event.data)
+        if not event.chunk_end:
+            return
+        self._chunks += 1
+        check_chunk_count(self._chunks, self.size)
+        if self._chunks % CHUNKS_PER_CHECKPOINT == 0:
+            await trio.lowlevel.checkpoint()
+
+    def join(self):
+        """Return the whole content."""
+        return b"".join(self._parts)
+
+
 def _close_listener(listener):
     """Close a listener and return streams for the connections in its backlog.
 
@@ -722,10 +760,10 @@
     async def receive_response(self):
         """Return the response to the last request; raises the errors of `exchange`."""
         head = await self._receive_head()
-        parts = [part async for part in self._iterate_body()]
+        body = await self._read_body()
         self._finish_exchange()
         headers = _decode_headers(head.headers)
-        return HttpResponse(head.status_code, b"".join(parts), headers)
+        return HttpResponse(head.status_code, body, headers)
 
     async def skip_response(self):
         """Read and discard the response, or what is left of it.
@@ -740,8 +778,7 @@
         if self._h11.their_state is h11.SEND_RESPONSE:
             head = await self._receive_head()
             request_id = dict(head.headers).get(b"x-request-id")
-        async for _ in self._iterate_body():
-            pass
+        await self._read_body()
         return request_id and request_id.decode("latin-1")
 
     def close(self):
@@ -772,13 +809,13 @@
                 return event
         raise ProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
-    async def _iterate_body(self):
-        size = 0
+    async def _read_body(self):
+        body = _BodyCollector()
         while type(event := await self._next_event()) is not h11.EndOfMessage:
-            size += len(event.data)
-            if size > MAX_BODY_BYTES:
+            await body.append(event)
+            if body.size > MAX_BODY_BYTES:
                 raise ProtocolError(f"the response exceeds {MAX_BODY_BYTES} bytes")
-            yield bytes(event.data)
+        return body.join()
 
     async def _next_event(self):
         is_eof = False
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -2,15 +2,18 @@
 
 import contextlib
 import functools
+import time
 
 import testtools
 import trio
 
 from tarragonchute import errors, httpio
+from tarragonchute.exchanges import SWEEP_PERIOD_S
 from tarragonchute.httpio import HttpConnection, HttpResponse, ServerOptions
 from tools.ports import PortReservations
 
 TEST_TIMEOUT_S = 10
+CLOSING_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
 @contextlib.asynccontextmanager
@@ -284,6 +287,46 @@
             await stream.send_all(piece)
 
 
+class SmallChunkTests(testtools.TestCase):
+    """Requests in many small chunks, each of which takes time to parse."""
+
+    HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    @run_async
+    async def test_other_requests_are_served_meanwhile(self):
+        """Guards against one caller's small chunks that delay all other callers.
+
+        The longest processor time without a checkpoint stays below a sweep period.
+        """
+        longest_s = 0.0
+
+        async def measure_turns():
+            nonlocal longest_s
+            while True:
+                started_at = time.thread_time()
+                await trio.lowlevel.checkpoint()
+                longest_s = max(longest_s, time.thread_time() - started_at)
+
+        body = b"1\r\nx\r\n" * 4000 + b"0\r\n\r\n"
+        async with (
+            start_server(echo_request) as address,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(measure_turns)
+            data = await send_raw(address, self.HEAD + body + CLOSING_REQUEST)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(2, data.count(b"HTTP/1.1 200"))
+        self.assertLess(longest_s, SWEEP_PERIOD_S)
+
+    @run_async
+    async def test_too_many_small_chunks_are_rejected(self):
+        """Guards against a body that takes seconds of processor time."""
+        body = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+        async with start_server(echo_request) as address:
+            data = await send_raw(address, self.HEAD + body)
+        self.assertTrue(data.startswith(b"HTTP/1.1 400 "), data)
+
+
 class EndlessResponseTests(testtools.TestCase):
     """Bytes without end, in a head or a body, until the client closes.
 
@@ -324,6 +367,12 @@
         start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         await self.check(start, b"8000\r\n" + b"b" * 0x8000 + b"\r\n")
 
+    @run_async
+    async def test_chunks_of_one_byte_without_end(self):
+        """Guards against a body of tiny chunks that keeps a VM busy until 8 MB came."""
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.check(start, b"1\r\nb\r\n" * 10_000)
+
     @run_async
     async def test_interim_responses_without_end(self):
         """Guards against interim responses that occupy the processor for ever."""
