Keep only the latest change of each key for followers

Cause: each VM kept the last 4,000 changes with their whole values, so that VMs which follow it could ask for them. The bound counted entries; a value may have 1 MB.

Ruled out: decoded configurations.

Now ChangeLog keeps the latest change of each key. A follower needs the current content only, as after a listing. All values in the log are current ones, which the VM holds anyway, and an answer to a follower has each key once.

Before, 2 of the tests failed: test_versions_of_one_key_do_not_add_up_in_memory (300 MB against a budget of 128 MB) and test_follower_gets_the_latest_version_only.

The stand-in of the VM list keeps its history; only tests use it.

--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -6,7 +6,6 @@
 the store watches the store itself.
 """
 
-import collections
 import logging
 import math
 import random
@@ -14,6 +13,7 @@
 import trio
 
 from .backoff import compute_backoff_s
+from .changes import ChangeLog
 from .errors import (
     HistoryLostError,
     RelayUnavailableError,
@@ -67,9 +67,6 @@
 because of the store outage rather than because the targets stopped. It is longer than
 a probe takes to fail, and shorter than three heartbeat intervals of a target."""
 
-MAX_HISTORY_ENTRIES = 4000
-"""Changes kept for followers; a follower that missed more gets a full snapshot."""
-
 
 class StoreUpdateHandler:
     """Callback interface for the content of the store and its changes."""
@@ -133,8 +130,7 @@
         self._clock = clock or trio.current_time
         self._random = random_source or random.Random()
         self._entries = {}
-        self._history = collections.deque(maxlen=MAX_HISTORY_ENTRIES)
-        self._history_start = math.inf
+        self._change_log = ChangeLog(math.inf)
         self._changed = trio.Event()
         self._batch_pause_s = BATCH_PAUSE_MIN_S
         self._last_success_at = None
@@ -169,16 +165,14 @@
         return list(self._entries.values())
 
     def list_changes(self, after):
-        """Return the entries that changed after a revision.
+        """Return the latest entries of the keys that changed after a revision.
 
         Returns
         -------
         list of Entry or None
-            None if the history no longer covers that revision.
+            None if the log of changes does not go back so far.
         """
-        if after < self._history_start:
-            return None
-        return [entry for entry in self._history if entry.revision > after]
+        return self._change_log.list_after(after)
 
     async def wait_for_change(self):
         """Wait for the next change, or until the store cannot be reached."""
@@ -233,8 +227,7 @@
 
     def _apply_snapshot(self, entries, revision, is_after_outage):
         self._entries = {entry.key: entry for entry in entries}
-        self._history.clear()
-        self._history_start = math.inf if revision is None else revision
+        self._change_log = ChangeLog(math.inf if revision is None else revision)
         self.revision = revision
         self.last_applied_revision = revision or 0
         self._handler.apply_snapshot(entries, is_after_outage)
@@ -295,7 +288,7 @@
             else:
                 self._entries[entry.key] = entry
             self._apply_change(entry)
-            self._append_history(entry)
+            self._change_log.record(entry)
         self.revision = self.last_applied_revision = revision
         if entries:
             self._notify_followers()
@@ -307,11 +300,6 @@
             # One entry that cannot be applied must not stop all later changes.
             logger.exception("cannot apply a change", extra={"key": entry.key})
 
-    def _append_history(self, entry):
-        if len(self._history) == MAX_HISTORY_ENTRIES:
-            self._history_start = self._history[0].revision
-        self._history.append(entry)
-
     def _notify_followers(self):
         self._changed.set()
         self._changed = trio.Event()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -90,6 +90,21 @@
             self.assertGreater(revision, after)
             relay.close()
 
+    @run_async
+    async def test_follower_gets_the_latest_version_only(self):
+        """Guards against answers that grow with each version a follower missed."""
+        async with open_relay() as (store, watcher, address):
+            relay = Relay(address)
+            after = watcher.revision
+            for number in range(3):
+                await store.put("a", str(number), watcher.revision)
+                while watcher.list_entries()[0].value != str(number):
+                    await trio.sleep(0.01)
+            entries, _, is_snapshot = await relay.watch(after)
+            self.assertFalse(is_snapshot)
+            self.assertEqual([("a", "2")], [(e.key, e.value) for e in entries])
+            relay.close()
+
     @run_async
     async def test_poll_without_changes_is_answered(self):
         """Guards against treating a relay without changes as unresponsive."""
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -1,5 +1,7 @@
 """Tests of keeping a VM in sync with the store."""
 
+import tracemalloc
+
 import testtools
 import trio
 
@@ -10,7 +12,7 @@
     StoreUnavailableError,
 )
 from tarragonchute.peers import PeerSnapshot
-from tarragonchute.store import Entry, MemoryStore
+from tarragonchute.store import MAX_VALUE_BYTES, Entry, MemoryStore
 from tarragonchute.storewatcher import StoreWatcher
 
 from .trial import run_in_virtual_time
@@ -188,6 +190,10 @@
         return PeerSnapshot([Entry("a", "from a peer", 0)], 0, False)
 
 
+MEMORY_BUDGET_BYTES = 128_000_000
+"""Memory that a VM may use for control; see the target size in DEVELOPERS.md."""
+
+
 class StoreWatcherTests(testtools.TestCase):
     """Listings, watches, lost history and outages of the store."""
 
@@ -353,6 +359,25 @@
         self.assertEqual([], watcher.list_changes(50))
         self.assertIsNone(watcher.list_changes(10))
 
+    @run_in_virtual_time
+    async def test_versions_of_one_key_do_not_add_up_in_memory(self):
+        """Guards against a VM that is killed for its memory after many changes.
+
+        Each VM saw the same versions, so all were killed at about the same time.
+        """
+        watcher = StoreWatcher(MemoryStore(), RecordingHandler())
+        await watcher._load_listing()
+        start = watcher.revision
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for revision in range(start + 1, start + 301):
+            text = f"{revision}".rjust(MAX_VALUE_BYTES)
+            watcher._apply_changes([Entry("configuration", text, revision)], revision)
+        used_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(used_bytes, MEMORY_BUDGET_BYTES)
+        (entry,) = watcher.list_changes(start)
+        self.assertEqual((text, revision), (entry.value, entry.revision))
+
     @run_in_virtual_time
     async def test_idle_store_gets_few_calls(self):
         """Guards against billed calls while nothing changes."""
