Apply only the latest change of each key in one batch

Later versions replace earlier ones, as in a listing, so only the latest is applied. The new test failed before (all five changes were applied).

--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -282,7 +282,7 @@
         await trio.sleep(self._batch_pause_s)
 
     def _apply_changes(self, entries, revision):
-        for entry in entries:
+        for entry in _list_latest(entries):
             if entry.value is None:
                 self._entries.pop(entry.key, None)
             else:
@@ -438,3 +438,12 @@
             self._failures, RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S
         )
         return delay_s * (0.5 + 0.5 * self._random.random())
+
+
+def _list_latest(entries):
+    """Return the last entry of each key, in the order of these entries."""
+    latest = {}
+    for entry in entries:
+        latest.pop(entry.key, None)
+        latest[entry.key] = entry
+    return list(latest.values())
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -378,6 +378,26 @@
         (entry,) = watcher.list_changes(start)
         self.assertEqual((text, revision), (entry.value, entry.revision))
 
+    @run_in_virtual_time
+    async def test_superseded_changes_of_one_batch_are_not_applied(self):
+        """Guards against decoding each version of a configuration in one go.
+
+        Callers get no answer meanwhile.
+        """
+        applied = []
+
+        class ListingHandler(RecordingHandler):
+            def apply_change(self, key, value):
+                applied.append((key, value))
+
+        watcher = StoreWatcher(MemoryStore(), ListingHandler())
+        await watcher._load_listing()
+        batch = [("a", "1"), ("b", "1"), ("c", "1"), ("a", "2"), ("b", None)]
+        entries = [Entry(*change, 100 + index) for index, change in enumerate(batch)]
+        watcher._apply_changes(entries, 104)
+        self.assertEqual([("c", "1"), ("a", "2"), ("b", None)], applied)
+        self.assertEqual({"a", "c"}, {entry.key for entry in watcher.list_entries()})
+
     @run_in_virtual_time
     async def test_idle_store_gets_few_calls(self):
         """Guards against billed calls while nothing changes."""
