Check the type and range of each field of a VM's key

A report of another operator: one odd entry, very deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again, or they stopped following it.

It can happen here, with a key among those of the VMs: a failure domain nested 500 deep raised RecursionError in decode_vm, which ended the task that follows the store. It was started again and failed again at the listing; as a single change it was logged and passed over. test_listing and test_changes failed before. Among the entries of the targets, none of the forms ended a task, but port 0, group and broadcast addresses and numbers up to 1.8e308 were accepted as a target (test_odd_registration_names_no_target failed before, at port 0).

Now the fields of a VM's key are checked as those of a target are: strings, an IP address with a port (a name would be looked up, which blocks the process), a finite rate. Addresses of targets have to be ones of a single machine, numbers within 2^53.

--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -5,7 +5,9 @@
 until it is current.
 """
 
+import ipaddress
 import logging
+import math
 
 import orjson
 import trio
@@ -16,6 +18,7 @@
     StoreOutcomeUnknownError,
     TarragonchuteError,
 )
+from .httpio import split_address
 
 logger = logging.getLogger(__name__)
 
@@ -144,18 +147,42 @@
     """Return the `VmInfo` that a key holds; if it is invalid, one with only the id."""
     try:
         body = orjson.loads(value)
+        domain = body["domain"]
+        if not isinstance(domain, str):
+            raise TypeError("the domain is not a string")
         return VmInfo(
             vm_id,
-            str(body["domain"]),
-            str(body["address"]),
-            str(body.get("search_address", "")),
-            max(float(body.get("rate", 1.0)), MIN_RATE),
+            domain,
+            _check_address(body["address"]),
+            _check_address(body.get("search_address", "")),
+            max(_check_rate(body.get("rate", 1.0)), MIN_RATE),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         logger.warning("cannot decode the key of VM %s: %r", vm_id, error)
         return VmInfo(vm_id)
 
 
+def _check_address(text):
+    """Return an address if it is empty or an IP address with a port.
+
+    Looking up a name would block the process.
+    """
+    if not isinstance(text, str):
+        raise TypeError("the address is not a string")
+    if text:
+        host, port = split_address(text)
+        ipaddress.ip_address(host)
+        if not port:
+            raise ValueError("the port is 0")
+    return text
+
+
+def _check_rate(rate):
+    if not isinstance(rate, (int, float)) or not math.isfinite(rate):
+        raise TypeError("the rate is not a finite number")
+    return float(rate)
+
+
 class VmRegistration:
     """Registers this VM in the store and renews the lease of its key.
 
--- a/tarragonchute/platform/decoding.py
+++ b/tarragonchute/platform/decoding.py
@@ -16,6 +16,13 @@
 _VALID_STATES = ("ready", "draining")
 _IDEMPOTENT_KIND = "idempotent"
 
+# Below are addresses that mean this machine, above those of groups and broadcasts.
+_MIN_ADDRESS = int(ipaddress.IPv4Address("1.0.0.0"))
+_FIRST_MULTICAST_ADDRESS = int(ipaddress.IPv4Address("224.0.0.0"))
+
+_MAX_NUMBER = 2**53
+"""Larger numbers are not exact in JSON; no target states one."""
+
 # Ids are sent in a header of each request; longer or other ones would change it.
 _MAX_ID_LENGTH = 200
 
@@ -126,7 +133,10 @@
     Looking up a name would block the process, and an invalid one raises on connecting.
     """
     host, port = split_address(text)
-    return str(ipaddress.IPv4Address(host)), port
+    address = ipaddress.IPv4Address(host)
+    if not port or not _MIN_ADDRESS <= int(address) < _FIRST_MULTICAST_ADDRESS:
+        raise ValueError(f"{text!r} is not the address of a server")
+    return str(address), port
 
 
 def decode_evacuated_domain(key):
@@ -137,4 +147,6 @@
 
 
 def _is_number(value):
-    return isinstance(value, (int, float)) and not isinstance(value, bool)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    return abs(value) <= _MAX_NUMBER
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the platform adapter: decoding, store client and gateway process."""
 
 import contextlib
+import logging
 import pathlib
 import signal
 import subprocess
@@ -25,19 +26,27 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from tarragonchute.fleet import VM_PREFIX, VmInfo
+from tarragonchute.gateway import Gateway
 from tarragonchute.httpio import (
     HttpConnection,
     HttpResponse,
+    ServerOptions,
     bind_listeners,
     get_address,
     serve_http,
 )
 from tarragonchute.platform import decoding, settings
+from tarragonchute.platform.main import GatewayUpdater
+from tarragonchute.platform.names import HEADER_NAMES
 from tarragonchute.platform.store import PlatformStore
 from tarragonchute.process import METRICS_PORT
+from tarragonchute.store import MemoryStore
+from tarragonchute.storewatcher import StoreWatcher
 
+from .test_gateway import build_settings as build_gateway_settings
 from .test_httpio import reserve_closed_port, start_server
-from .trial import run_async
+from .trial import run_async, run_in_virtual_time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20
@@ -125,6 +134,117 @@
         self.assertIsNone(decoding.decode_evacuated_domain("op/config"))
 
 
+class OddEntryTests(testtools.TestCase):
+    """Entries of other writers among those of targets and VMs.
+
+    Reported by operators of similar systems: one odd entry ended the processes that
+    read the list again and again, or they stopped following it.
+    """
+
+    NUMBERS = ("1e400", "1e308", "-1e308", "1" + "0" * 30, "1" + "0" * 400, "NaN")
+    ADDRESSES = (
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        "10.0.0.1:" + "9" * 5000,
+        "10.0.0.1:\N{SUPERSCRIPT TWO}",
+        "10.0.0.1",
+        "[::1]:80",
+        "localhost:80",
+        "255.255.255.255:80",
+        "0.0.0.0:80",
+        "",
+    )
+
+    def list_odd_texts(self, body, address_field):
+        """Return texts with one odd field each, and texts that are no object."""
+        texts = ["", "{", "[]", "7", "null", '"x"', "\x00", "NaN"]
+        for depth in (500, 1000, 100_000):
+            nested = "[" * depth + "]" * depth
+            texts += [nested, '{"a":' * depth + "1" + "}" * depth]
+            texts += [self.replace(body, name, nested) for name in (*body, "other")]
+        for name in body:
+            texts += [self.replace(body, name, number) for number in self.NUMBERS]
+            texts += [self.replace(body, name, "null"), self.replace(body, name, "{}")]
+            texts.append(orjson.dumps({k: body[k] for k in body if k != name}).decode())
+        for address in self.ADDRESSES:
+            texts.append(orjson.dumps({**body, address_field: address}).decode())
+        return texts
+
+    def replace(self, body, name, text):
+        """Return a JSON object in which one field has this text as its value."""
+        fields = {key: orjson.dumps(body[key]).decode() for key in body}
+        fields[name] = text
+        return "{" + ",".join(f'"{key}":{fields[key]}' for key in fields) + "}"
+
+    def list_odd_entries(self):
+        """Return odd entries as pairs of key and text."""
+        vm = VmInfo("vm-2", "d", "10.0.0.2:7", "10.0.0.2:8").encode()
+        targets = self.list_odd_texts(REGISTRATION, "address")
+        vms = self.list_odd_texts(orjson.loads(vm), "address")
+        vms += self.list_odd_texts(orjson.loads(vm), "search_address")
+        entries = [(f"servers/i-{n}", text) for n, text in enumerate(targets, 10)]
+        entries += [(f"{VM_PREFIX}vm-{n}", text) for n, text in enumerate(vms, 10)]
+        return [*entries, ("op/evacuate/", "{}"), ("other", "[" * 10_000)]
+
+    def build(self):
+        """Return a gateway with wide searches, and the updater of its content."""
+        settings = build_gateway_settings()
+        settings.search_address = "127.0.0.1:5"
+        gateway = Gateway(settings, HEADER_NAMES, ServerOptions())
+        self.addCleanup(gateway.reactor.close)
+        shards = [f"s{number}" for number in range(60)]
+        text = build_configuration(1, shards, "desk")
+        gateway.apply_table(decoding.decode_configuration(text))
+        return gateway, GatewayUpdater(gateway)
+
+    async def check_that_changes_arrive(self, gateway, updater, store):
+        """Check that a target that registers now is used, and that all timers run."""
+        watcher = StoreWatcher(store, updater)
+        with self.assertNoLogs(level=logging.ERROR):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watcher.run)
+                await trio.sleep(1.0)
+                self.assertTrue(watcher.is_loaded)
+                text = orjson.dumps({**REGISTRATION, "service": "s1"}).decode()
+                await store.put("servers/i-1", text, 0)
+                for _ in range(20):
+                    await trio.sleep(0.5)
+                    gateway.sweep(trio.current_time())
+                nursery.cancel_scope.cancel()
+        usable = [t.registration.target_id for t in gateway.registry.list_usable("s1")]
+        self.assertEqual(["i-1"], usable)
+
+    @run_in_virtual_time
+    async def test_listing(self):
+        """Guards against a process that fails at each listing of the store."""
+        gateway, updater = self.build()
+        store = MemoryStore()
+        for key, text in self.list_odd_entries():
+            await store.put(key, text, 0)
+        await self.check_that_changes_arrive(gateway, updater, store)
+
+    @run_in_virtual_time
+    async def test_changes(self):
+        """Guards against a change after which the store is not followed any more."""
+        gateway, updater = self.build()
+        with self.assertNoLogs(level=logging.ERROR):
+            for key, text in self.list_odd_entries():
+                updater.apply_change(key, text)
+                gateway.sweep(trio.current_time())
+        await self.check_that_changes_arrive(gateway, updater, MemoryStore())
+
+    def test_odd_registration_names_no_target(self):
+        """Guards against requests to an address from an odd entry."""
+        for address in self.ADDRESSES:
+            text = orjson.dumps({**REGISTRATION, "address": address})
+            self.assertIsNone(decoding.decode_registration("i-1", text), address)
+        for name in ("warmup-left-ms", "capacity", "born"):
+            for number in self.NUMBERS:
+                text = self.replace(REGISTRATION, name, number)
+                self.assertIsNone(decoding.decode_registration("i-1", text), text)
+
+
 class SettingsTests(testtools.TestCase):
     """The platform's settings file."""
 
