Answer all requests before the process exits at a stop

A report of another operator: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that may not be repeated.

A request with a time limit longer than the grace was cut as well.

Now each request's deadline ends 0.2 s before the exit at the latest, also for requests in flight when SIGTERM comes: searches return what they have, others get 504, which promises nothing. One that comes less than its route's goal before that is refused at once with 503, code 'stopping', and not sent on.

--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -179,6 +179,12 @@
     code = "no_configuration"
 
 
+class StoppingError(NotRunError):
+    """This VM stops before a target could answer the request."""
+
+    code = "stopping"
+
+
 class NoTargetError(NotRunError):
     """No target of the service can accept the request at present."""
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 
 import trio
@@ -18,6 +19,7 @@
     NoConfigurationError,
     NoTargetError,
     RouteNotFoundError,
+    StoppingError,
     TarragonchuteError,
 )
 from .fanout import SearchQuery
@@ -167,6 +169,8 @@
         self.metrics = GatewayMetrics()
         self.metrics.read_gauges = self._list_gauges
         self.is_draining = False
+        self._stop_at = math.inf
+        self._queries = set()
         self.count_dropped_lines = int  # `int()` returns 0.
         self._header_names = header_names
         self._server_options = server_options
@@ -237,9 +241,20 @@
         """Return whether callers should be sent to this VM."""
         return self.table is not None and not self.is_draining
 
-    def drain(self, now):
-        """Report that this VM is not ready, and ask other VMs not to delegate to it."""
+    def drain(self, now, stop_at):
+        """Report that this VM is not ready, and ask other VMs not to delegate to it.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        stop_at : float
+            Time by which each request is answered, whether or not a target has replied.
+        """
         self.is_draining = True
+        self._stop_at = stop_at
+        for query in self._queries:
+            query.limit_deadline(stop_at)
         self.shard_server.start_draining(now)
 
     def sweep(self, now):
@@ -269,12 +284,14 @@
         response = None
         try:
             query = self._build_query(request, request_id, started_at)
+            self._queries.add(query)
             response = await query.run()
             return response
         except TarragonchuteError as caught:
             error = caught
             raise
         finally:
+            self._queries.discard(query)
             elapsed_s = trio.current_time() - started_at
             self._log_request_end(
                 request, request_id, query, response, error, elapsed_s
@@ -295,6 +312,8 @@
             )
         if not request_id:
             raise BadRequestError("the request has no request id header")
+        if self._stop_at - now < route.goal_s:
+            raise StoppingError(f"this VM stops in {self._stop_at - now:.3f} s")
         arguments = (
             self._context,
             route,
@@ -305,8 +324,11 @@
             now,
         )
         if route.is_search:
-            return SearchQuery(*arguments)
-        return SingleQuery(self._choose_service(route), *arguments)
+            query = SearchQuery(*arguments)
+        else:
+            query = SingleQuery(self._choose_service(route), *arguments)
+        query.limit_deadline(self._stop_at)
+        return query
 
     def _parse_time_limit(self, request, route):
         text = request.headers.get(self._header_names.lowercase.time_limit.decode(), "")
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -21,6 +21,9 @@
 EXIT_MARGIN_S = 0.4
 """Time before SIGKILL at which the process exits even if requests are in flight."""
 
+ANSWER_MARGIN_S = 0.2
+"""Time before the exit at which requests that are still in flight are answered."""
+
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 
@@ -140,11 +143,14 @@
                 if number == signal.SIGHUP:
                     self._reload_settings()
                 elif not self._shutdown.is_set():
-                    logger.info("stop requested")
-                    self._gateway.drain(trio.current_time())
-                    self._shutdown.set()
-                    grace_s = self._gateway.settings.stop_grace_s
-                    self._scope.deadline = trio.current_time() + grace_s - EXIT_MARGIN_S
+                    self._stop(trio.current_time())
+
+    def _stop(self, now):
+        logger.info("stop requested")
+        exit_at = now + self._gateway.settings.stop_grace_s - EXIT_MARGIN_S
+        self._gateway.drain(now, exit_at - ANSWER_MARGIN_S)
+        self._shutdown.set()
+        self._scope.deadline = exit_at
 
     def _check_settings(self, _now):
         self._reload_settings()
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -242,6 +242,13 @@
         for subrequest in self.subrequests:
             subrequest.hedge(now)
 
+    def limit_deadline(self, deadline):
+        """Finish the request at a time (monotonic seconds), if not earlier."""
+        if deadline < self.deadline:
+            self.deadline = deadline
+            self.target_deadline = min(self.target_deadline, deadline)
+            self.wake()
+
     def close(self, now):
         """Cancel all attempts that are still in flight."""
         self.is_finished = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -39,9 +39,9 @@
     )
 
 
-def build_table(version, prefix="/x/"):
+def build_table(version, prefix="/x/", goal_s=1.0):
     """Return a configuration with one route to service ``s``."""
-    route = Route("r", "h", prefix, weighted_services=[("s", 1.0)])
+    route = Route("r", "h", prefix, goal_s=goal_s, weighted_services=[("s", 1.0)])
     services = {"s": ServicePolicy("s", "/health", 26, 3.0, 0.0)}
     return RouteTable(version, [route], services, CallerLimits(900, 800, 3.0, 15.0))
 
@@ -105,6 +105,61 @@
         self.assertEqual(7, gateway.table.version)
         self.assertIsNotNone(gateway.table.find_route("h", "/new/1"))
 
+    async def build_with_silent_target(self):
+        """Return a gateway, and the listener of a target that never replies."""
+        gateway = self.build()
+        gateway.apply_table(build_table(1, goal_s=0.3))
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = listener.socket.getsockname()
+        gateway.registry.apply("i-1", Registration("i-1", "s", address, "d"), 0.0)
+        return gateway, listener
+
+    @run_in_virtual_time
+    async def test_requests_are_answered_before_the_process_stops(self):
+        """Guards against a connection that ends without an answer at a stop.
+
+        One request is in flight when the stop begins, one comes during it. Both may
+        have run, and their time limits end later than the process.
+        """
+        gateway, listener = await self.build_with_silent_target()
+        ended = []
+
+        async def call(request_id):
+            error = await self.get_error(gateway, build_request(request_id=request_id))
+            ended.append((error.status, error.code, trio.current_time()))
+
+        async with listener, trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.reactor.run)
+            started_at = trio.current_time()
+            nursery.start_soon(call, "r1")
+            await trio.sleep(0.1)
+            stop_at = started_at + 0.9
+            gateway.drain(trio.current_time(), stop_at)
+            nursery.start_soon(call, "r2")
+            while len(ended) < 2:
+                await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        for status, code, ended_at in ended:
+            self.assertEqual((504, "target_timeout"), (status, code))
+            self.assertLessEqual(ended_at, stop_at + 0.001)
+
+    @run_in_virtual_time
+    async def test_request_that_comes_too_late_in_a_stop_is_refused(self):
+        """Guards against a request that is sent on although no reply can be waited for.
+
+        The refusal states that it has not run, so the caller can go to another VM.
+        """
+        gateway, listener = await self.build_with_silent_target()
+        async with listener:
+            now = trio.current_time()
+            goal_s = gateway.table.routes[0].goal_s
+            gateway.drain(now, now + 0.9 * goal_s)
+            error = await self.get_error(gateway, build_request())
+        self.assertEqual((503, "stopping"), (error.status, error.code))
+        self.assertEqual(errors.Outcome.NOT_RUN, error.outcome)
+        (target,) = gateway.registry.list_targets()
+        self.assertEqual(0, target.pool.connections_opened)
+
     @run_in_virtual_time
     async def test_missing_route_and_missing_id(self):
         """Guards against forwarding a request without a route or a request id."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -40,7 +40,7 @@
 from tarragonchute.platform.main import GatewayUpdater
 from tarragonchute.platform.names import HEADER_NAMES
 from tarragonchute.platform.store import PlatformStore
-from tarragonchute.process import METRICS_PORT
+from tarragonchute.process import DRAIN_ACCEPT_FRACTION, METRICS_PORT
 from tarragonchute.store import MemoryStore
 from tarragonchute.storewatcher import StoreWatcher
 
@@ -50,6 +50,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20
+GRACE_S = 3
 
 REGISTRATION = {
     "service": "s",
@@ -470,7 +471,7 @@
 ready = "{self.ready}"
 control = "{control}"
 [bounds]
-grace-s = 3
+grace-s = {GRACE_S}
 retry-ratio = 0.2
 retry-slack = 50
 warmup-slack = 5
@@ -612,6 +613,31 @@
             with trio.fail_after(4.0):
                 self.assertEqual(0, await deployment.process.wait())
 
+    @run_async
+    async def test_request_late_in_the_stop_is_answered(self):
+        """Guards against a request that is sent on, then cut when the process exits.
+
+        Reported by operators of similar systems. The request comes on a connection
+        that was opened before the stop and not used yet; its target replies after the
+        exit. It may not be repeated, so the caller needs an answer.
+        """
+        async with open_deployment() as deployment:
+            for target in deployment.targets:
+                target.delay_s = 0.8
+            connection = await HttpConnection.open(deployment.callers, 1.0)
+            connection._host = b"h.example"
+            deployment.process.send_signal(signal.SIGTERM)
+            await trio.sleep(GRACE_S * DRAIN_ACCEPT_FRACTION + 0.7)
+            headers = [("Request-Id", "late"), ("Request-Deadline", "900")]
+            response = await connection.exchange("POST", "/order/1", headers, b"x")
+            connection.close()
+            self.assertIn(response.status, (503, 504))
+            ran = [rid for target in deployment.targets for rid in target.ran]
+            if response.status == 503:
+                self.assertEqual([], ran)
+            with trio.fail_after(2.0):
+                self.assertEqual(0, await deployment.process.wait())
+
     @run_async
     async def test_request_without_configuration_gets_503(self):
         """Guards against a 404 for every route before a configuration was read."""
