Stop using a target whose replies state that it leaves

Now a reply with the value 1 makes its target unusable, as a registration with 'draining' does, at once and whether or not the store says so. Requests that wait for a connection to it fail as not sent and go elsewhere. A failure or refusal counts like an answer; a 421 speaks for the process named in it; incomplete replies and those to other requests are not read. Other values are ignored and logged once. A later 'ready' registration of the same process changes nothing, because a process that shuts down does not come back and the entry may be an old one; the next process under the id is used. This is kept for 4,096 removed targets.

--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -32,6 +32,7 @@
     b"Missing",
     b"Identity",
     b"Cold-Left",
+    b"Leaving",
 )
 RESPONSE_BODY = bytes(range(256)) * 4
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -151,6 +151,8 @@
         Seconds between the start of a request and its response.
     refuses : bool
         Whether every request is rejected with 503 and ``Not-Executed``.
+    extra_headers : dict of str to str
+        Headers added to every response, also to failures and refusals.
     """
 
     def __init__(self, service, domain):
@@ -161,10 +163,16 @@
         self.ran = []
         self.delay_s = 0.0
         self.refuses = False
+        self.extra_headers = {}
         self._started_ms = int(trio.current_time() * 1000)
 
     async def handle(self, request):
         """Answer one `HttpRequest`."""
+        response = await self._run(request)
+        response.headers.update(self.extra_headers)
+        return response
+
+    async def _run(self, request):
         expected = request.headers.get("expect-instance")
         if expected is not None and expected != self.target_id:
             return HttpResponse(421, b"", {"Instance-Id": self.target_id})
--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -91,7 +91,7 @@
     started_at : float
         Monotonic seconds.
     target : registry.RegisteredTarget or None
-        Notified of the end, also if the exchange is abandoned.
+        Notified of the reply and of the end, also if the exchange is abandoned.
     mean_reply_time_s : float
         Average reply time of the route, with which the time of this one is compared.
 
@@ -337,6 +337,17 @@
         if not self._connections:
             self._fail_queued_exchanges(now, "the target was removed")
 
+    def fail_queued(self, now, reason):
+        """Fail the exchanges that wait for a connection; their requests were not sent.
+
+        Parameters
+        ----------
+        now : float
+        reason : str
+            Text for the log.
+        """
+        self._fail_queued_exchanges(now, reason)
+
     def preconnect(self, now):
         """Open a connection if the pool has none; return whether one was opened."""
         if self._connections or self._is_closed or not self._open(now):
@@ -546,6 +557,9 @@
         if reply_id is not None and reply_id != exchange.request_id:
             self._drop_reply(connection, exchange)
             return False
+        if exchange.target is not None:
+            # Before the connection is used again, because the target may be leaving.
+            exchange.target.handle_reply(reply, now)
         self._release(connection, reply, now)
         owner = exchange.owner
         self._finish(exchange, now)
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -39,6 +39,7 @@
     GatewayMetrics,
 )
 from .leaders import estimate_rate, hash_to_fraction
+from .notices import NoticeReader
 from .queries import QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .routes import WeightedChoice
@@ -197,6 +198,7 @@
             self._assign_targets,
             self.chooser.record_exchange_end,
         )
+        self.registry.on_reply = NoticeReader(self.registry, header_names).read
         self._delegates = Delegates(
             own_vm, self.reactor, self.registry.list_served_domains
         )
--- a/tarragonchute/headernames.py
+++ b/tarragonchute/headernames.py
@@ -28,6 +28,8 @@
         Identity of the process that sent a reply.
     cold_left : bytes
         Milliseconds for which the replying target stays cold.
+    leaving : bytes
+        Value 1 on all replies of a target that shuts down.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "missing_shards",
         "identity",
         "cold_left",
+        "leaving",
         "_lower",
     )
 
@@ -54,6 +57,7 @@
         missing_shards,
         identity,
         cold_left,
+        leaving,
     ):
         self.request_id = request_id
         self.time_limit = time_limit
@@ -64,6 +68,7 @@
         self.missing_shards = missing_shards
         self.identity = identity
         self.cold_left = cold_left
+        self.leaving = leaving
         self._lower = None
 
     @property
--- a/tarragonchute/platform/names.py
+++ b/tarragonchute/platform/names.py
@@ -21,4 +21,5 @@
     missing_shards=b"Missing-Parts",
     identity=b"Instance-Id",
     cold_left=b"Warmup-Remaining",
+    leaving=b"Server-Leaving",
 )
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -1,5 +1,6 @@
 """The registered targets, and which of them may receive requests."""
 
+import collections
 import logging
 import math
 
@@ -10,6 +11,11 @@
 missing registration may have expired because of the outage."""
 
 
+MAX_REMEMBERED_NOTICES = 4096
+"""Removed targets whose notices are kept, because an old registration may be read
+again, for example in the snapshot of another VM."""
+
+
 class Registration:
     """Properties that a target publishes when it registers.
 
@@ -109,6 +115,14 @@
         Its id, as sent in a header of each request to it.
     on_exchange_end : callable or None
         Called with the target, an ended exchange and the time.
+    on_reply : callable or None
+        Called with the target, a reply of it and the time.
+    is_leaving : bool
+        Whether it has stated in a reply that it shuts down. Until another process
+        registers under its id, this holds whatever its registration says: a process
+        that shuts down does not come back, and the registration may be an old one.
+    has_invalid_notice : bool
+        Whether an invalid notice of it was logged.
     is_preferred : bool
         Whether this VM normally uses it. Other targets are used only if the preferred
         ones cannot be.
@@ -130,6 +144,9 @@
         "next_cold_send_at",
         "encoded_id",
         "on_exchange_end",
+        "on_reply",
+        "is_leaving",
+        "has_invalid_notice",
         "is_preferred",
         "_cold_left_s",
     )
@@ -150,6 +167,9 @@
         self.next_cold_send_at = None
         self.encoded_id = registration.target_id.encode("latin-1", "replace")
         self.on_exchange_end = None
+        self.on_reply = None
+        self.is_leaving = False
+        self.has_invalid_notice = False
         self.is_preferred = True
         self._cold_left_s = 0.0
 
@@ -167,6 +187,11 @@
         self.cold_until = min(self.cold_until, end) if is_same_cold_period else end
         self._cold_left_s = left_s
 
+    def handle_reply(self, reply, now):
+        """Call `on_reply`, if it is set."""
+        if self.on_reply is not None:
+            self.on_reply(self, reply, now)
+
     def handle_exchange_end(self, exchange, now):
         """Call `on_exchange_end`, if it is set."""
         if self.on_exchange_end is not None:
@@ -192,6 +217,8 @@
     ----------
     evacuated : frozenset of str
         Failure domains that operators have taken out of service.
+    on_reply : callable or None
+        See `RegisteredTarget`; set before the first target is added.
     """
 
     def __init__(self, open_pool, close_pool, update_preferences, on_exchange_end=None):
@@ -203,6 +230,9 @@
         self._targets_by_service = {}
         self._usable_by_service = {}
         self._changed_services = set()
+        # Start times by target id, the oldest entry first.
+        self._leaving_processes = collections.OrderedDict()
+        self.on_reply = None
         self.evacuated = frozenset()
 
     def __len__(self):
@@ -329,6 +359,22 @@
             )
             self._close_pool(target.pool, now)
 
+    def record_leaving(self, target, now):
+        """Stop using a target that has stated in a reply that it shuts down.
+
+        Requests in flight continue. Those that wait for a connection fail as not sent.
+        """
+        if target.is_leaving:
+            return
+        target.is_leaving = True
+        registration = target.registration
+        self._invalidate(registration.service)
+        logger.info(
+            "target states that it leaves",
+            extra={"target": registration.target_id, "service": registration.service},
+        )
+        target.pool.fail_queued(now, "the target leaves")
+
     def remove_expired(self, now):
         """Remove targets whose registration is still missing after an outage."""
         for target_id, target in list(self._targets.items()):
@@ -339,6 +385,9 @@
     def _add(self, registration):
         target = RegisteredTarget(registration, self._open_pool(registration))
         target.on_exchange_end = self._on_exchange_end
+        target.on_reply = self.on_reply
+        left_ms = self._leaving_processes.pop(registration.target_id, None)
+        target.is_leaving = left_ms == registration.started_ms
         self._targets[registration.target_id] = target
         targets = self._targets_by_service.setdefault(registration.service, {})
         targets[registration.target_id] = target
@@ -349,6 +398,10 @@
         if target is None:
             return
         self._remove_from_index(target_id, target.registration.service)
+        if target.is_leaving:
+            self._leaving_processes[target_id] = target.registration.started_ms
+            if len(self._leaving_processes) > MAX_REMEMBERED_NOTICES:
+                self._leaving_processes.popitem(last=False)
         self._close_pool(target.pool, now)
         logger.info(
             "target removed",
@@ -370,6 +423,7 @@
         registration = target.registration
         return not (
             registration.is_draining
+            or target.is_leaving
             or target.is_address_reused
             or registration.domain in self.evacuated
         )
--- a/tarragonchute/replies.py
+++ b/tarragonchute/replies.py
@@ -75,6 +75,12 @@
         start += len(name) + 3
         return self._head[start : self._head.index(b"\r\n", start)].strip(b" \t")
 
+    def list_values(self, name):
+        """Return the values of all headers with a name (bytes, in lower case)."""
+        return [
+            value for line, value in self.list_header_lines() if line.lower() == name
+        ]
+
     def list_header_lines(self):
         """Return all headers as pairs of name and value, in the received order.
 
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -34,6 +34,7 @@
     b"Missing",
     b"Identity",
     b"Cold-Left",
+    b"Leaving",
 )
 
 
