--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -28,8 +28,10 @@
     CONFIGURATION_VERSION,
     CONNECTIONS,
     DELEGATES,
+    LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     NO_ROUTE,
+    PAUSED_TARGETS,
     SEARCH,
     SEARCH_COVERAGE,
     SINGLE,
@@ -540,6 +542,8 @@
             (VMS, (), self._shares.vm_count),
             (CONNECTIONS, (), connections),
             (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
+            (PAUSED_TARGETS, (), self.registry.count_paused()),
+            (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
 
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -64,6 +64,16 @@
     MetricKind.COUNTER,
     "Parts of searches that were run for other VMs.",
 )
+PAUSED_TARGETS = MetricSpec(
+    "gateway_paused_targets",
+    MetricKind.GAUGE,
+    "Targets that get no requests now because they asked for a pause.",
+)
+LEAVING_TARGETS = MetricSpec(
+    "gateway_leaving_targets",
+    MetricKind.GAUGE,
+    "Registered targets that get no requests because their replies say they leave.",
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -79,6 +89,8 @@
     CONNECTIONS,
     DELEGATES,
     SUBSEARCHES,
+    PAUSED_TARGETS,
+    LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     ATTEMPTS,
     STORE_CALLS,
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -244,8 +244,6 @@
         Failure domains that operators have taken out of service.
     on_reply : callable or None
         See `RegisteredTarget`; set before the first target is added.
-    pauses : int
-        Number of pauses that targets have asked for.
     """
 
     def __init__(
@@ -268,7 +266,6 @@
         self._removed_notices = collections.OrderedDict()
         self._paused = {}
         self._random = random_source or random.Random()
-        self.pauses = 0
         self.on_reply = None
         self.evacuated = frozenset()
 
@@ -352,7 +349,7 @@
             self._remove(target_id, now, "replaced by another process")
             known = None
         if known is None:
-            known = self._add(registration)
+            known = self._add(registration, now)
         elif known.registration.is_draining != registration.is_draining:
             logger.info(
                 "target changed state",
@@ -435,7 +432,6 @@
             return
         target.resumes_at = resumes_at
         target.fully_used_at = resumes_at + min(RETURN_RAMP_S, pause_s)
-        self.pauses += 1
         if target not in self._paused:
             logger.info(
                 "target asks for a pause",
@@ -448,6 +444,10 @@
         """Return the number of targets that get no requests because they asked so."""
         return len(self._paused)
 
+    def count_leaving(self):
+        """Return the number of registered targets that have stated that they leave."""
+        return sum(target.is_leaving for target in self._targets.values())
+
     def resume_paused(self, now):
         """Log which targets are used again after a pause; called periodically."""
         for target in [t for t in self._paused if t.resumes_at <= now]:
@@ -461,13 +461,15 @@
             if since is not None and now - since > REGISTRATION_GRACE_S:
                 self._remove(target_id, now, "registration expired")
 
-    def _add(self, registration):
+    def _add(self, registration, now):
         target = RegisteredTarget(registration, self._open_pool(registration))
         target.on_exchange_end = self._on_exchange_end
         target.on_reply = self.on_reply
         notices = self._removed_notices.pop(registration.target_id, None)
         if notices is not None and notices[0] == registration.started_ms:
             _, target.is_leaving, target.resumes_at, target.fully_used_at = notices
+            if target.resumes_at > now and not target.is_leaving:
+                self._paused[target] = None
         self._targets[registration.target_id] = target
         targets = self._targets_by_service.setdefault(registration.service, {})
         targets[registration.target_id] = target
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from bench import policy
+from bench import notices, policy
 
 SCALE = 0.04
 ROWS = ("steady 50%", "cold restarts, 5%")
@@ -32,3 +32,43 @@
         """Guards against fake targets that do not count breaches."""
         figures = self.measure(ROWS[0], policy.BASELINE)
         self.assertGreater(figures.breaches, 0)
+
+
+class NoticePatternTests(testtools.TestCase):
+    """Load patterns with targets that leave or ask for a pause, without a network."""
+
+    def measure(self, pattern):
+        return notices.measure(pattern, vm_count=3, rate=30.0)
+
+    def test_pauses_in_turn(self):
+        """Guards against requests inside a pause, and against work that stays away.
+
+        One target of half of the shards asks for a pause, one after the other.
+        """
+        figures = self.measure("pauses in turn")
+        self.assertEqual((0, 0, 0), (figures.unwanted, figures.refused, figures.failed))
+        self.assertLessEqual(figures.return_s, 6.0)
+        # Less than an equal share of the shard's requests within two seconds.
+        self.assertLess(figures.first_second, 30)
+
+    def test_whole_services_pause(self):
+        """Guards against searches that are sent although shards want nothing.
+
+        Only the first search of each VM may fail; all others are refused at once.
+        """
+        figures = self.measure("whole services pause")
+        self.assertEqual(0, figures.unwanted)
+        self.assertLessEqual(figures.failed, 3)
+        self.assertGreater(figures.refused, 0)
+        self.assertLessEqual(figures.return_s, 6.0)
+
+    def test_release_that_targets_announce_before_the_store(self):
+        """Guards against requests to targets that leave and have said so."""
+        figures = self.measure("release")
+        self.assertEqual((0, 0, 0), (figures.unwanted, figures.refused, figures.failed))
+
+    def test_requests_are_counted_that_targets_do_not_want(self):
+        """Guards against simulated targets that count nothing."""
+        for pattern in notices.PATTERNS:
+            figures = notices.measure(pattern, 3, 30.0, reads_notices=False)
+            self.assertGreater(figures.unwanted, 10, pattern)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -72,7 +72,7 @@
         registration = Registration("i-1", "s", ("127.0.0.1", 9), "d")
         gateway.registry.apply("i-1", registration, 0.0)
         for number in range(9):
-            key = f'{{"domain": "d", "address": "10.0.0.1:{number}"}}'
+            key = f'{{"domain": "d", "address": "10.0.0.1:{number + 1}"}}'
             gateway.fleet.apply(f"vm-{number}", key, 0.0)
         gateway.sweep(0.0)
         (target,) = gateway.registry.list_targets()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -125,6 +125,8 @@
         async with open_gateway() as deployment:
             target = await self.call_until_leaving(deployment)
             await self.check_unused(deployment, target)
+            text = deployment.gateway.metrics.render_metrics()[0].decode()
+            self.assertIn("gateway_leaving_targets 1", text)
 
     @run_async
     async def test_leaving_target_of_a_search(self):
@@ -294,6 +296,8 @@
             target = await deployment.choose_used_target()
             self.ask_for_pause(target, "0.5")
             registered = await self.call_until_paused(deployment, target)
+            text = deployment.gateway.metrics.render_metrics()[0].decode()
+            self.assertIn("gateway_paused_targets 1", text)
             before = len(target.ran)
             while trio.current_time() < registered.fully_used_at + 1.0:
                 await deployment.call()
@@ -381,7 +385,9 @@
             await self.call_until_paused(deployment, target)
             registry = deployment.gateway.registry
             registry.apply(target.target_id, None, trio.current_time())
+            self.assertEqual(0, registry.count_paused())
             deployment.register(target)
+            self.assertEqual(1, registry.count_paused())
             for _ in range(20):
                 await deployment.call()
             self.assertEqual(1, len(target.ran))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,6 +15,9 @@
 from .test_httpio import TEST_TIMEOUT_S, reserve_closed_port, start_server
 from .trial import run_async
 
+FIRST_PORT = 1000
+"""Port of ``vm-0`` in the fleets of these tests."""
+
 
 class RecordingHandler(StoreUpdateHandler):
     """Records the values that a watcher delivers."""
@@ -46,9 +49,9 @@
 
 def build_fleet(own, others=0):
     """Return a fleet of VMs named ``vm-0`` and up, as one of them sees it."""
-    fleet = Fleet(VmInfo(own, "d", f"10.0.0.1:{own[3:]}"))
+    fleet = Fleet(VmInfo(own, "d", f"10.0.0.1:{FIRST_PORT + int(own[3:])}"))
     for number in range(others):
-        key = f'{{"domain": "d", "address": "10.0.0.1:{number}"}}'
+        key = f'{{"domain": "d", "address": "10.0.0.1:{FIRST_PORT + number}"}}'
         fleet.apply(f"vm-{number}", key, 0.0)
     return fleet
 
@@ -224,7 +227,7 @@
             found.append(relay)
             relays.exclude(relay, 0.0)
         self.assertGreater(len(found), 1)
-        self.assertNotIn("10.0.0.1:0", {relay.address for relay in found})
+        self.assertNotIn(f"10.0.0.1:{FIRST_PORT}", {relay.address for relay in found})
         again = relays.choose_fallback(peers.RELAY_EXCLUSION_S + 0.1)
         self.assertIn(again, found)
 
