Soak: endless replies, notices of targets, series of signals and changes, late first use

Targets' replies are replaced by bytes without end, in small pieces among others, while no VM counts as disturbed; targets ask for a pause, or say that they leave before the store does; SIGHUP and SIGTERM come in series during a stop; configurations follow each other quickly; a fifth of the connections is used some time after it was opened, also while its VM stops.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -6,8 +6,14 @@
 from tarragonchute.httpio import HttpConnection
 
 from .oracle import CallerRequest
+from .world import GRACE_S
 
 HOST = "h.example"
+
+LATE_USE_FRACTION = 0.2
+"""Fraction of the connections that are used some time after they were opened, also
+while their VM stops."""
+
 RESPONSE_MARGIN_S = 2.0
 """Time after the deadline in which an undisturbed VM may still respond; the machine may
 be busy."""
@@ -40,6 +46,8 @@
         self._count = 0
         self._connection = None
         self._vm = None
+        self._lifetime = None
+        self._is_used_late = False
 
     async def run(self):
         """Send requests until cancelled."""
@@ -53,7 +61,7 @@
             return
         request = self._build_request()
         self._world.oracle.record_request(request)
-        lifetime = self._vm.lifetime
+        lifetime = self._lifetime
         response = None
         with trio.move_on_after(request.timeout_s + RESPONSE_MARGIN_S) as scope:
             response = await self._exchange(request)
@@ -65,8 +73,13 @@
                 )
         elif response is None:
             self._world.oracle.record_closed_connection(request.request_id)
-            if self._is_undisturbed(request, lifetime):
+            # A request may cross the end of a connection that was idle for long.
+            is_lost = not self._is_used_late or self._world.oracle.has_run(
+                request.request_id
+            )
+            if is_lost and self._is_undisturbed(request, lifetime):
                 self._world.oracle.report_lost_connection(request.request_id)
+        self._is_used_late = False
         if response is None:
             self._close()
         if self.is_counted_for_recovery and request.is_search:
@@ -94,13 +107,13 @@
             body = request_id.encode() * self._random.randint(1, 40)
             message = ("POST", b"/order/1", body)
         now = trio.current_time()
-        lifetime = self._vm.lifetime
         return CallerRequest(
-            request_id, lifetime, message, is_search, is_search, now, timeout_s
+            request_id, self._lifetime, message, is_search, is_search, now, timeout_s
         )
 
     async def _connect(self):
         self._vm = self._random.choice(self._world.vms)
+        lifetime = self._vm.lifetime
         host, port = self._vm.caller_address.split(":")
         try:
             with trio.fail_after(1.0):
@@ -108,6 +121,10 @@
         except (OSError, trio.TooSlowError):
             return False
         self._connection = HttpConnection(stream, HOST)
+        self._lifetime = lifetime
+        if self._random.random() < LATE_USE_FRACTION:
+            self._is_used_late = True
+            await trio.sleep(self._random.uniform(0.0, GRACE_S))
         return True
 
     async def _exchange(self, request):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -38,6 +38,8 @@
             self._stop_vm,
             self._pause_vm,
             self._signal_settings,
+            self._signal_in_series,
+            self._change_configuration_in_series,
             self._refuse_store,
             self._disturb_store,
             self._reset_store,
@@ -46,6 +48,8 @@
             self._refuse_targets,
             self._fail_targets,
             self._disturb_targets,
+            self._spoil_targets,
+            self._pause_targets,
             self._reset_targets,
             self._replace_target,
             self._repartition,
@@ -109,6 +113,25 @@
     async def _stop(self, vm):
         await self._restart(vm, signal.SIGTERM)
 
+    async def _signal_in_series(self):
+        """Send SIGHUP and SIGTERM several times during one stop."""
+
+        async def stop(vm):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._restart, vm, signal.SIGTERM)
+                for _ in range(4):
+                    await trio.sleep(self._random.uniform(0.0, 0.4))
+                    number = self._random.choice((signal.SIGHUP, signal.SIGTERM))
+                    if vm.was_ready:
+                        vm.send_signal(number)
+
+        await self._run_vm_fault(stop, is_planned=True)
+
+    async def _change_configuration_in_series(self):
+        for _ in range(self._random.randint(3, 10)):
+            await self._world.write_configuration()
+            await trio.sleep(self._random.uniform(0.0, 0.2))
+
     async def _pause_vm(self):
         async def pause(vm):
             vm.send_signal(signal.SIGSTOP)
@@ -176,6 +199,33 @@
             for target in targets:
                 nursery.start_soon(self._run_proxy_fault, self._get_proxy(target))
 
+    async def _spoil_targets(self):
+        """Replace the replies of some targets by bytes without end.
+
+        No VM counts as disturbed: each request must be answered in time all the same.
+        """
+        proxies = [self._get_proxy(target) for target in self._draw_targets(0.1)]
+        for proxy in proxies:
+            proxy.mode = ProxyMode.ENDLESS
+        await trio.sleep(self._draw_duration_s())
+        for proxy in proxies:
+            proxy.mode = ProxyMode.PASS
+
+    async def _pause_targets(self):
+        """Let some targets, and those of the orders, ask for a pause."""
+        started_at = trio.current_time()
+        targets = set(self._draw_targets(0.1))
+        targets |= {t for t in self._world.targets if t.service == "desk"}
+        duration_s = self._random.uniform(1.0, 3.0)
+        for target in targets:
+            target.start_pause(duration_s)
+        await trio.sleep(duration_s)
+        oracle = self._world.oracle
+        is_calm = all(vm.disturbed_until < started_at for vm in self._world.vms)
+        for target in targets:
+            if is_calm and oracle.timing_unreliable_until < started_at:
+                oracle.check_pause(target.target_id, target.unwanted)
+
     async def _reset_targets(self):
         self._mark_disturbed(self._world.vms)
         for target in self._draw_targets():
@@ -196,6 +246,12 @@
     async def _remove(self, target, is_announced):
         if target.is_leaving or target not in self._world.targets:
             return
+        if self._random.random() < 0.5:
+            # Its replies say so before the store does.
+            target.extra_headers["Server-Leaving"] = "1"
+            await trio.sleep(self._random.uniform(0.0, 4.0))
+            if target.is_leaving or target not in self._world.targets:
+                return
         left_at = await self._world.remove_target(target, is_announced)
         if left_at is None:
             target.is_gone = True
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -8,6 +8,15 @@
 
 RECEIVE_BYTES = 64 * 1024
 
+ENDLESS_PAUSE_S = 0.02
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_PIECES = (
+    b"1\r\nx\r\n" * 10_000,
+    b"10\r\n0123456789abcdef\r\n" * 3000,
+    b"1000\r\n" + b"x" * 4096 + b"\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\n" * 100,
+)
+
 
 class ProxyMode(enum.Enum):
     """How the proxy treats data."""
@@ -21,6 +30,8 @@
     """Discards data from the client only."""
     CUT_TO_CLIENT = "cut_to_client"
     """Discards data from the server only, so that responses are lost."""
+    ENDLESS = "endless"
+    """Replaces responses by bytes without end, until the client closes."""
 
 
 class Proxy:
@@ -78,6 +89,8 @@
             while data := await source.receive_some(RECEIVE_BYTES):
                 if self.mode is ProxyMode.DELAY:
                     await trio.sleep(self.delay_s)
+                if self.mode is ProxyMode.ENDLESS and not is_to_server:
+                    await self._send_endlessly(sink)
                 is_discarding = is_discarding or self._must_discard(is_to_server)
                 if not is_discarding:
                     await sink.send_all(data)
@@ -86,6 +99,14 @@
         if not is_discarding:
             nursery.cancel_scope.cancel()
 
+    async def _send_endlessly(self, sink):
+        """Send until the client closes the connection, which raises."""
+        piece = ENDLESS_PIECES[len(self._streams) % len(ENDLESS_PIECES)]
+        await sink.send_all(ENDLESS_HEAD)
+        while True:
+            await sink.send_all(piece)
+            await trio.sleep(ENDLESS_PAUSE_S)
+
     def _must_discard(self, is_to_server):
         if self.mode is ProxyMode.CUT_TO_SERVER:
             return is_to_server
