--- a/bench/notices.py
+++ b/bench/notices.py
@@ -15,7 +15,6 @@
 from tarragonchute.budgets import WindowBudget, WindowLimits
 from tarragonchute.errors import TarragonchuteError
 from tarragonchute.fanout import SearchQuery
-from tarragonchute.headernames import HeaderNames
 from tarragonchute.notices import NoticeReader
 from tarragonchute.queries import QueryContext
 from tarragonchute.registry import Registration, Registry
@@ -24,18 +23,8 @@
 from tarragonchute.routes import Route
 from tarragonchute.subsearches import OutgoingRequest
 
-HEADER_NAMES = HeaderNames(
-    b"Request-Id",
-    b"Time-Limit",
-    b"Expected",
-    b"Not-Run",
-    b"Digest",
-    b"Digests",
-    b"Missing",
-    b"Identity",
-    b"Cold-Left",
-    b"Leaving",
-)
+from .fanout import HEADER_NAMES
+
 SHARDS = 20
 REPLICAS = 2
 LEAST_COVERAGE = 0.89
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -82,6 +82,29 @@
         await self.call(path)
         return next(target for target in self.targets if target.ran)
 
+    async def call_while_one_connection_is_busy(self):
+        """Send five requests, all to the first of two targets; return their statuses.
+
+        The first request has the only connection, the others wait for it. The second
+        target becomes usable meanwhile.
+        """
+        target, other = self.targets
+        self.register(other, state="draining")
+        registered = self.gateway.registry.get(target.target_id)
+        self.gateway.registry.list_usable(target.service)
+        registered.pool.max_connections = 1
+        statuses = []
+
+        async def call():
+            statuses.append((await self.call())[0])
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(call)
+            await trio.sleep(0.05)
+            self.register(other)
+        return statuses
+
     async def _sweep(self):
         while True:
             await trio.sleep(0.05)
@@ -154,21 +177,9 @@
         """Guards against waiting requests that reach a target after its notice."""
         async with open_gateway() as deployment:
             target, other = deployment.targets
-            deployment.register(other, state="draining")
-            (registered,) = deployment.gateway.registry.list_usable("desk")
-            registered.pool.max_connections = 1
             target.delay_s = 0.1
             target.extra_headers["Server-Leaving"] = "1"
-            statuses = []
-
-            async def call():
-                statuses.append((await deployment.call())[0])
-
-            async with trio.open_nursery() as nursery:
-                for _ in range(5):
-                    nursery.start_soon(call)
-                await trio.sleep(0.05)
-                deployment.register(other)
+            statuses = await deployment.call_while_one_connection_is_busy()
             self.assertEqual([200] * 5, statuses)
             self.assertEqual((1, 4), (len(target.ran), len(other.ran)))
 
@@ -323,21 +334,9 @@
         """Guards against waiting requests that reach a target during its pause."""
         async with open_gateway() as deployment:
             target, other = deployment.targets
-            deployment.register(other, state="draining")
-            (registered,) = deployment.gateway.registry.list_usable("desk")
-            registered.pool.max_connections = 1
             target.refusal_delay_s = 0.1
             self.ask_for_pause(target, "5")
-            statuses = []
-
-            async def call():
-                statuses.append((await deployment.call())[0])
-
-            async with trio.open_nursery() as nursery:
-                for _ in range(5):
-                    nursery.start_soon(call)
-                await trio.sleep(0.05)
-                deployment.register(other)
+            statuses = await deployment.call_while_one_connection_is_busy()
             self.assertEqual([200] * 5, statuses)
             self.assertEqual((1, 5), (len(target.refused), len(other.ran)))
 
