Compare the watch of the store with that of another VM

Cause: a watch whose answer is lost waits on for up to 25 s. The only check, a probe, is a read that may be seconds old. The other VMs of the domain follow the one that watches.

Ruled out: TCP keep-alive (the connection lives); probes that are not stale (ten times the cost); shorter watches for all (0.7 calls a second for each VM that watches).

Change: while its watch waits, a VM asks one that watches for another failure domain for its revision. A change that the other has and the own watch does not deliver within 0.8 s makes it list the store again. Without any other VM, watches last 1.5 s. A listing is passed on to followers at once.

Left: if the answers to all watches of the fleet are lost at once, only probes show it.

--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -28,6 +28,7 @@
 
 SNAPSHOT_PATH = "/v1/snapshot"
 CHANGES_PATH = "/v1/changes"
+REVISION_PATH = "/v1/revision"
 
 PEER_TIMEOUT_S = 0.5
 """Timeout of a request to a peer, on top of the time for which the peer may hold it;
@@ -92,8 +93,8 @@
         """Return the response to one `HttpRequest`."""
         if request.path == SNAPSHOT_PATH:
             return self._answer_snapshot(request)
-        if request.path == CHANGES_PATH:
-            return await self._answer_changes(request)
+        if request.path in (CHANGES_PATH, REVISION_PATH):
+            return await self._answer_poll(request)
         return HttpResponse(404)
 
     def _answer_snapshot(self, request):
@@ -122,7 +123,8 @@
         watcher = self._watcher
         return watcher.is_connected and watcher.revision is not None
 
-    async def _answer_changes(self, request):
+    async def _answer_poll(self, request):
+        """Answer once there are changes after the given revision, or after a while."""
         text = request.query.get("after", "")
         if not text.isdecimal():
             return HttpResponse(400)
@@ -132,6 +134,11 @@
                 await self._watcher.wait_for_change()
         if not self._can_relay():
             return HttpResponse(503)
+        if request.path == REVISION_PATH:
+            return HttpResponse.from_json({"revision": self._watcher.revision})
+        return self._build_changes(after)
+
+    def _build_changes(self, after):
         entries = self._watcher.list_changes(after)
         is_snapshot = entries is None
         if is_snapshot:
@@ -313,14 +320,26 @@
             If the relay answers with an error status, because it does not watch the
             store or cannot reach it.
         """
-        path = f"{CHANGES_PATH}?after={after}"
+        return await self._poll(CHANGES_PATH, after, _decode_answer)
+
+    async def wait_for_revision(self, after):
+        """Return the relay's revision once it exceeds another one, or after a while.
+
+        Raises
+        ------
+        RelayUnavailableError, RelayWithoutStoreError
+            As for `watch`.
+        """
+        return await self._poll(REVISION_PATH, after, _decode_revision)
+
+    async def _poll(self, path, after, decode):
         try:
             with trio.fail_after(MAX_POLL_HOLD_S + PEER_TIMEOUT_S):
-                response = await self._exchange(path)
+                response = await self._exchange(f"{path}?after={after}")
             if response.status != 200:
                 text = f"{self.address} cannot relay the store"
                 raise RelayWithoutStoreError(text)
-            return _decode_answer(response)
+            return decode(response)
         except _PEER_ERRORS as error:
             text = f"{self.address} does not answer: {error!r}"
             raise RelayUnavailableError(text) from error
@@ -368,7 +387,8 @@
         A failure of the returned relay must be reported with `record_failure` before
         the next call.
         """
-        relay_vms = self._list_relay_vms(self._fleet.own_vm.domain, now)
+        vms = self._fleet.list_vms(now)
+        relay_vms = list_relay_vms(vms, self._fleet.own_vm.domain)
         if any(vm.vm_id == self._vm_id for vm in relay_vms):
             self._close_relays_except(())
             return None
@@ -384,15 +404,9 @@
 
         Used while this VM cannot reach the store, which relays may still reach.
         """
-        vms = self._fleet.list_vms(now)
-        relay_vms = [
-            vm
-            for domain in sorted({vm.domain for vm in vms})
-            for vm in self._list_relay_vms(domain, now)
-        ]
         candidates = [
             vm
-            for vm in relay_vms
+            for vm in list_all_relay_vms(self._fleet.list_vms(now))
             if vm.address and vm.vm_id != self._vm_id and self._is_usable(vm, now)
         ]
         return self._get_relay(candidates) if candidates else None
@@ -421,12 +435,6 @@
         """Record an answer of the relay chosen last."""
         self._current.is_retry_used = False
 
-    def _list_relay_vms(self, domain, now):
-        """Return the VMs of a failure domain that watch the store and act as relays."""
-        vms = [vm for vm in self._fleet.list_vms(now) if vm.domain == domain]
-        count = max(1, len(vms) // VMS_PER_RELAY)
-        return sorted(vms, key=lambda vm: hash_to_fraction(vm.vm_id))[:count]
-
     def _get_relay(self, candidates):
         """Return the candidate that ranks first for this VM.
 
@@ -449,6 +457,19 @@
             self._relays.pop(vm_id).close()
 
 
+def list_relay_vms(vms, domain):
+    """Return the VMs of a failure domain that watch the store and act as relays."""
+    own_vms = [vm for vm in vms if vm.domain == domain]
+    count = max(1, len(own_vms) // VMS_PER_RELAY)
+    return sorted(own_vms, key=lambda vm: hash_to_fraction(vm.vm_id))[:count]
+
+
+def list_all_relay_vms(vms):
+    """Return the relays of all failure domains."""
+    domains = sorted({vm.domain for vm in vms})
+    return [vm for domain in domains for vm in list_relay_vms(vms, domain)]
+
+
 def _encode_entry(entry):
     return [entry.key, entry.value, entry.revision]
 
@@ -498,7 +519,15 @@
 
 def _decode_rows(body):
     """Return the entries and the revision of an answer."""
-    revision = body["revision"]
+    revision = _check_revision(body["revision"])
+    return [_decode_entry(row) for row in body["rows"]], revision
+
+
+def _decode_revision(response):
+    return _check_revision(orjson.loads(response.body)["revision"])
+
+
+def _check_revision(revision):
     if not isinstance(revision, int):
         raise TypeError(f"the revision {revision!r} is not an integer")
-    return [_decode_entry(row) for row in body["rows"]], revision
+    return revision
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -11,6 +11,7 @@
 from ..fleet import VmRegistration, decode_vm_key
 from ..gateway import Gateway
 from ..logs import NonBlockingStream, configure_logging
+from ..otherwatchers import OtherWatchers
 from ..peers import PeerServer, PeerSnapshots, RelayChooser
 from ..process import GatewayProcess, build_server_options
 from ..store import InstrumentedStore
@@ -171,7 +172,9 @@
     store = InstrumentedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
     relays = RelayChooser(gateway.fleet, settings.vm_id)
-    watcher = StoreWatcher(store, GatewayUpdater(gateway), relays, peers)
+    watcher = StoreWatcher(
+        store, GatewayUpdater(gateway), relays, peers, OtherWatchers(gateway.fleet)
+    )
     vm_registration = VmRegistration(store, gateway.fleet)
     process = GatewayProcess(
         gateway,
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -28,7 +28,24 @@
 """Prefix of all keys that VMs need; one watch costs less than one per kind of key."""
 
 WATCH_TIMEOUT_S = 25.0
-"""Longest duration of one watch call; a watch that hangs is detected by probes."""
+"""Longest duration of one watch call; a watch that hangs is detected by probes and by
+comparison with the watches of other VMs."""
+
+COMPARISON_TIMEOUT_S = 2.0
+"""Time without an answer of another VM after which a watch is restarted. Probes may be
+stale, so they may take seconds to show that the answer to a watch was lost. A new
+configuration must take effect within three seconds."""
+
+UNCOMPARED_WATCH_TIMEOUT_S = 1.5
+"""Longest duration of one watch call while no other VM answers; the watch ends before
+`COMPARISON_TIMEOUT_S`, so that its connection is kept."""
+
+WATCH_LAG_S = 0.8
+"""Time that a watch has to deliver a change that another VM has received. It is longer
+than `PROBE_TIMEOUT_S`, so that a slow store is not listed again."""
+
+COMPARISON_RETRY_DELAY_S = 0.4
+"""Delay before another VM is asked after one could not tell its revision."""
 
 PROBE_INTERVAL_S = 0.8
 """Interval of probes: cheap reads that may be stale. After a failed probe, the first
@@ -95,6 +112,8 @@
         Chooses the relay to follow, if any.
     peers : peers.PeerSnapshots or None
         Source of the first snapshot.
+    other_watchers : otherwatchers.OtherWatchers or None
+        Other VMs that watch the store.
     clock : callable or None
         Returns monotonic seconds; `trio.current_time` by default.
     random_source : random.Random or None
@@ -120,6 +139,7 @@
         handler,
         relays=None,
         peers=None,
+        other_watchers=None,
         clock=None,
         random_source=None,
     ):
@@ -127,6 +147,11 @@
         self._handler = handler
         self._relays = relays
         self._peers = peers
+        self._other_watchers = other_watchers
+        # Newest revision of another VM that a listing has covered, and whether one
+        # answered lately.
+        self._compared_revision = 0
+        self._is_compared = True
         self._clock = clock or trio.current_time
         self._random = random_source or random.Random()
         self._entries = {}
@@ -232,6 +257,7 @@
         self.last_applied_revision = revision or 0
         self._handler.apply_snapshot(entries, is_after_outage)
         self.is_loaded = True
+        self._notify_followers()
 
     async def _watch_once(self):
         """Make one watch call to the store or a relay, and apply its changes."""
@@ -305,23 +331,33 @@
         self._changed = trio.Event()
 
     async def _watch_with_probes(self):
-        """Watch the store; raise an error if probes show that the watch is broken."""
+        """Watch the store; raise an error if checks show that the watch is broken.
+
+        A watch that can no longer be checked ends without changes.
+        """
         failure = None
         async with trio.open_nursery() as nursery:
 
-            async def probe_and_cancel_watch():
+            async def check_and_cancel_watch(check):
                 nonlocal failure
-                failure = await self._probe_during_watch()
+                failure = await check()
                 nursery.cancel_scope.cancel()
 
-            nursery.start_soon(probe_and_cancel_watch)
+            nursery.start_soon(check_and_cancel_watch, self._probe_during_watch)
+            wait_s = WATCH_TIMEOUT_S
+            if self._other_watchers is not None:
+                nursery.start_soon(check_and_cancel_watch, self._compare_during_watch)
+                if not self._is_compared:
+                    wait_s = UNCOMPARED_WATCH_TIMEOUT_S
             try:
-                return await self._store.watch(ALL_KEYS, self.revision, WATCH_TIMEOUT_S)
+                return await self._store.watch(ALL_KEYS, self.revision, wait_s)
             except TarragonchuteError as error:
                 # Raised outside the nursery, which would wrap it in an exception group.
                 failure = error
             finally:
                 nursery.cancel_scope.cancel()
+        if failure is None:
+            return [], self.revision
         raise failure
 
     async def _probe_during_watch(self):
@@ -353,6 +389,39 @@
                 reported_revision = revision
             self._last_success_at = self._clock()
 
+    async def _compare_during_watch(self):
+        """Compare the watch with those of other VMs until it has to be restarted.
+
+        Probes do not suffice: the store may answer them from old content.
+
+        Returns
+        -------
+        HistoryLostError or None
+            The error if the watch misses a change; None if no other VM can tell.
+        """
+        while True:
+            after = max(self.revision, self._compared_revision)
+            revision = None
+            with trio.move_on_after(COMPARISON_TIMEOUT_S):
+                revision = await self._fetch_other_revision(after)
+            self._is_compared = revision is not None
+            if revision is None:
+                if self.is_connected:
+                    return None
+            elif revision > after:
+                await trio.sleep(WATCH_LAG_S)
+                self._compared_revision = revision
+                return HistoryLostError(
+                    f"the watch did not deliver revision {revision} of another VM"
+                )
+
+    async def _fetch_other_revision(self, after):
+        while True:
+            try:
+                return await self._other_watchers.wait_for_revision(after)
+            except RelayUnavailableError:
+                await trio.sleep(COMPARISON_RETRY_DELAY_S)
+
     async def _probe(self):
         with trio.move_on_after(PROBE_TIMEOUT_S):
             return await self._store.probe()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,7 @@
 from tarragonchute.errors import RelayUnavailableError, RelayWithoutStoreError
 from tarragonchute.fleet import Fleet, VmInfo
 from tarragonchute.peers import PeerServer, PeerSnapshots, Relay, RelayChooser
-from tarragonchute.store import MemoryStore
+from tarragonchute.store import Entry, MemoryStore
 from tarragonchute.storewatcher import StoreUpdateHandler, StoreWatcher
 
 from .test_httpio import TEST_TIMEOUT_S, reserve_closed_port, start_server
@@ -108,6 +108,31 @@
             self.assertEqual([("a", "2")], [(e.key, e.value) for e in entries])
             relay.close()
 
+    @run_async
+    async def test_listing_of_the_relay_is_passed_on_at_once(self):
+        """Guards against followers that wait when their relay lists the store again.
+
+        A relay lists it after a watch has missed a change.
+        """
+        async with open_relay() as (store, watcher, address):
+            relay = Relay(address)
+            revision = watcher.revision
+            answer = []
+
+            async def follow():
+                answer.extend(await relay.watch(revision))
+
+            with trio.fail_after(peers.MAX_POLL_HOLD_S / 2):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(follow)
+                    await trio.sleep(0.1)
+                    listed = [Entry("a", "2", revision + 1)]
+                    watcher._apply_snapshot(listed, revision + 1, False)
+            entries, revision, is_snapshot = answer
+            self.assertEqual(["2"], [entry.value for entry in entries])
+            self.assertTrue(is_snapshot)
+            relay.close()
+
     @run_async
     async def test_poll_without_changes_is_answered(self):
         """Guards against treating a relay without changes as unresponsive."""
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -90,6 +90,61 @@
         return await super().watch(prefix, after, wait_s)
 
 
+class LostAnswerStore(MemoryStore):
+    """A store that can lose the answer to the waiting watch, with probes that are old.
+
+    Parameters
+    ----------
+    probed_revision : int
+        Revision that all probes return.
+    """
+
+    def __init__(self, probed_revision=0):
+        super().__init__()
+        self.loses_next_answer = False
+        self.listings = 0
+        self._probed_revision = probed_revision
+
+    async def list(self, prefix):
+        self.listings += 1
+        return await super().list(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        answer = await super().watch(prefix, after, wait_s)
+        if answer[0] and self.loses_next_answer:
+            self.loses_next_answer = False
+            await trio.sleep_forever()
+        return answer
+
+    async def probe(self):
+        return self._probed_revision
+
+
+class FakeOtherWatchers:
+    """Another VM that watches a store and receives each change at once.
+
+    Parameters
+    ----------
+    store : MemoryStore or None
+        None if no other VM answers.
+    extra : int
+        Added to the revisions of the store.
+    """
+
+    def __init__(self, store, extra=0):
+        self.store = store
+        self.extra = extra
+
+    async def wait_for_revision(self, after):
+        for _ in range(8):
+            if self.store is None:
+                raise RelayUnavailableError("no other VM")
+            if self.store.revision + self.extra > after:
+                break
+            await trio.sleep(0.1)
+        return self.store.revision + self.extra
+
+
 class SingleRelay:
     """A relay, and the chooser that returns it until its first failure."""
 
@@ -423,6 +478,114 @@
             nursery.cancel_scope.cancel()
 
 
+CONFIGURATION_BOUND_S = 3.0
+"""Time within which a VM must apply a change of the configuration."""
+
+
+class LostAnswerTests(testtools.TestCase):
+    """The store's answer to a watch is lost, and probes are answered from old content.
+
+    VMs of one failure domain sent orders to a service that a configuration had replaced
+    seconds before (review/3).
+    """
+
+    async def start(self, nursery, store, other_watchers):
+        handler = RecordingHandler()
+        watcher = StoreWatcher(store, handler, other_watchers=other_watchers)
+        nursery.start_soon(watcher.run)
+        await trio.sleep(0.1)
+        return watcher, handler
+
+    async def measure_delay_s(self, store, other_watchers, wait_s):
+        """Return the time until a change arrives whose answer was lost."""
+        async with trio.open_nursery() as nursery:
+            _, handler = await self.start(nursery, store, other_watchers)
+            await trio.sleep(wait_s)
+            store.loses_next_answer = True
+            await store.put("a", "1", 0)
+            started_at = trio.current_time()
+            with trio.move_on_after(30.0):
+                while "a" not in handler.values:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+        self.assertFalse(store.loses_next_answer)
+        return trio.current_time() - started_at
+
+    @run_in_virtual_time
+    async def test_change_that_another_vm_has_received_arrives(self):
+        """Guards against an old configuration after one lost answer of the store."""
+        for wait_s in (0.0, 0.4, 3.0, 11.0):
+            store = LostAnswerStore()
+            delay_s = await self.measure_delay_s(
+                store, FakeOtherWatchers(store), wait_s
+            )
+            self.assertLess(delay_s, CONFIGURATION_BOUND_S)
+
+    @run_in_virtual_time
+    async def test_change_arrives_without_another_vm(self):
+        """Guards against the same on a VM whose watch cannot be compared."""
+        for wait_s in (0.0, 0.4, 3.0, 11.0):
+            store = LostAnswerStore()
+            delay_s = await self.measure_delay_s(store, FakeOtherWatchers(None), wait_s)
+            self.assertLess(delay_s, CONFIGURATION_BOUND_S)
+
+    @run_in_virtual_time
+    async def test_other_vm_that_stops_answering(self):
+        """Guards against a long watch that no VM can be compared with any more."""
+        store = LostAnswerStore()
+        other_watchers = FakeOtherWatchers(store)
+        async with trio.open_nursery() as nursery:
+            _, handler = await self.start(nursery, store, other_watchers)
+            await trio.sleep(3.0)
+            other_watchers.store = None
+            store.loses_next_answer = True
+            await store.put("a", "1", 0)
+            await trio.sleep(CONFIGURATION_BOUND_S)
+            self.assertEqual({"a": "1"}, handler.values)
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_watch_that_is_a_little_slower_is_kept(self):
+        """Guards against a listing for each change that another VM receives first."""
+        store = LostAnswerStore()
+        async with trio.open_nursery() as nursery:
+            _, handler = await self.start(
+                nursery, store, FakeOtherWatchers(store, extra=1)
+            )
+            await trio.sleep(2.0)
+            listings = store.listings
+            for number in range(20):
+                await store.put(f"k{number}", "1", 0)
+                await trio.sleep(0.5)
+            self.assertEqual(20, len(handler.values))
+            self.assertEqual(listings, store.listings)
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_revision_that_a_listing_disproved_is_ignored(self):
+        """Guards against listing the store again and again.
+
+        Another VM may name a revision that a restored store does not have.
+        """
+        store = LostAnswerStore()
+        async with trio.open_nursery() as nursery:
+            await self.start(nursery, store, FakeOtherWatchers(store, extra=1000))
+            await trio.sleep(60.0)
+            self.assertLessEqual(store.listings, 2)
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_few_calls_while_other_vms_answer(self):
+        """Guards against billed calls while nothing changes."""
+        store = LostAnswerStore()
+        async with trio.open_nursery() as nursery:
+            await self.start(nursery, store, FakeOtherWatchers(store))
+            await trio.sleep(100.0)
+            self.assertLessEqual(store.calls["watch"], 5)
+            self.assertEqual(1, store.listings)
+            nursery.cancel_scope.cancel()
+
+
 class FallbackRelayTests(testtools.TestCase):
     """The store refuses the calls of this VM and serves the others."""
 
