Watch again at once after a target has turned cold

Cause: after a watch that returned changes a VM does not watch the store for 0.2 to 0.7 s, to save billed calls. Until the next watch, targets that turn cold get their full load.

Change: a warm target that turns cold is an urgent change.

--- a/tarragonchute/otherwatchers.py
+++ b/tarragonchute/otherwatchers.py
@@ -38,6 +38,10 @@
         # Time of the last failure of each address.
         self._excluded_at = {}
 
+    def count(self):
+        """Return the number of other VMs that watch the store."""
+        return len(self._list_vms(self._clock()))
+
     async def wait_for_revision(self, after):
         """Return another VM's revision once it exceeds `after`, or after a while.
 
@@ -76,11 +80,7 @@
         }
         own_vm = self._fleet.own_vm
         candidates = [
-            vm
-            for vm in list_all_relay_vms(self._fleet.list_vms(now))
-            if vm.address
-            and vm.vm_id != own_vm.vm_id
-            and vm.address not in self._excluded_at
+            vm for vm in self._list_vms(now) if vm.address not in self._excluded_at
         ]
         if not candidates:
             return None
@@ -92,3 +92,10 @@
             ),
         )
         return best.address
+
+    def _list_vms(self, now):
+        return [
+            vm
+            for vm in list_all_relay_vms(self._fleet.list_vms(now))
+            if vm.address and vm.vm_id != self._fleet.own_vm.vm_id
+        ]
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -82,7 +82,7 @@
             now = trio.current_time()
             self._gateway.fleet.apply(vm_id, value, now)
         elif target_id is not None:
-            self._apply_target_entry(target_id, key, value)
+            return self._apply_target_entry(target_id, key, value)
         elif key == CONFIGURATION_KEY and value is not None:
             table = decode_configuration(value)
             if table is None:
@@ -95,6 +95,7 @@
             else:
                 self._evacuated.add(domain)
             self._gateway.registry.set_evacuated(self._evacuated)
+        return False
 
     def _apply_target_entry(self, target_id, key, value):
         registration = None
@@ -103,7 +104,7 @@
             if registration is None:
                 _log_invalid_entry(key)
         now = trio.current_time()
-        self._gateway.registry.apply(target_id, registration, now)
+        return self._gateway.registry.apply(target_id, registration, now)
 
 
 def _log_invalid_entry(key):
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -198,14 +198,24 @@
 
         Reports arrive with a delay, so the end computed from a report is never too
         early. Of all reports of one cold period, the earliest end is the most exact.
+
+        Returns
+        -------
+        bool
+            Whether the target was warm and has turned cold. A report of the previous
+            cold period that arrives after its end states less time than the one before.
         """
         if left_s <= 0:
             self.cold_until = -math.inf
-            return
-        is_same_cold_period = self.cold_until > now and left_s <= self._cold_left_s
+            self._cold_left_s = 0.0
+            return False
+        was_cold = self.cold_until > now
+        has_turned_cold = not was_cold and left_s > self._cold_left_s
+        is_same_cold_period = was_cold and left_s <= self._cold_left_s
         end = now + left_s
         self.cold_until = min(self.cold_until, end) if is_same_cold_period else end
         self._cold_left_s = left_s
+        return has_turned_cold
 
     def is_withdrawn(self, now):
         """Whether it has stated that it wants no requests, which is not a failure."""
@@ -340,15 +350,21 @@
             None if it was removed or cannot be decoded.
         now : float
             Monotonic seconds.
+
+        Returns
+        -------
+        bool
+            Whether a warm target turned cold again.
         """
         known = self._targets.get(target_id)
         if registration is None:
             self._remove(target_id, now, "registration removed")
-            return
+            return False
         if known is not None and not known.registration.is_same_process(registration):
             self._remove(target_id, now, "replaced by another process")
             known = None
-        if known is None:
+        is_new = known is None
+        if is_new:
             known = self._add(registration, now)
         elif known.registration.is_draining != registration.is_draining:
             logger.info(
@@ -359,10 +375,11 @@
                     "draining": registration.is_draining,
                 },
             )
-        known.record_cold_report(registration.cold_left_s, now)
+        has_turned_cold = known.record_cold_report(registration.cold_left_s, now)
         known.registration = registration
         known.missing_since = None
         self._invalidate(registration.service)
+        return has_turned_cold and not is_new
 
     def replace_all(self, registrations, now, is_after_outage):
         """Apply a full listing of registrations.
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -20,6 +20,7 @@
     StoreUnavailableError,
     TarragonchuteError,
 )
+from .pacing import WatchPacer
 
 # JSON log lines carry this name, so it stays although the module was renamed.
 logger = logging.getLogger("tarragonchute.feeds")
@@ -70,12 +71,6 @@
 """Mean delay between the failure of a relay and the next attempt. The relay may reach
 the store again by then. Jitter keeps its followers from all switching at once."""
 
-BATCH_PAUSE_MIN_S = 0.2
-BATCH_PAUSE_MAX_S = 0.7
-"""Bounds of the pause after a watch that returned changes; it doubles during a burst.
-The pause saves billed calls, but configurations and drains must take effect within
-seconds."""
-
 BURST_WINDOW_S = 0.2
 """A watch that returns changes within this time counts as part of a burst."""
 
@@ -98,7 +93,14 @@
         """
 
     def apply_change(self, key, value):
-        """Apply one change; `value` is None if the key was removed."""
+        """Apply one change; `value` is None if the key was removed.
+
+        Returns
+        -------
+        bool
+            Whether the change is urgent: similar ones are likely to follow, and each
+            must be applied at once.
+        """
 
 
 class StoreWatcher:
@@ -157,7 +159,7 @@
         self._entries = {}
         self._change_log = ChangeLog(math.inf)
         self._changed = trio.Event()
-        self._batch_pause_s = BATCH_PAUSE_MIN_S
+        self._pacer = WatchPacer()
         self._last_success_at = None
         self._failures = 0
         self._registrations_may_have_expired = False
@@ -282,10 +284,10 @@
             self.revision = None
             return
         self._record_success()
-        self._apply_changes(entries, revision)
+        is_urgent = self._apply_changes(entries, revision)
         if entries:
             is_burst = self._clock() - started_at < BURST_WINDOW_S
-            await self._pause_for_batch(is_burst)
+            await self._pause_for_batch(is_burst, is_urgent)
 
     async def _watch_relay(self, relay):
         self.is_watching_store = False
@@ -301,30 +303,37 @@
             # The relay's revision may be older than what this VM has applied already.
             self._apply_changes(entries, max(revision, self.last_applied_revision))
 
-    async def _pause_for_batch(self, is_burst):
+    async def _pause_for_batch(self, is_burst, is_urgent):
         """Pause, so that the next watch returns several changes at once."""
-        doubled_s = min(2 * self._batch_pause_s, BATCH_PAUSE_MAX_S)
-        self._batch_pause_s = doubled_s if is_burst else BATCH_PAUSE_MIN_S
-        await trio.sleep(self._batch_pause_s)
+        watching_vms = 1
+        if self._other_watchers is not None:
+            watching_vms += self._other_watchers.count()
+        await trio.sleep(
+            self._pacer.choose_pause_s(self._clock(), is_burst, is_urgent, watching_vms)
+        )
 
     def _apply_changes(self, entries, revision):
+        """Apply the changes of a watch; return whether one of them is urgent."""
+        is_urgent = False
         for entry in _list_latest(entries):
             if entry.value is None:
                 self._entries.pop(entry.key, None)
             else:
                 self._entries[entry.key] = entry
-            self._apply_change(entry)
+            is_urgent |= self._apply_change(entry)
             self._change_log.record(entry)
         self.revision = self.last_applied_revision = revision
         if entries:
             self._notify_followers()
+        return is_urgent
 
     def _apply_change(self, entry):
         try:
-            self._handler.apply_change(entry.key, entry.value)
+            return bool(self._handler.apply_change(entry.key, entry.value))
         except Exception:
             # One entry that cannot be applied must not stop all later changes.
             logger.exception("cannot apply a change", extra={"key": entry.key})
+            return False
 
     def _notify_followers(self):
         self._changed.set()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -129,6 +129,18 @@
         self.registry.apply("i-1", build_registration(cold_left_s=1.8), 6.9)
         self.assertEqual(8.0, self.registry.get("i-1").cold_until)
 
+    def test_only_a_known_target_turns_cold_again(self):
+        """Guards against watching the store without pauses for each new target."""
+        cold = build_registration(cold_left_s=3.0)
+        self.assertFalse(self.registry.apply("i-1", cold, 5.0))
+        still_cold = build_registration(cold_left_s=2.0)
+        self.assertFalse(self.registry.apply("i-1", still_cold, 6.0))
+        late_report = build_registration(cold_left_s=0.2)
+        self.assertFalse(self.registry.apply("i-1", late_report, 8.5))
+        self.assertFalse(self.registry.apply("i-1", build_registration(), 9.0))
+        self.assertTrue(self.registry.apply("i-1", cold, 10.0))
+        self.assertFalse(self.registry.apply("i-1", None, 11.0))
+
     def test_second_cold_period_is_applied(self):
         """Guards against overloading a target that is cold for a second time."""
         self.registry.apply("i-1", build_registration(cold_left_s=0.5), 5.0)
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -5,7 +5,7 @@
 import testtools
 import trio
 
-from tarragonchute import storewatcher
+from tarragonchute import pacing, storewatcher
 from tarragonchute.errors import (
     HistoryLostError,
     RelayUnavailableError,
@@ -135,6 +135,9 @@
         self.store = store
         self.extra = extra
 
+    def count(self):
+        return 2
+
     async def wait_for_revision(self, after):
         for _ in range(8):
             if self.store is None:
@@ -270,7 +273,7 @@
             await trio.sleep(0.1)
             self.assertEqual({"a": "1", "b": "2"}, handler.values)
             await store.delete("b", revision)
-            await trio.sleep(storewatcher.BATCH_PAUSE_MAX_S + 0.1)
+            await trio.sleep(pacing.BATCH_PAUSE_MAX_S + 0.1)
             self.assertEqual({"a": "1"}, handler.values)
             nursery.cancel_scope.cancel()
 
@@ -341,7 +344,7 @@
             for number in range(100):
                 await store.put(f"k{number}", "1", 0)
                 await trio.sleep(0.17)
-            await trio.sleep(storewatcher.BATCH_PAUSE_MAX_S + 0.1)
+            await trio.sleep(pacing.BATCH_PAUSE_MAX_S + 0.1)
             self.assertEqual(100, len(handler.values))
             self.assertEqual(1, store.listings)
             nursery.cancel_scope.cancel()
@@ -376,7 +379,7 @@
             await trio.sleep(0.5)
             self.assertEqual({"a": "from a peer", "b": "2"}, handler.values)
             await store.delete("a", 1)
-            await trio.sleep(storewatcher.BATCH_PAUSE_MAX_S + 0.1)
+            await trio.sleep(pacing.BATCH_PAUSE_MAX_S + 0.1)
             self.assertEqual({"b": "2"}, handler.values)
             self.assertEqual(0, store.listings)
             nursery.cancel_scope.cancel()
@@ -586,6 +589,66 @@
             nursery.cancel_scope.cancel()
 
 
+COLD_REQUESTS_PER_S = 5
+FULL_LOAD_PER_S = 22.5
+"""Requests per second that a cold target may get, and those that a warm one gets, in
+the deployment of review/4."""
+
+
+class UrgentHandler(RecordingHandler):
+    """Reports changes of keys that start with ``cold`` as urgent, and keeps times."""
+
+    def __init__(self):
+        super().__init__()
+        self.applied_at = {}
+
+    def apply_change(self, key, value):
+        self.applied_at[key] = trio.current_time()
+        return key.startswith("cold")
+
+
+class UrgentChangeTests(testtools.TestCase):
+    """Targets that turn cold again one after the other.
+
+    Each got its full load until the next watch, and some crashed (review/4).
+    """
+
+    async def measure_delays_s(self, prefix, count, interval_s):
+        """Return the delay of each change, and the number of watch calls."""
+        store = LostAnswerStore()
+        handler = UrgentHandler()
+        other_watchers = FakeOtherWatchers(store)
+        watcher = StoreWatcher(store, handler, other_watchers=other_watchers)
+        written_at = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            await trio.sleep(1.0)
+            for number in range(count):
+                key = f"{prefix}-{number}"
+                written_at[key] = trio.current_time()
+                await store.put(key, "1", 0)
+                await trio.sleep(interval_s)
+            await trio.sleep(pacing.BATCH_PAUSE_MAX_S + 0.1)
+            nursery.cancel_scope.cancel()
+        applied_at = handler.applied_at
+        delays = [applied_at[key] - at for key, at in written_at.items()]
+        return delays, store.calls["watch"]
+
+    @run_in_virtual_time
+    async def test_urgent_changes_arrive_at_once(self):
+        """Guards against the full load on targets that have reported to be cold."""
+        delays, _ = await self.measure_delays_s("cold", 20, 0.1)
+        # Half of the limit is for the requests that cold targets are sent.
+        self.assertLess(max(delays) * FULL_LOAD_PER_S, COLD_REQUESTS_PER_S / 2)
+
+    @run_in_virtual_time
+    async def test_other_changes_are_batched(self):
+        """Guards against a billed call for each change."""
+        delays, calls = await self.measure_delays_s("other", 100, 0.02)
+        self.assertLess(max(delays), pacing.BATCH_PAUSE_MAX_S + 0.1)
+        self.assertLess(calls, 100 * 0.02 / pacing.BATCH_PAUSE_MIN_S)
+
+
 class FallbackRelayTests(testtools.TestCase):
     """The store refuses the calls of this VM and serves the others."""
 
