Delay the first requests to a target that turns cold again

The time at which a VM may send a cold target its next request was kept from the earlier cold period, so it had passed: all VMs sent at once when the target turned cold again, nine of nine in the test, and 5 in a second are allowed. Besides, the requests that a target got just before it turned cold, and those on their way, count in the same second.

Now the first request is sent a second later at the earliest, after a random part of the VM's interval as for a new target.

Test: test_target_that_turns_cold_again_gets_no_burst (test_gateway); before, all nine sent at 50.0 s.

--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -75,6 +75,9 @@
 DOMAIN_CHECK_INTERVAL_S = 1.0
 """Interval between updates of the failure domains from which leaders are chosen."""
 
+COLD_WINDOW_S = 1.0
+"""Window in which the requests to a cold target are limited."""
+
 NO_CONFIGURATION_RETRY_S = 0.2
 """Retry delay sent to a caller of a VM that has not received its configuration yet."""
 
@@ -496,8 +499,10 @@
             return False
         if target.next_cold_send_at is None:
             # All VMs see a new target at about the same time, so the first request is
-            # delayed by a random time.
-            target.next_cold_send_at = now + interval_s * self._random.random()
+            # delayed by a random time. Requests that a target got just before it turned
+            # cold count in the same window.
+            starts_at = max(now, target.turned_cold_at + COLD_WINDOW_S)
+            target.next_cold_send_at = starts_at + interval_s * self._random.random()
         if now < target.next_cold_send_at:
             return False
         target.next_cold_send_at = now + interval_s * (
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -119,6 +119,8 @@
         the target refused to run do not count as failed.
     failure_share_updated_at : float
         When `failure_share` was last updated, in monotonic seconds.
+    turned_cold_at : float
+        When this VM learned that it had turned cold again, in monotonic seconds.
     next_cold_send_at : float or None
         When this VM may send it the next request while it is cold; None until this is
         first computed.
@@ -157,6 +159,7 @@
         "failures",
         "failure_share",
         "failure_share_updated_at",
+        "turned_cold_at",
         "next_cold_send_at",
         "encoded_id",
         "on_exchange_end",
@@ -182,6 +185,7 @@
         self.failures = 0
         self.failure_share = 0.0
         self.failure_share_updated_at = 0.0
+        self.turned_cold_at = -math.inf
         self.next_cold_send_at = None
         self.encoded_id = registration.target_id.encode("latin-1", "replace")
         self.on_exchange_end = None
@@ -376,6 +380,9 @@
                 },
             )
         has_turned_cold = known.record_cold_report(registration.cold_left_s, now)
+        if has_turned_cold and not is_new:
+            known.turned_cold_at = now
+            known.next_cold_send_at = None
         known.registration = registration
         known.missing_since = None
         self._invalidate(registration.service)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -223,6 +223,31 @@
         # Five of nine VMs may send within a second.
         self.assertLess(sum(now < 1.0 for now in first_sends), 55)
 
+    @run_in_virtual_time
+    async def test_target_that_turns_cold_again_gets_no_burst(self):
+        """Guards against all VMs sending at once to a target that turns cold again.
+
+        They learn of it at about the same time, and the requests that they sent it
+        while it was warm arrive in the same second.
+        """
+        cold = Registration("i-1", "s", ("127.0.0.1", 9), "d", cold_left_s=3.0)
+        warm = Registration("i-1", "s", ("127.0.0.1", 9), "d")
+        sends = []
+        for _ in range(9):
+            gateway, target = self.build_in_fleet_of_nine()
+            gateway.registry.apply("i-1", cold, 10.0)
+            for tick in range(1000, 1300):
+                gateway._try_reserve_cold_request(target, tick / 100)
+            gateway.registry.apply("i-1", warm, 13.0)
+            gateway.registry.apply("i-1", cold, 50.0)
+            sends += [
+                tick / 100
+                for tick in range(5000, 5500)
+                if gateway._try_reserve_cold_request(target, tick / 100)
+            ]
+        self.assertEqual([], [at for at in sends if at < 51.0])
+        self.assertGreaterEqual(len(sends), 9)
+
     @run_in_virtual_time
     async def test_state_of_removed_routes_is_dropped(self):
         """Guards against memory that grows with each change of a route."""
