Do not send waiting requests to a target that has turned cold

Requests that waited for a connection when their target turned cold again were sent one after the other, without counting against its limit: all 8 in the test.

Now they fail as not sent, as for a target that asks for a pause: they go to another target, or are refused as not run if there is none.

--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -380,13 +380,24 @@
                 },
             )
         has_turned_cold = known.record_cold_report(registration.cold_left_s, now)
-        if has_turned_cold and not is_new:
-            known.turned_cold_at = now
-            known.next_cold_send_at = None
+        has_turned_cold &= not is_new
         known.registration = registration
         known.missing_since = None
         self._invalidate(registration.service)
-        return has_turned_cold and not is_new
+        if has_turned_cold:
+            self._limit_cold_target(known, now)
+        return has_turned_cold
+
+    def _limit_cold_target(self, target, now):
+        """Limit the requests to a target that has turned cold again.
+
+        Those that wait for a connection were not counted against the limit. They fail
+        as not sent.
+        """
+        logger.info("target turned cold again", extra=_describe(target))
+        target.turned_cold_at = now
+        target.next_cold_send_at = None
+        target.pool.fail_queued(now, "the target turned cold")
 
     def replace_all(self, registrations, now, is_after_outage):
         """Apply a full listing of registrations.
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,6 +5,13 @@
 from tarragonchute.registry import REGISTRATION_GRACE_S, Registration, Registry
 
 
+class FakePool:
+    """Stands for the connections to one target."""
+
+    def fail_queued(self, now, reason):
+        pass
+
+
 class RecordingPools:
     """Records which connection pools of targets are opened and closed."""
 
@@ -14,7 +21,7 @@
 
     def open(self, registration):
         self.opened.append(registration.target_id)
-        return object()
+        return FakePool()
 
     def close(self, pool, now):
         self.closed.append(pool)
