--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,6 +7,7 @@
 import orjson
 import testtools
 import trio
+from testtools.content import text_content
 
 from tarragonchute import commands
 from tarragonchute.errors import TarragonchuteError
@@ -40,12 +41,21 @@
                 balancer = LoadBalancer(deployment.callers)
                 nursery.start_soon(balancer.run)
                 await self._load_settings(deployment)
-                await balancer.wait_healthy(3, TIMEOUT_S)
-                await self._wait_until_covered(balancer, deployment)
-                await scenario(deployment, balancer)
-                await self._check_targets(deployment)
+                try:
+                    await balancer.wait_healthy(3, TIMEOUT_S)
+                    await self._wait_until_covered(balancer, deployment)
+                    await scenario(deployment, balancer)
+                    await self._check_targets(deployment)
+                except BaseException:
+                    self._attach_logs(deployment)
+                    raise
                 nursery.cancel_scope.cancel()
 
+    def _attach_logs(self, deployment):
+        """Add the VMs' logs to the report of a failed test."""
+        for vm_id, text in deployment.read_logs().items():
+            self.addDetail(f"log of {vm_id}", text_content(text))
+
     async def _load_settings(self, deployment):
         last_error = None
         with trio.move_on_after(TIMEOUT_S):
