Drop the acknowledgements of a VM's earlier process

An operator's change of the settings counts as accepted once a majority of the members has acknowledged its version. What a VM had acknowledged stayed recorded after its restart, although the new process has lost it: with two of three VMs restarted, one VM that has the version counted as three. Accepted settings could then be lost with the store and that one VM.

Now a view with another process of a VM drops what the earlier one acknowledged. The pulls that follow a view change ask for what the new one has. VMs that are in no set of the view are forgotten, which also bounds the memory.

The gateway has no acknowledgements.

--- a/tarragonchute/distribution.py
+++ b/tarragonchute/distribution.py
@@ -82,6 +82,8 @@
         self._applied_at = {}
         self._pulled_at = {}
         self._compared_epochs = {}
+        # The newest known process of each VM.
+        self._incarnations = {}
         self._watch_scope = None
         self._must_read_all = True
 
@@ -102,11 +104,38 @@
             self._watch_scope.cancel()
         view = self._membership.view
         vm_ids = set(view.members).union(*view.previous)
+        self._drop_old_acknowledgements(view.incarnations(), vm_ids)
         for vm_id in vm_ids - {self._membership.vm_id}:
             self._send_pull(vm_id)
         # This VM counts towards the majority of each set that contains it.
         self._record_comparison(self._membership.vm_id)
 
+    def _drop_old_acknowledgements(self, incarnations, vm_ids):
+        """Drop what earlier processes of VMs, and VMs that are gone, acknowledged.
+
+        A new process starts without it. The pulls that follow a view change ask it for
+        the versions that it has.
+
+        Parameters
+        ----------
+        incarnations : dict of str to str
+            Processes of the members.
+        vm_ids : set of str
+            Members of the view and of its previous sets.
+        """
+        known = self._incarnations
+        own = self._membership.vm_id
+        outdated = [
+            vm_id
+            for vm_id, incarnation in known.items()
+            if vm_id not in vm_ids
+            or incarnations.get(vm_id, incarnation) != incarnation
+            and vm_id != own
+        ]
+        self._configuration.drop_acknowledgements(outdated)
+        kept = {vm_id: known[vm_id] for vm_id in known if vm_id in vm_ids}
+        self._incarnations = {**kept, **incarnations}
+
     # Messages.
 
     def request_newer_settings(self, now):
