Log settings as in force only once their text is valid

The log said "settings SUBTREE version N are in force" before the text was parsed, also for a text that an operator had written to the store directly and that is invalid; the next line said that the old settings are kept.

--- a/tarragonchute/distribution.py
+++ b/tarragonchute/distribution.py
@@ -237,7 +237,6 @@
         if not self._configuration.apply(subtree, value):
             return False
         self._applied_at[subtree] = now
-        logger.info("settings %s version %d are in force", subtree, value.version)
         try:
             parsed = parse_subtree(subtree, value.content, subtree)
             replace_subtree(self.tree, subtree, parsed)
@@ -245,6 +244,8 @@
             # The admin port rejects invalid text, but an operator may have written this
             # directly to the store.
             logger.error("settings %s are invalid, kept the old: %s", subtree, error)
+        else:
+            logger.info("settings %s version %d are in force", subtree, value.version)
         return True
 
     async def propose(self, proposal):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -109,3 +109,32 @@
         self.adopt(view)
         self.assertEqual(["a"], list(self.sync._incarnations))
         self.assertEqual(1, self.count_acknowledged())
+
+
+class LogTests(testtools.TestCase):
+    """What operators read about a change of the settings."""
+
+    def list_lines(self, text):
+        """Return the log lines of applying a text as the settings of the fleet."""
+        sync = SettingsSynchronizer(
+            Configuration(),
+            Membership("a", "a-1"),
+            MemoryStore(),
+            RecordingLink(),
+            lambda: None,
+            lambda revision, known_revision: None,
+            lambda: 0,
+        )
+        with self.assertLogs("tarragonchute.distribution") as logs:
+            sync.apply({"fleet": SubtreeValue(5, text)}, 0.0)
+        return [record.getMessage() for record in logs.records]
+
+    def test_invalid_settings_are_not_reported_in_force(self):
+        """Guards against a log that claims settings to be in force that are not."""
+        (line,) = self.list_lines("[fleet")
+        self.assertIn("are invalid, kept the old", line)
+
+    def test_valid_settings_are_reported_in_force(self):
+        """Guards against a change that leaves no line in the log."""
+        lines = self.list_lines("")
+        self.assertEqual(["settings fleet version 5 are in force"], lines)
