Count the attempts of earlier VMs for shards that are split off

A leader that does not acknowledge a subsearch may have sent one request for each of its shards. If the leader that replaces it knows no targets of some shards, these go to a third VM, and that one was given the route's full number of attempts, without charge to the retry budget. If the second one has sent nothing at all, the third one's requests were not charged either. So a shard could run on one target more than its route permits, and a paused leader could double the load of its targets.

Now the attempts left, and whether an earlier VM may have sent, stay with the shards.

Tests: test_attempts_of_a_paused_leader_count_for_shards_that_are_split_off and test_requests_after_a_paused_leader_use_the_retry_budget (test_fanout); both failed before: the third VM's requests were first attempts.

--- a/tarragonchute/delegation.py
+++ b/tarragonchute/delegation.py
@@ -89,6 +89,7 @@
         "_query",
         "_delegation",
         "_attempts_left",
+        "_may_have_sent",
         "_delegate",
         "_tried",
         "_state",
@@ -102,6 +103,8 @@
             MIN_ACK_TIMEOUT_S, ACK_GOAL_FRACTION * query.route.goal_s
         )
         self._attempts_left = query.route.max_attempts
+        # Whether an earlier VM may have sent first attempts.
+        self._may_have_sent = False
         self.number = 0
         self.answer = None
         self.reason = ""
@@ -141,12 +144,8 @@
             "reason": self.reason,
         }
 
-    def start(self, delegate, now, uses_retry_budget=False):
-        """Send the subsearch to a VM.
-
-        With `uses_retry_budget`, the new requests count against the retry budget,
-        because another VM may already have sent a first attempt.
-        """
+    def start(self, delegate, now):
+        """Send the subsearch to a VM."""
         self._delegate = delegate
         self._tried.append(delegate)
         self._state = SubsearchState.SENT
@@ -154,7 +153,7 @@
         subsearch = self._query.build_subsearch(
             self.services,
             self._attempts_left,
-            uses_retry_budget,
+            self._may_have_sent,
             delegate.mean_ack_s,
             now,
         )
@@ -166,6 +165,8 @@
         It goes to a VM that `previous`, which had the shards before, has not tried.
         """
         self._tried = list(previous._tried)
+        self._attempts_left = previous._attempts_left
+        self._may_have_sent = previous._may_have_sent
         self._reassign(
             "the previous VM sent no request for these shards",
             now,
@@ -234,11 +235,13 @@
         """Send the subsearch to the next VM, or query the targets if there is none.
 
         With `may_have_sent`, the previous VM may have made one attempt, which counts
-        toward the attempt limit of the route.
+        toward the attempt limit of the route. The requests of all later VMs then count
+        against the retry budget.
         """
         self.reason = reason
         self._state = SubsearchState.ENDED
         self._attempts_left -= may_have_sent
+        self._may_have_sent |= may_have_sent
         if self._query.is_finished:
             return
         if self._attempts_left < 1:
@@ -246,8 +249,8 @@
             return
         other = self._delegation.choose_untried(self._tried, now)
         if other is not None:
-            self.start(other, now, may_have_sent)
+            self.start(other, now)
         else:
             self._query.query_shards_directly(
-                self.services, self._attempts_left, may_have_sent, now
+                self.services, self._attempts_left, self._may_have_sent, now
             )
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -240,6 +240,41 @@
         self.assertEqual(10, search.query.included)
         self.assertEqual(200, finish(search.query, 0.02).status)
 
+    @run_in_virtual_time
+    async def test_attempts_of_a_paused_leader_count_for_shards_that_are_split_off(
+        self,
+    ):
+        """Guards against a shard that runs on more targets than its route permits.
+
+        The first leader may have asked for all shards. The second one, which replaces
+        it, does not know targets of some.
+        """
+        first, second, third = (FakeDelegate(name) for name in "abc")
+        search = DelegatedSearch(0, first, second, third)
+        search.query.advance(ACK_TIMEOUT_S)
+        (delegated,) = second.delegated_shards
+        delegated.handle_acknowledged(0.03)
+        unasked = SubsearchAnswer(1, False, True, [], b"", [], SHARDS[:4])
+        delegated.handle_answer(unasked, 0.03)
+        (subsearch,) = third.subsearches
+        self.assertEqual(SHARDS[:4], subsearch.services)
+        self.assertTrue(subsearch.is_extra)
+        self.assertEqual(1, subsearch.max_attempts)
+
+    @run_in_virtual_time
+    async def test_requests_after_a_paused_leader_use_the_retry_budget(self):
+        """Guards against doubling the load of all targets when a leader is paused.
+
+        The second leader, which replaces it, has sent no request.
+        """
+        first, second, third = (FakeDelegate(name) for name in "abc")
+        search = DelegatedSearch(0, first, second, third)
+        search.query.advance(ACK_TIMEOUT_S)
+        second.answer(0.03, count=0, has_run=False)
+        (subsearch,) = third.subsearches
+        self.assertTrue(subsearch.is_extra)
+        self.assertEqual(1, subsearch.max_attempts)
+
     @run_in_virtual_time
     async def test_progress_at_the_goal_permits_a_partial_response(self):
         """Guards against waiting beyond the goal for one shard whose target pauses."""
