Soak: lose an answer to a watch before a target is removed

The stand-in store can lose answers to watches whose connection stays open, and answer stale reads from old content. A target of the orders is removed after that; the oracle checks that it gets no requests 3 s later. No VM counts as disturbed.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -45,12 +45,19 @@
         Changes up to this revision are compacted; a watch from before it gets 410.
     refuses : bool
         Whether every call is answered with 503.
+    lost_watch_answers : int
+        How many of the next answers to watches that have changes are lost. Their
+        connections stay open.
+    stale_revision : int or None
+        Revision that stale reads return; None for the current one.
     """
 
     def __init__(self):
         self.store = MemoryStore()
         self.compacted_revision = 0
         self.refuses = False
+        self.lost_watch_answers = 0
+        self.stale_revision = None
 
     def compact(self):
         """Drop all changes up to the current revision from the watch history."""
@@ -100,6 +107,8 @@
 
     async def _answer_range(self, query):
         entries, revision = await self.store.list(query.get("prefix", ""))
+        if query.get("stale-ok") == "1" and self.stale_revision is not None:
+            revision = self.stale_revision
         after = query.get("after", "")
         entries = [entry for entry in entries if entry.key > after or not after]
         page = entries[:PAGE_ITEMS]
@@ -116,6 +125,9 @@
             return HttpResponse(410)
         wait_s = int(query["wait-ms"]) / 1000
         entries, revision = await self.store.watch(query["prefix"], after, wait_s)
+        if entries and self.lost_watch_answers:
+            self.lost_watch_answers -= 1
+            await trio.sleep_forever()
         events = [_encode_event(entry) for entry in entries]
         return HttpResponse.from_json({"events": events, "store-revision": revision})
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -44,6 +44,7 @@
             self._disturb_store,
             self._reset_store,
             self._drop_history,
+            self._lose_watch_answer,
             self._slow_targets,
             self._refuse_targets,
             self._fail_targets,
@@ -164,6 +165,24 @@
     async def _drop_history(self):
         self._world.server.compact()
 
+    async def _lose_watch_answer(self):
+        """Lose the answer to one watch, while stale reads show old content.
+
+        No VM counts as disturbed: a target that is removed then must get no requests
+        all the same.
+        """
+        server = self._world.server
+        if server.stale_revision is not None:
+            return
+        server.stale_revision = server.store.revision
+        server.lost_watch_answers = 1
+        # The targets of orders get the most requests.
+        desks = [t for t in self._world.targets if t.service == "desk"]
+        if desks:
+            await self._replace(self._random.choice(desks))
+        server.lost_watch_answers = 0
+        server.stale_revision = None
+
     async def _run_proxy_fault(self, proxy):
         proxy.mode = self._random.choice(list(ProxyMode)[1:])
         proxy.delay_s = self._random.uniform(0.02, 0.4)
@@ -235,8 +254,10 @@
         return self._world.proxies[target.target_id]
 
     async def _replace_target(self):
+        await self._replace(self._random.choice(self._world.targets))
+
+    async def _replace(self, target):
         """Add a target, then remove another one of the same service."""
-        target = self._random.choice(self._world.targets)
         if target.is_leaving:
             return
         await self._world.add_target(target.service, target.domain)
