Restart a watch that missed a change before listing the store

A VM whose path to the store is slow could have listed the whole store again for each change that another VM received 0.8 s before it. A listing takes a call for each 500 keys. Now the watch is restarted first, which delivers the change in one call; the store is listed only if the restarted watch misses it too. A watch that no VM can be compared with is not restarted while probes fail, so that failed probes add up and the VM follows one that the store answers.

Tests: test_change_that_the_next_watch_misses_too_arrives and one listing in test_change_that_another_vm_has_received_arrives (failed before with two); test_vm_without_the_store_and_other_watchers_follows_another, which fails without the check for failing probes.

--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -150,9 +150,11 @@
         self._relays = relays
         self._peers = peers
         self._other_watchers = other_watchers
-        # Newest revision of another VM that a listing has covered, and whether one
-        # answered lately.
+        # Revisions of other VMs: the newest for which the watch was restarted, and the
+        # newest for which the store was listed.
+        self._missed_revision = 0
         self._compared_revision = 0
+        # Whether another VM answered lately.
         self._is_compared = True
         self._clock = clock or trio.current_time
         self._random = random_source or random.Random()
@@ -274,7 +276,10 @@
             # reaches the store; a watch may wait long for its first change.
             await self._probe()
             self._record_success()
-        entries, revision = await self._watch_with_probes()
+        answer = await self._watch_with_checks()
+        if answer is None:
+            return
+        entries, revision = answer
         if revision < self.revision:
             raise HistoryLostError(f"the store's revision decreased to {revision}")
         if not self.is_connected and self._was_outage_long():
@@ -339,10 +344,13 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    async def _watch_with_probes(self):
+    async def _watch_with_checks(self):
         """Watch the store; raise an error if checks show that the watch is broken.
 
-        A watch that can no longer be checked ends without changes.
+        Returns
+        -------
+        tuple of (list of Entry, int) or None
+            Changes and revision; None if the watch is to be restarted.
         """
         failure = None
         async with trio.open_nursery() as nursery:
@@ -366,7 +374,7 @@
             finally:
                 nursery.cancel_scope.cancel()
         if failure is None:
-            return [], self.revision
+            return None
         raise failure
 
     async def _probe_during_watch(self):
@@ -406,7 +414,8 @@
         Returns
         -------
         HistoryLostError or None
-            The error if the watch misses a change; None if no other VM can tell.
+            The error if the watch has missed a change again after a restart; None if it
+            has missed one for the first time, or if no other VM can tell.
         """
         while True:
             after = max(self.revision, self._compared_revision)
@@ -415,14 +424,19 @@
                 revision = await self._fetch_other_revision(after)
             self._is_compared = revision is not None
             if revision is None:
-                if self.is_connected:
-                    return None
-            elif revision > after:
+                if not self.is_connected:
+                    # Failing probes show more than a restarted watch would.
+                    continue
+                return None
+            if revision > after:
                 await trio.sleep(WATCH_LAG_S)
-                self._compared_revision = revision
-                return HistoryLostError(
-                    f"the watch did not deliver revision {revision} of another VM"
-                )
+                text = f"the watch did not deliver revision {revision} of another VM"
+                if self.revision < self._missed_revision:
+                    self._compared_revision = revision
+                    return HistoryLostError(text)
+                self._missed_revision = revision
+                logger.info("restarting the watch: %s", text)
+                return None
 
     async def _fetch_other_revision(self, after):
         while True:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,7 +1,6 @@
 """Tests of targets that turn cold again while requests are on their way."""
 
 import testtools
-import trio
 
 from .test_notices import open_gateway
 from .trial import run_async
@@ -15,24 +14,13 @@
 
         That target turns cold meanwhile. Return the statuses of the answers.
         """
-        target, other = deployment.targets
-        target.delay_s = 0.1
-        deployment.register(other, state="draining")
-        registered = deployment.gateway.registry.get(target.target_id)
-        deployment.gateway.registry.list_usable(target.service)
-        registered.pool.max_connections = 1
-        statuses = []
-
-        async def call():
-            statuses.append((await deployment.call())[0])
-
-        async with trio.open_nursery() as nursery:
-            for _ in range(count):
-                nursery.start_soon(call)
-            await trio.sleep(0.05)
+        deployment.targets[0].delay_s = 0.1
+
+        def turn_cold(target, other):
             deployment.register(other, state=other_state)
             deployment.register(target, warmup_left_ms=3000)
-        return statuses
+
+        return await deployment.call_while_one_connection_is_busy(count, turn_cold)
 
     @run_async
     async def test_waiting_requests_go_to_another_target(self):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -82,11 +82,11 @@
         await self.call(path)
         return next(target for target in self.targets if target.ran)
 
-    async def call_while_one_connection_is_busy(self):
-        """Send five requests, all to the first of two targets; return their statuses.
+    async def call_while_one_connection_is_busy(self, count=5, change=None):
+        """Send some requests, all to the first of two targets; return their statuses.
 
-        The first request has the only connection, the others wait for it. The second
-        target becomes usable meanwhile.
+        The first request has the only connection, the others wait for it. Meanwhile
+        `change` is called with both targets; by default, the second becomes usable.
         """
         target, other = self.targets
         self.register(other, state="draining")
@@ -99,10 +99,13 @@
             statuses.append((await self.call())[0])
 
         async with trio.open_nursery() as nursery:
-            for _ in range(5):
+            for _ in range(count):
                 nursery.start_soon(call)
             await trio.sleep(0.05)
-            self.register(other)
+            if change is None:
+                self.register(other)
+            else:
+                change(target, other)
         return statuses
 
     async def _sweep(self):
--- a/tests/test_storewatcher.py
+++ b/tests/test_storewatcher.py
@@ -57,6 +57,14 @@
             raise StoreUnavailableError("silent")
 
 
+class SilentStore(FaultyStore):
+    """A store whose probes are not answered either while it hangs."""
+
+    async def probe(self):
+        if self.is_hung:
+            await trio.sleep_forever()
+
+
 class MissedChangesStore(MemoryStore):
     """A store whose watches miss changes, as they may while it drops its history."""
 
@@ -97,11 +105,16 @@
     ----------
     probed_revision : int
         Revision that all probes return.
+
+    Attributes
+    ----------
+    losses : int
+        Number of the next answers with changes that are lost.
     """
 
     def __init__(self, probed_revision=0):
         super().__init__()
-        self.loses_next_answer = False
+        self.losses = 0
         self.listings = 0
         self._probed_revision = probed_revision
 
@@ -111,8 +124,8 @@
 
     async def watch(self, prefix, after, wait_s):
         answer = await super().watch(prefix, after, wait_s)
-        if answer[0] and self.loses_next_answer:
-            self.loses_next_answer = False
+        if answer[0] and self.losses:
+            self.losses -= 1
             await trio.sleep_forever()
         return answer
 
@@ -252,15 +265,20 @@
 """Memory that a VM may use for control; see the target size in DEVELOPERS.md."""
 
 
+async def start_watcher(nursery, store, **options):
+    """Start a watcher and wait for its first listing; return it and its handler."""
+    handler = RecordingHandler()
+    watcher = StoreWatcher(store, handler, **options)
+    nursery.start_soon(watcher.run)
+    await trio.sleep(0.1)
+    return watcher, handler
+
+
 class StoreWatcherTests(testtools.TestCase):
     """Listings, watches, lost history and outages of the store."""
 
     async def start(self, nursery, store, peers=None):
-        handler = RecordingHandler()
-        watcher = StoreWatcher(store, handler, peers=peers)
-        nursery.start_soon(watcher.run)
-        await trio.sleep(0.1)
-        return watcher, handler
+        return await start_watcher(nursery, store, peers=peers)
 
     @run_in_virtual_time
     async def test_changes_arrive(self):
@@ -493,25 +511,21 @@
     """
 
     async def start(self, nursery, store, other_watchers):
-        handler = RecordingHandler()
-        watcher = StoreWatcher(store, handler, other_watchers=other_watchers)
-        nursery.start_soon(watcher.run)
-        await trio.sleep(0.1)
-        return watcher, handler
+        return await start_watcher(nursery, store, other_watchers=other_watchers)
 
-    async def measure_delay_s(self, store, other_watchers, wait_s):
+    async def measure_delay_s(self, store, other_watchers, wait_s, losses=1):
         """Return the time until a change arrives whose answer was lost."""
         async with trio.open_nursery() as nursery:
             _, handler = await self.start(nursery, store, other_watchers)
             await trio.sleep(wait_s)
-            store.loses_next_answer = True
+            store.losses = losses
             await store.put("a", "1", 0)
             started_at = trio.current_time()
             with trio.move_on_after(30.0):
                 while "a" not in handler.values:
                     await trio.sleep(0.05)
             nursery.cancel_scope.cancel()
-        self.assertFalse(store.loses_next_answer)
+        self.assertEqual(0, store.losses)
         return trio.current_time() - started_at
 
     @run_in_virtual_time
@@ -523,6 +537,20 @@
                 store, FakeOtherWatchers(store), wait_s
             )
             self.assertLess(delay_s, CONFIGURATION_BOUND_S)
+            # A listing takes more calls than another watch.
+            self.assertEqual(1, store.listings)
+
+    @run_in_virtual_time
+    async def test_change_that_the_next_watch_misses_too_arrives(self):
+        """Guards against watches that miss a change each time.
+
+        The store may have dropped it from its history.
+        """
+        store = LostAnswerStore()
+        other_watchers = FakeOtherWatchers(store)
+        delay_s = await self.measure_delay_s(store, other_watchers, 3.0, losses=2)
+        self.assertLess(delay_s, CONFIGURATION_BOUND_S)
+        self.assertEqual(2, store.listings)
 
     @run_in_virtual_time
     async def test_change_arrives_without_another_vm(self):
@@ -541,7 +569,7 @@
             _, handler = await self.start(nursery, store, other_watchers)
             await trio.sleep(3.0)
             other_watchers.store = None
-            store.loses_next_answer = True
+            store.losses = 1
             await store.put("a", "1", 0)
             await trio.sleep(CONFIGURATION_BOUND_S)
             self.assertEqual({"a": "1"}, handler.values)
@@ -700,6 +728,29 @@
             self.assertEqual({"a": "1", "b": "2"}, handler.values)
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_vm_without_the_store_and_other_watchers_follows_another(self):
+        """Guards against restarting a watch so often that failed probes are forgotten.
+
+        The store and the VMs that watch it are silent for this VM.
+        """
+        store = SilentStore()
+        relay = FallbackRelay(MemoryStore())
+        watcher = StoreWatcher(
+            store,
+            RecordingHandler(),
+            relays=relay,
+            other_watchers=FakeOtherWatchers(None),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            await trio.sleep(5.0)
+            self.assertTrue(watcher.is_watching_store)
+            store.is_hung = True
+            await trio.sleep(4.0)
+            self.assertFalse(watcher.is_watching_store)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_failed_fallback_relay_is_excluded(self):
         """Guards against waiting for a relay that is gone."""
