--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,6 +46,7 @@
 
 from .test_gateway import build_settings as build_gateway_settings
 from .test_httpio import reserve_closed_port, start_server
+from .test_storewatcher import CONFIGURATION_BOUND_S
 from .trial import run_async, run_in_virtual_time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -502,6 +503,14 @@
             return 0
         return response.status
 
+    async def move_orders(self):
+        """Write a version in which the route of the orders has another prefix."""
+        store = self.server.store
+        entry = await store.get("op/config")
+        text = entry.value.replace("/order/", "/moved/")
+        text = text.replace('"version":1', '"version":3')
+        await store.put("op/config", text, entry.revision)
+
     async def call(self, path, method="GET", body=b"", request_id="r1"):
         """Send one request as a caller and return the response."""
         connection = await HttpConnection.open(self.callers, 1.0)
@@ -578,14 +587,29 @@
             for target, count in zip(deployment.targets, before, strict=True):
                 if target.domain == "a":
                     self.assertEqual(count, len(target.ran))
-            entry = await store.get("op/config")
-            text = entry.value.replace("/order/", "/moved/")
-            text = text.replace('"version":1', '"version":3')
-            await store.put("op/config", text, entry.revision)
+            await deployment.move_orders()
             await trio.sleep(1.5)
             self.assertEqual(404, (await deployment.call("/order/1", "POST")).status)
             self.assertEqual(200, (await deployment.call("/moved/1", "POST")).status)
 
+    @run_async
+    async def test_change_whose_answer_is_lost_takes_effect(self):
+        """Guards against an old configuration after one lost answer of the store.
+
+        The connection of the watch stays open, and stale reads show old content
+        (review/3).
+        """
+        async with open_deployment() as deployment:
+            server = deployment.server
+            server.stale_revision = server.store.revision
+            server.lost_watch_answers = 1
+            await deployment.move_orders()
+            with trio.fail_after(CONFIGURATION_BOUND_S):
+                while (await deployment.call("/moved/1", "POST")).status != 200:
+                    await trio.sleep(0.05)
+            self.assertEqual(0, server.lost_watch_answers)
+            self.assertEqual(404, (await deployment.call("/order/1", "POST")).status)
+
     @run_async
     async def test_stop_finishes_requests_in_flight(self):
         """Guards against a stop that aborts requests in flight.
