--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,7 +46,7 @@
 
 from .test_gateway import build_settings as build_gateway_settings
 from .test_httpio import reserve_closed_port, start_server
-from .test_storewatcher import CONFIGURATION_BOUND_S
+from .test_lost_answers import CONFIGURATION_BOUND_S
 from .trial import run_async, run_in_virtual_time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
