--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -122,7 +122,7 @@
             async def follow():
                 answer.extend(await relay.watch(revision))
 
-            with trio.fail_after(peers.MAX_POLL_HOLD_S / 2):
+            with trio.fail_after(peers.MAX_POLL_HOLD_S - 0.1):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(follow)
                     await trio.sleep(0.1)
