--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -32,26 +32,36 @@
         self.sent.append((vm_id, kind, body))
 
 
+def build_synchronizer(membership, store, link):
+    """Return the synchronizer of one VM, which nothing else of the VM listens to."""
+    return SettingsSynchronizer(
+        Configuration(),
+        membership,
+        store,
+        link,
+        lambda: None,
+        lambda revision, known_revision: None,
+        lambda: 0,
+    )
+
+
+def build_view(vm_ids):
+    """Return a view with the first process of each VM."""
+    view = None
+    for vm_id in vm_ids:
+        view = add_to_view(view, vm_id, Member(f"{vm_id}-1", "h:1", "d"))
+    return view
+
+
 class AcknowledgementTests(testtools.TestCase):
     """Which VMs count towards the majority that has a version of the settings."""
 
     def start(self):
         """Create VM ``a`` in a view with ``b`` and ``c``, which all have version 5."""
         self.membership = Membership("a", "a-1", "h:1", "d")
-        self.configuration = Configuration()
-        self.sync = SettingsSynchronizer(
-            self.configuration,
-            self.membership,
-            MemoryStore(),
-            RecordingLink(),
-            lambda: None,
-            lambda revision, known_revision: None,
-            lambda: 0,
-        )
-        view = None
-        for vm_id in "abc":
-            view = add_to_view(view, vm_id, Member(f"{vm_id}-1", "h:1", "d"))
-        self.adopt(view)
+        self.sync = build_synchronizer(self.membership, MemoryStore(), RecordingLink())
+        self.configuration = self.sync._configuration
+        self.adopt(build_view("abc"))
         value = SubtreeValue(5, "")
         self.sync.apply({"fleet": value}, 0.0)
         for vm_id in "bc":
@@ -147,18 +157,11 @@
         memberships = {}
         for vm_id in "ab":
             membership = memberships[vm_id] = Membership(vm_id, f"{vm_id}-1")
-            synchronizers[vm_id] = SettingsSynchronizer(
-                Configuration(),
-                membership,
-                LostAnswerStore(),
-                RoutedLink(vm_id, synchronizers),
-                lambda: None,
-                lambda revision, known_revision: None,
-                lambda: 0,
+            link = RoutedLink(vm_id, synchronizers)
+            synchronizers[vm_id] = build_synchronizer(
+                membership, LostAnswerStore(), link
             )
-        view = None
-        for vm_id in "ab":
-            view = add_to_view(view, vm_id, Member(f"{vm_id}-1", "h:1", "d"))
+        view = build_view("ab")
         for membership in memberships.values():
             membership.adopt_view(view, trio.current_time())
         store = synchronizers["a"]._store
@@ -185,15 +188,8 @@
 
     def list_lines(self, text):
         """Return the log lines of applying a text as the settings of the fleet."""
-        sync = SettingsSynchronizer(
-            Configuration(),
-            Membership("a", "a-1"),
-            MemoryStore(),
-            RecordingLink(),
-            lambda: None,
-            lambda revision, known_revision: None,
-            lambda: 0,
-        )
+        membership = Membership("a", "a-1")
+        sync = build_synchronizer(membership, MemoryStore(), RecordingLink())
         with self.assertLogs("tarragonchute.distribution") as logs:
             sync.apply({"fleet": SubtreeValue(5, text)}, 0.0)
         return [record.getMessage() for record in logs.records]
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -17,13 +17,12 @@
     seconds before (review/3).
     """
 
-    async def start(self, nursery, store, other_watchers):
-        return await start_watcher(nursery, store, other_watchers=other_watchers)
-
     async def measure_delay_s(self, store, other_watchers, wait_s, losses=1):
         """Return the time until a change arrives whose answer was lost."""
         async with trio.open_nursery() as nursery:
-            _, handler = await self.start(nursery, store, other_watchers)
+            _, handler = await start_watcher(
+                nursery, store, other_watchers=other_watchers
+            )
             await trio.sleep(wait_s)
             store.losses = losses
             await store.put("a", "1", 0)
@@ -73,7 +72,9 @@
         store = LostAnswerStore()
         other_watchers = FakeOtherWatchers(store)
         async with trio.open_nursery() as nursery:
-            _, handler = await self.start(nursery, store, other_watchers)
+            _, handler = await start_watcher(
+                nursery, store, other_watchers=other_watchers
+            )
             await trio.sleep(3.0)
             other_watchers.store = None
             store.losses = 1
@@ -87,8 +88,10 @@
         """Guards against a listing for each change that another VM receives first."""
         store = LostAnswerStore()
         async with trio.open_nursery() as nursery:
-            _, handler = await self.start(
-                nursery, store, FakeOtherWatchers(store, extra=1)
+            _, handler = await start_watcher(
+                nursery,
+                store,
+                other_watchers=FakeOtherWatchers(store, extra=1),
             )
             await trio.sleep(2.0)
             listings = store.listings
@@ -107,7 +110,9 @@
         """
         store = LostAnswerStore()
         async with trio.open_nursery() as nursery:
-            await self.start(nursery, store, FakeOtherWatchers(store, extra=1000))
+            await start_watcher(
+                nursery, store, other_watchers=FakeOtherWatchers(store, extra=1000)
+            )
             await trio.sleep(60.0)
             self.assertLessEqual(store.listings, 2)
             nursery.cancel_scope.cancel()
@@ -117,7 +122,7 @@
         """Guards against billed calls while nothing changes."""
         store = LostAnswerStore()
         async with trio.open_nursery() as nursery:
-            await self.start(nursery, store, FakeOtherWatchers(store))
+            await start_watcher(nursery, store, other_watchers=FakeOtherWatchers(store))
             await trio.sleep(100.0)
             self.assertLessEqual(store.calls["watch"], 5)
             self.assertEqual(1, store.listings)
