Identify customers by their keys, and name them to targets

A configuration may now hold customers with keys. A request on a route that is not public needs a known key (401 otherwise); targets get the customer's name on all paths and never the key. Subsearches carry priority and customer. The log line and metrics of a request's end move to requestrecords.

--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -173,6 +173,13 @@
     status = 404
 
 
+class UnknownKeyError(BadRequestError):
+    """The request carries no key, or one that no customer holds."""
+
+    code = "unknown_key"
+    status = 401
+
+
 class NoConfigurationError(NotRunError):
     """This VM has received no configuration since it started."""
 
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -177,6 +177,9 @@
             route.top,
             uses_retry_budget,
             services,
+            self.priority,
+            self.customer_name,
+            self.weight,
             self.outgoing,
         )
 
@@ -396,6 +399,9 @@
         self.goal_at = now + subsearch.goal_left_s
         self.deadline = now + subsearch.limit_left_s
         self.target_deadline = now + limit_s
+        self.priority = subsearch.priority
+        self.customer_name = subsearch.customer_name
+        self.weight = subsearch.weight
         self._subsearch = subsearch
         self._report = report
         self._reported_shards = 0
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -21,6 +21,7 @@
     RouteNotFoundError,
     StoppingError,
     TarragonchuteError,
+    UnknownKeyError,
 )
 from .fanout import SearchQuery
 from .fleet import Fleet, VmInfo
@@ -30,11 +31,7 @@
     DELEGATES,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
-    NO_ROUTE,
     PAUSED_TARGETS,
-    SEARCH,
-    SEARCH_COVERAGE,
-    SINGLE,
     SUBSEARCHES,
     TARGETS,
     VMS,
@@ -42,14 +39,14 @@
 )
 from .leaders import estimate_rate, hash_to_fraction
 from .notices import NoticeReader
-from .queries import QueryContext, SingleQuery, build_outgoing
+from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
+from .requestrecords import RequestRecord
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
 
 logger = logging.getLogger(__name__)
-request_logger = logging.getLogger("tarragonchute.decisions")
 
 SEARCH_REPLY_TIME_WEIGHT = 0.02
 SINGLE_REPLY_TIME_WEIGHT = 0.1
@@ -288,24 +285,18 @@
         request_id = request.headers.get(
             self._header_names.lowercase.request_id.decode()
         )
-        query = None
-        error = None
-        response = None
+        record = RequestRecord(request, request_id, started_at)
         try:
-            query = self._build_query(request, request_id, started_at)
+            query = record.query = self._build_query(request, request_id, started_at)
             self._queries.add(query)
-            response = await query.run()
-            return response
-        except TarragonchuteError as caught:
-            error = caught
+            record.response = await query.run()
+            return record.response
+        except TarragonchuteError as error:
+            record.error = error
             raise
         finally:
-            self._queries.discard(query)
-            elapsed_s = trio.current_time() - started_at
-            self._log_request_end(
-                request, request_id, query, response, error, elapsed_s
-            )
-            self._record_request_end(query, response, error, elapsed_s)
+            self._queries.discard(record.query)
+            record.write(self.metrics, trio.current_time())
 
     def _build_query(self, request, request_id, now):
         table = self.table
@@ -319,6 +310,7 @@
             raise RouteNotFoundError(
                 f"no route matches in configuration version {table.version}"
             )
+        identity = self._identify_caller(request, route)
         if not request_id:
             raise BadRequestError("the request has no request id header")
         if self._stop_at - now < route.goal_s:
@@ -327,7 +319,9 @@
             self._context,
             route,
             table.version,
-            build_outgoing(request, request_id.encode("latin-1"), self._header_names),
+            build_outgoing(
+                request, request_id.encode("latin-1"), self._header_names, identity
+            ),
             self._parse_time_limit(request, route),
             self._get_reply_times(route.name, route.goal_s, route.is_search),
             now,
@@ -336,9 +330,29 @@
             query = SearchQuery(*arguments)
         else:
             query = SingleQuery(self._choose_service(route), *arguments)
+        if identity is not None and identity.customer is not None:
+            query.set_customer(identity.customer)
         query.limit_deadline(self._stop_at)
         return query
 
+    def _identify_caller(self, request, route):
+        """Return the `CallerIdentity`, or None if callers need no keys.
+
+        Raises
+        ------
+        UnknownKeyError
+            If the route is not public and the request carries no valid key.
+        """
+        customers = self.table.customers
+        if customers is None:
+            return None
+        name = self._header_names.lowercase.credentials
+        credentials = [value for key, value in request.header_lines if key == name]
+        customer = customers.find_by_credentials(credentials)
+        if customer is None and not route.is_public:
+            raise UnknownKeyError("the request carries no key of a customer")
+        return CallerIdentity(customer)
+
     def _parse_time_limit(self, request, route):
         text = request.headers.get(self._header_names.lowercase.time_limit.decode(), "")
         try:
@@ -518,21 +532,6 @@
             return self._shares.compute_wide_cold_interval_s(rate, registration.domain)
         return self._shares.compute_cold_interval_s(rate)
 
-    def _record_request_end(self, query, response, error, elapsed_s):
-        result = "caller_left"
-        if response is not None:
-            result = "ok" if response.status < 400 else "target_error"
-        elif error is not None:
-            result = error.code
-        kind = NO_ROUTE
-        if query is not None:
-            kind = SEARCH if query.route.is_search else SINGLE
-            self.metrics.count_subrequests(query.subrequests)
-        self.metrics.observe_request(kind, result, elapsed_s)
-        if kind is SEARCH and response is not None:
-            coverage = query.included / query.total
-            self.metrics.observe(SEARCH_COVERAGE, (), coverage)
-
     def _record_subsearch(self, query):
         self.metrics.count_subrequests(query.subrequests)
         self.metrics.count(SUBSEARCHES, ())
@@ -551,20 +550,3 @@
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
-
-    def _log_request_end(self, request, request_id, query, response, error, elapsed_s):
-        fields = {"request_id": request_id or "", "path": request.path}
-        if query is not None:
-            fields["route"] = query.route.name
-            fields["version"] = query.version
-            fields.update(query.describe())
-        if response is not None:
-            fields["status"] = response.status
-        elif error is not None:
-            fields["status"] = error.status
-            fields["code"] = error.code
-            fields["cause"] = str(error)
-        else:
-            fields["code"] = "caller_left"
-        fields["ms"] = round(elapsed_s * 1000, 1)
-        request_logger.info("request ended", extra=fields)
--- a/tarragonchute/headernames.py
+++ b/tarragonchute/headernames.py
@@ -30,6 +30,11 @@
         Milliseconds for which the replying target stays cold.
     leaving : bytes
         Value 1 on all replies of a target that shuts down.
+    customer : bytes
+        Name of the customer whose key a caller's request carries. Set by this VM, never
+        by a caller.
+    credentials : bytes
+        Holds a caller's key; never sent to a target.
     """
 
     __slots__ = (
@@ -43,6 +48,8 @@
         "identity",
         "cold_left",
         "leaving",
+        "customer",
+        "credentials",
         "_lower",
     )
 
@@ -58,6 +65,8 @@
         identity,
         cold_left,
         leaving,
+        customer=b"Customer",
+        credentials=b"Authorization",
     ):
         self.request_id = request_id
         self.time_limit = time_limit
@@ -69,6 +78,8 @@
         self.identity = identity
         self.cold_left = cold_left
         self.leaving = leaving
+        self.customer = customer
+        self.credentials = credentials
         self._lower = None
 
     @property
--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -226,6 +226,8 @@
     response = HttpResponse.from_json(error.describe(request_id), error.status)
     if error.retry_after_s is not None:
         response.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
+    if error.status == 401:
+        response.headers["WWW-Authenticate"] = "Bearer"
     return response
 
 
--- a/tarragonchute/platform/decoding.py
+++ b/tarragonchute/platform/decoding.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from ..customers import Customer, CustomerTable
 from ..httpio import split_address
 from ..registry import Registration
 from ..routes import CallerLimits, Route, RouteTable, ServicePolicy
@@ -42,6 +43,7 @@
                 limits["header-timeout-ms"] / 1000,
                 limits["idle-timeout-ms"] / 1000,
             ),
+            _decode_customers(body.get("tenants")),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -60,13 +62,39 @@
         row["kind"] == _IDEMPOTENT_KIND,
         row["timeout-ms"] / 1000,
         row["goal-ms"] / 1000,
-        row.get("priority", 0),
+        int(row.get("priority") or 0),
         row.get("max-attempts", 1),
         weighted_services,
         # "gather" lists the services of a search, one for each shard.
         row.get("gather") or (),
         row.get("top-k") or 0,
         row.get("min-coverage") or 0.0,
+        row.get("public") is True,
+    )
+
+
+def _decode_customers(rows):
+    """Return the `CustomerTable`; None if the configuration has no list of customers.
+
+    An empty list is not the same as none: then no key is valid.
+    """
+    if rows is None:
+        return None
+    return CustomerTable(
+        [(_decode_customer(row), row.get("api-keys") or []) for row in rows]
+    )
+
+
+def _decode_customer(row):
+    name = row["name"]
+    if not _is_valid_id(name):
+        # It is sent in a header of each request.
+        raise ValueError(f"{name!r} cannot be the name of a customer")
+    return Customer(
+        name,
+        float(row.get("rate-per-s") or 0),
+        float(row.get("burst") or 0),
+        None if row.get("priority") is None else int(row["priority"]),
     )
 
 
@@ -113,6 +141,8 @@
             state == "draining",
             cold_ms / 1000,
             started_ms,
+            _read_text(body.get("version")),
+            _read_count(body.get("call-seq")),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -146,6 +176,15 @@
     return key[len(EVACUATION_PREFIX) :] or None
 
 
+def _read_text(value):
+    return value if isinstance(value, str) else ""
+
+
+def _read_count(value):
+    is_count = isinstance(value, int) and _is_number(value)
+    return value if is_count else 0
+
+
 def _is_number(value):
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         return False
--- a/tarragonchute/platform/names.py
+++ b/tarragonchute/platform/names.py
@@ -22,4 +22,6 @@
     identity=b"Instance-Id",
     cold_left=b"Warmup-Remaining",
     leaving=b"Server-Leaving",
+    customer=b"Tenant",
+    credentials=b"Authorization",
 )
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -38,6 +38,21 @@
 fraction of it, so that the callers do not return together."""
 
 
+class CallerIdentity:
+    """Who sent a request, where the configuration has customers.
+
+    Parameters
+    ----------
+    customer : customers.Customer or None
+        None for a request without a valid key on a public route.
+    """
+
+    __slots__ = ("customer",)
+
+    def __init__(self, customer):
+        self.customer = customer
+
+
 class QueryContext:
     """Dependencies and state shared by all requests of a VM.
 
@@ -125,6 +140,12 @@
     target_deadline : float
         Deadline that is sent to the targets. It may be later than `deadline`, because
         no time is reserved in it for the response.
+    priority : int
+        0 is the most urgent.
+    customer_name : str
+        Customer of the caller; empty if there is none.
+    weight : float
+        Share of the customer when customers compete for a target.
     """
 
     __slots__ = (
@@ -137,6 +158,9 @@
         "deadline",
         "subrequests",
         "is_finished",
+        "priority",
+        "customer_name",
+        "weight",
         "_context",
         "_wakeup",
         "_open_subrequests",
@@ -158,6 +182,9 @@
         self.deadline = now + min(time_limit_s - RESPONSE_MARGIN_S, route.timeout_s)
         self.subrequests = []
         self.is_finished = False
+        self.priority = route.priority
+        self.customer_name = ""
+        self.weight = 1.0
         self._context = context
         self._wakeup = trio.Event()
         self._open_subrequests = 0
@@ -251,6 +278,18 @@
         for subrequest in self.subrequests:
             subrequest.hedge(now)
 
+    def set_customer(self, customer):
+        """Set whose request it is; the customer's priority goes before the route's.
+
+        Parameters
+        ----------
+        customer : customers.Customer
+        """
+        self.customer_name = customer.name
+        self.weight = customer.rate or 1.0
+        if customer.priority is not None:
+            self.priority = customer.priority
+
     def limit_deadline(self, deadline):
         """Finish the request at a time (monotonic seconds), if not earlier."""
         if deadline < self.deadline:
@@ -386,22 +425,37 @@
         return reply.status in NOT_RUN_STATUSES or 200 <= reply.status < 300
 
 
-def build_outgoing(request, request_id, header_names):
-    """Return the `OutgoingRequest` of a caller's `HttpRequest`."""
+def build_outgoing(request, request_id, header_names, identity=None):
+    """Return the `OutgoingRequest` of a caller's `HttpRequest`.
+
+    Parameters
+    ----------
+    request : httpio.HttpRequest
+    request_id : bytes
+    header_names : headernames.HeaderNames
+    identity : CallerIdentity or None
+        None if callers need no keys; their headers are then forwarded as they are.
+    """
     method = request.method.encode("ascii")
-    head = _build_head(request, method, header_names)
+    head = _build_head(request, method, header_names, identity)
     return OutgoingRequest(method, request_id, head, request.body)
 
 
-def _build_head(request, method, header_names):
-    replaced = (
+def _build_head(request, method, header_names, identity):
+    replaced = {
         header_names.lowercase.time_limit,
         header_names.lowercase.expected_identity,
-    )
+    }
+    if identity is not None:
+        replaced.add(header_names.lowercase.customer)
+        replaced.add(header_names.lowercase.credentials)
     parts = [b"%b %b HTTP/1.1\r\n" % (method, request.target)]
     for name, value in list_end_to_end_headers(request.header_lines):
         if name.lower() not in replaced and name.lower() != b"expect":
             parts.append(b"%b: %b\r\n" % (name, value))
+    if identity is not None and identity.customer is not None:
+        name = identity.customer.name.encode()
+        parts.append(b"%b: %b\r\n" % (header_names.customer, name))
     if request.body or b"content-length" in dict(request.header_lines):
         parts.append(b"Content-Length: %d\r\n" % len(request.body))
     return b"".join(parts)
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -45,6 +45,11 @@
         Time for which it stays cold, as of the registration.
     started_ms : int
         Start time in Unix milliseconds. A target may restart under the same id.
+    software_version : str
+        Empty if it states none.
+    sequence : int
+        Number of this registration among those of one process; rises with each of its
+        writes.
     """
 
     __slots__ = (
@@ -56,6 +61,8 @@
         "is_draining",
         "cold_left_s",
         "started_ms",
+        "software_version",
+        "sequence",
     )
 
     def __init__(
@@ -68,6 +75,8 @@
         is_draining=False,
         cold_left_s=0.0,
         started_ms=0,
+        software_version="",
+        sequence=0,
     ):
         self.target_id = target_id
         self.service = service
@@ -77,6 +86,8 @@
         self.is_draining = is_draining
         self.cold_left_s = cold_left_s
         self.started_ms = started_ms
+        self.software_version = software_version
+        self.sequence = sequence
 
     def is_same_process(self, other):
         """Whether both describe the same process."""
--- a/tarragonchute/routes.py
+++ b/tarragonchute/routes.py
@@ -35,6 +35,8 @@
         Maximum number of records in the answer of a search.
     least_coverage : float
         Least fraction of the shards that an answer must cover.
+    is_public : bool
+        Whether requests need no key of a customer.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "shards",
         "top",
         "least_coverage",
+        "is_public",
     )
 
     def __init__(
@@ -66,6 +69,7 @@
         shards=(),
         top=0,
         least_coverage=0.0,
+        is_public=False,
     ):
         self.name = name
         self.host = host
@@ -79,6 +83,7 @@
         self.shards = tuple(shards)
         self.top = top
         self.least_coverage = least_coverage
+        self.is_public = is_public
 
     @property
     def is_search(self):
@@ -151,6 +156,8 @@
     routes : list of Route
     services : dict of str to ServicePolicy
     limits : CallerLimits or None
+    customers : customers.CustomerTable or None
+        None if callers need no keys.
 
     Attributes
     ----------
@@ -163,17 +170,19 @@
         "routes",
         "services",
         "limits",
+        "customers",
         "wide_shards",
         "_wide_shard_set",
         "_routed_services",
         "_routes_by_host",
     )
 
-    def __init__(self, version, routes, services, limits=None):
+    def __init__(self, version, routes, services, limits=None, customers=None):
         self.version = version
         self.routes = list(routes)
         self.services = services
         self.limits = limits
+        self.customers = customers
         wide = [route.shards for route in self.routes if route.is_wide]
         self.wide_shards = tuple(dict.fromkeys(itertools.chain.from_iterable(wide)))
         self._wide_shard_set = frozenset(self.wide_shards)
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -147,6 +147,12 @@
         requests count against the retry budget.
     services : list of str
         One service for each shard.
+    priority : int
+        0 is the most urgent.
+    customer_name : str
+        Customer of the caller; empty if there is none.
+    weight : float
+        Share of the customer when customers compete for a target.
     outgoing : OutgoingRequest
     """
 
@@ -161,6 +167,9 @@
         "top",
         "is_extra",
         "services",
+        "priority",
+        "customer_name",
+        "weight",
         "outgoing",
     )
     kind = "subsearch"
@@ -291,6 +300,9 @@
     int,
     bool,
     list,
+    int,
+    str,
+    _NUMBER,
 )
 _ANSWER_TYPES = (int, bool, bool, list, str, list, list)
 
--- a/tests/test_subsearches.py
+++ b/tests/test_subsearches.py
@@ -11,7 +11,20 @@
     """Return a subsearch of two shards."""
     outgoing = OutgoingRequest(b"GET", b"r1", b"GET /\xff HTTP/1.1\r\n", b"\x00\xff")
     return Subsearch(
-        number, "r", 0.1, 0.08, 0.3, 0.39, 2, 5, is_extra, list(services), outgoing
+        number,
+        "r",
+        0.1,
+        0.08,
+        0.3,
+        0.39,
+        2,
+        5,
+        is_extra,
+        list(services),
+        1,
+        "c",
+        2.5,
+        outgoing,
     )
 
 
