Decide who may grant requests of a customer's allowance, and how many

The rate of a customer cannot be divided by the number of VMs, because its callers are spread very unevenly. Not wired into the process yet.

--- a/tarragonchute/channels.py
+++ b/tarragonchute/channels.py
@@ -104,6 +104,10 @@
             raise
         return cls(reactor, sock, owner, is_connecting=True)
 
+    def set_owner(self, owner):
+        """Replace the owner, from the next event on."""
+        self._owner = owner
+
     def send(self, payload, now):
         """Send one frame; bytes that the socket does not accept at once are buffered.
 
--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -192,6 +192,19 @@
     code = "stopping"
 
 
+class AllowanceExceededError(NotRunError):
+    """The customer has used up its allowance."""
+
+    code = "allowance_exceeded"
+    status = 429
+
+
+class AllowanceUnknownError(NotRunError):
+    """No VM that keeps the customer's allowance can be reached."""
+
+    code = "allowance_unknown"
+
+
 class NoTargetError(NotRunError):
     """No target of the service can accept the request at present."""
 
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -74,6 +74,29 @@
     MetricKind.GAUGE,
     "Registered targets that get no requests because their replies say they leave.",
 )
+ALLOWANCE_REQUESTS = MetricSpec(
+    "gateway_allowance_requests_total",
+    MetricKind.COUNTER,
+    "Requests of customers that have an allowance.",
+    ("result",),
+)
+ALLOWANCE_WAIT = MetricSpec(
+    "gateway_allowance_wait_seconds",
+    MetricKind.HISTOGRAM,
+    "Time that granted requests waited for a token of their customer's allowance.",
+    (),
+    LATENCY_BUCKETS_S,
+)
+ALLOWANCE_ASKS = MetricSpec(
+    "gateway_allowance_asks_total",
+    MetricKind.COUNTER,
+    "Asks of other VMs for tokens that this VM has answered.",
+)
+HELD_ALLOWANCES = MetricSpec(
+    "gateway_held_allowances",
+    MetricKind.GAUGE,
+    "Customers whose allowance this VM keeps for all VMs.",
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -91,6 +114,10 @@
     SUBSEARCHES,
     PAUSED_TARGETS,
     LEAVING_TARGETS,
+    ALLOWANCE_REQUESTS,
+    ALLOWANCE_WAIT,
+    ALLOWANCE_ASKS,
+    HELD_ALLOWANCES,
     LOG_LINES_DROPPED,
     ATTEMPTS,
     STORE_CALLS,
