Enforce customers' allowances in the gateway

A request waits for a token after its caller is identified and before its query is built; a refused one costs neither a query nor a log line. Off without the settings quota-window-s, quota-overshoot and quota-slack.

--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -362,6 +362,10 @@
                 self._log_refusals(account, now)
         self._links.sweep(now)
 
+    def count_held(self, now):
+        """Return the number of customers whose allowance this VM keeps."""
+        return self._roles.count_held(now)
+
     def _update_account(self, account, customer):
         if (account.customer.rate, account.customer.burst) != (
             customer.rate,
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -42,6 +42,37 @@
 """Lower bound of a VM's rate; the assignment of shards requires positive rates."""
 
 
+LEASE_MARGIN_S = 2.0
+"""Time before the end of its lease from which a VM no longer relies on its key. Clocks
+of VMs may run differently, and tokens of allowances outlive the lease of a grantor."""
+
+
+class KeyLease:
+    """How long other VMs have certainly listed this VM.
+
+    Attributes
+    ----------
+    valid_until : float
+        Monotonic time until which the key is certainly in the store.
+    since : float
+        Monotonic time since which it certainly has been there; minus infinity if it
+        was there when this process started.
+    is_missing : bool
+        Whether the key was reported as removed.
+    """
+
+    __slots__ = ("valid_until", "since", "is_missing")
+
+    def __init__(self, valid_until=-math.inf, since=math.inf):
+        self.valid_until = valid_until
+        self.since = since
+        self.is_missing = False
+
+    def is_valid(self, now):
+        """Whether other VMs certainly list this one."""
+        return now < self.valid_until and not self.is_missing
+
+
 class VmInfo:
     """Properties that a VM publishes to the others.
 
@@ -90,16 +121,28 @@
     ----------
     is_own_key_missing : bool
         Whether this VM's key was reported as removed.
+    key_lease : KeyLease
+        Set by `VmRegistration`.
     """
 
-    __slots__ = ("own_vm", "_present", "_missing", "_sorted_vms", "is_own_key_missing")
+    __slots__ = (
+        "own_vm",
+        "_present",
+        "_missing",
+        "_sorted_vms",
+        "_present_vms",
+        "is_own_key_missing",
+        "key_lease",
+    )
 
     def __init__(self, own_vm):
         self.own_vm = own_vm
         self._present = {own_vm.vm_id: own_vm}
         self._missing = {}
         self._sorted_vms = None
+        self._present_vms = None
         self.is_own_key_missing = False
+        self.key_lease = KeyLease()
 
     def apply(self, vm_id, value, now):
         """Apply a change of one VM's key.
@@ -112,9 +155,9 @@
         now : float
             Monotonic seconds.
         """
-        self._sorted_vms = None
+        self._sorted_vms = self._present_vms = None
         if vm_id == self.own_vm.vm_id:
-            self.is_own_key_missing = value is None
+            self.is_own_key_missing = self.key_lease.is_missing = value is None
         elif value is not None:
             self._present[vm_id] = decode_vm(vm_id, value)
             self._missing.pop(vm_id, None)
@@ -128,6 +171,15 @@
         for vm_id, value in values.items():
             self.apply(vm_id, value, now)
 
+    def list_present(self):
+        """Return the VMs whose keys are in the store, and this VM, sorted by id.
+
+        It is the same list object as long as nothing has changed.
+        """
+        if self._present_vms is None:
+            self._present_vms = sorted(self._present.values(), key=lambda vm: vm.vm_id)
+        return self._present_vms
+
     def list_vms(self, now):
         """Return the VMs that may be running, sorted by id.
 
@@ -200,6 +252,8 @@
         self._value = fleet.own_vm.encode()
         self._lease = None
         self._revision = 0
+        # Whether this process may have written the key.
+        self._may_have_written = False
 
     async def run(self):
         """Register and renew until cancelled."""
@@ -210,20 +264,30 @@
             except LeaseNotFoundError:
                 logger.info("the lease of this VM's key has expired")
                 self._lease = None
+                self._fleet.key_lease.valid_until = -math.inf
             except TarragonchuteError as error:
                 logger.info("cannot register this VM or renew its lease: %s", error)
                 await trio.sleep(RETRY_DELAY_S)
 
     async def _renew_or_register(self):
+        started_at = trio.current_time()
         if self._lease is not None and not self._fleet.is_own_key_missing:
             await self._store.renew_lease(self._lease)
-            return
-        self._fleet.is_own_key_missing = False
-        lease = await self._store.grant_lease(KEY_LEASE_S)
-        await self._write_key(lease)
-        self._lease = lease
+        else:
+            self._fleet.is_own_key_missing = False
+            key_lease = self._fleet.key_lease
+            key_lease.valid_until = -math.inf
+            key_lease.is_missing = False
+            lease = await self._store.grant_lease(KEY_LEASE_S)
+            was_there = await self._write_key(lease)
+            self._may_have_written = True
+            key_lease.since = -math.inf if was_there else trio.current_time()
+            self._lease = lease
+        valid_until = started_at + KEY_LEASE_S - LEASE_MARGIN_S
+        self._fleet.key_lease.valid_until = valid_until
 
     async def _write_key(self, lease):
+        """Write the key; return whether it was there since before this process."""
         try:
             self._revision = await self._store.put(
                 self._key, self._value, self._revision, lease
@@ -234,9 +298,14 @@
             self._revision = await self._store.put(
                 self._key, self._value, expect, lease
             )
+            # An entry of an earlier run with other properties had another rank.
+            is_same = error.entry is not None and error.entry.value == self._value
+            return is_same and not self._may_have_written
         except StoreOutcomeUnknownError:
             self._revision = 0
+            self._may_have_written = True
             raise
+        return False
 
 
 def decode_vm_key(key):
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -18,6 +18,7 @@
     BadRequestError,
     NoConfigurationError,
     NoTargetError,
+    Outcome,
     RouteNotFoundError,
     StoppingError,
     TarragonchuteError,
@@ -29,6 +30,7 @@
     CONFIGURATION_VERSION,
     CONNECTIONS,
     DELEGATES,
+    HELD_ALLOWANCES,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     PAUSED_TARGETS,
@@ -37,6 +39,7 @@
     VMS,
     GatewayMetrics,
 )
+from .grantlinks import build_allowances
 from .leaders import estimate_rate, hash_to_fraction
 from .notices import NoticeReader
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
@@ -107,6 +110,8 @@
         Request rate allowed to a cold target, over all VMs: `cold_rate` of the
         `routes.ServicePolicy` times `cold_factor`, plus `cold_slack`, in requests per
         second.
+    allowance_bounds : grants.AllowanceBounds or None
+        None if the allowances of customers are not enforced.
     """
 
     __slots__ = (
@@ -128,6 +133,7 @@
         "retry_slack",
         "cold_factor",
         "cold_slack",
+        "allowance_bounds",
     )
 
     def __init__(self, **values):
@@ -152,6 +158,10 @@
         Newest configuration received.
     fleet : fleet.Fleet
         The VMs that share the fleet-wide limits.
+    allowances : allowances.Allowances or None
+        None if allowances are not enforced.
+    channel_owner : channels.ChannelOwner
+        Owner of the channels that other VMs open.
     count_dropped_lines : callable
         Returns the number of log lines dropped since the start.
     """
@@ -218,6 +228,16 @@
         self.shard_server = ShardServer(
             settings.vm_id, self._context, self._get_reply_times, self._record_subsearch
         )
+        self.allowances = None
+        self.channel_owner = self.shard_server
+        if settings.allowance_bounds is not None:
+            self.allowances, self.channel_owner = build_allowances(
+                settings.allowance_bounds,
+                self.fleet,
+                self.reactor,
+                self.shard_server,
+                self.metrics,
+            )
 
     def apply_table(self, table):
         """Put a configuration in force, unless it is not newer than the current one."""
@@ -231,6 +251,10 @@
         self.registry.invalidate_all()
         now = trio.current_time()
         self._update_shares(now)
+        if self.allowances is not None:
+            self.allowances.set_vms(self.fleet.list_present(), now)
+            customers = table.customers.list_customers() if table.customers else []
+            self.allowances.apply_customers(customers, table.version, now)
         if not self.is_draining:
             self.shard_server.start_accepting(now)
         logger.info(
@@ -275,6 +299,9 @@
         self._update_shares(now)
         self._update_delegates(now)
         self._delegates.maintain_channels(now)
+        if self.allowances is not None:
+            self.allowances.set_vms(self.fleet.list_present(), now)
+            self.allowances.sweep(now)
         if now - self._started_at > PRECONNECT_DELAY_S:
             self.registry.refresh(MAX_REFRESHED_SERVICES_PER_TICK)
             self._preconnect(now)
@@ -286,19 +313,33 @@
             self._header_names.lowercase.request_id.decode()
         )
         record = RequestRecord(request, request_id, started_at)
+        charged = None
         try:
-            query = record.query = self._build_query(request, request_id, started_at)
+            route, identity = self._identify(request, request_id, started_at)
+            customer = identity and identity.customer
+            if self.allowances is not None and customer and customer.is_limited:
+                table = self.table
+                await self.allowances.acquire(customer, route.goal_s, started_at)
+                charged = customer
+                if self.table is not table:
+                    route, identity = self._identify(request, request_id, started_at)
+            query = record.query = self._build_query(
+                request, request_id, route, identity, started_at
+            )
             self._queries.add(query)
             record.response = await query.run()
             return record.response
         except TarragonchuteError as error:
             record.error = error
+            if charged is not None and error.outcome is Outcome.NOT_RUN:
+                self.allowances.release(charged, trio.current_time())
             raise
         finally:
             self._queries.discard(record.query)
             record.write(self.metrics, trio.current_time())
 
-    def _build_query(self, request, request_id, now):
+    def _identify(self, request, request_id, now):
+        """Return the route of a request, and the `CallerIdentity` or None."""
         table = self.table
         if table is None:
             error = NoConfigurationError("no configuration has been received yet")
@@ -315,10 +356,13 @@
             raise BadRequestError("the request has no request id header")
         if self._stop_at - now < route.goal_s:
             raise StoppingError(f"this VM stops in {self._stop_at - now:.3f} s")
+        return route, identity
+
+    def _build_query(self, request, request_id, route, identity, now):
         arguments = (
             self._context,
             route,
-            table.version,
+            self.table.version,
             build_outgoing(
                 request, request_id.encode("latin-1"), self._header_names, identity
             ),
@@ -540,13 +584,16 @@
         pools = self.reactor.pools
         connections = sum(pool.count_connections() for pool in pools)
         version = self.table.version if self.table else 0
+        now = trio.current_time()
+        held = self.allowances.count_held(now) if self.allowances else 0
         return [
             (CONFIGURATION_VERSION, (), version),
             (TARGETS, (), len(self.registry)),
             (VMS, (), self._shares.vm_count),
             (CONNECTIONS, (), connections),
-            (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
+            (DELEGATES, (), self._delegates.count_usable(now)),
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
+            (HELD_ALLOWANCES, (), held),
         ]
--- a/tarragonchute/grantlinks.py
+++ b/tarragonchute/grantlinks.py
@@ -2,12 +2,18 @@
 
 import logging
 import math
+import random
 
+import trio
+
+from .allowances import Allowances
 from .backoff import compute_backoff_s
 from .channels import Channel
 from .errors import ProtocolError
 from .gatewaymetrics import ALLOWANCE_ASKS
 from .grantmessages import ASK_PREFIX, Answer, Ask, decode_grant_message
+from .grantroles import RoleTable
+from .grants import GrantBook
 
 logger = logging.getLogger(__name__)
 
@@ -272,3 +278,29 @@
 
     def handle_close(self, channel, reason, now):
         """See `channels.ChannelOwner`; the channel ended before its first message."""
+
+
+def build_allowances(bounds, fleet, reactor, shard_server, metrics):
+    """Return the `Allowances` of a VM, and the owner of the channels that it accepts.
+
+    Parameters
+    ----------
+    bounds : grants.AllowanceBounds
+    fleet : fleet.Fleet
+    reactor : reactor.Reactor
+    shard_server : shardserver.ShardServer
+    metrics : gatewaymetrics.GatewayMetrics
+    """
+    own_vm = fleet.own_vm
+    source = random.Random()
+    roles = RoleTable(own_vm.vm_id, fleet.key_lease)
+    book = GrantBook(own_vm.vm_id, own_vm.domain, bounds, roles, source)
+    links = GrantLinks(own_vm.vm_id, reactor)
+    allowances = Allowances(own_vm, roles, book, links, metrics, source)
+    links.handler = allowances
+
+    def get_pause_s(now):
+        return shard_server.get_pause_s(now)
+
+    server = GrantServer(book, metrics, trio.current_time, get_pause_s)
+    return allowances, ChannelDispatcher(server, shard_server)
--- a/tarragonchute/grantroles.py
+++ b/tarragonchute/grantroles.py
@@ -22,25 +22,6 @@
 part could grant almost none; there are then fewer deputies than failure domains."""
 
 
-class Authority:
-    """Whether this VM's key in the store protects it from a second grantor.
-
-    Attributes
-    ----------
-    lease_until : float
-        Monotonic time until which the lease of the key is certainly valid.
-    key_since : float
-        Monotonic time since which the key has certainly been in the store; minus
-        infinity if it was there when this process started.
-    """
-
-    __slots__ = ("lease_until", "key_since")
-
-    def __init__(self, lease_until=-math.inf, key_since=math.inf):
-        self.lease_until = lease_until
-        self.key_since = key_since
-
-
 class CustomerRoles:
     """Grantor and deputies of one customer, by this VM's list of VMs.
 
@@ -109,18 +90,19 @@
     Parameters
     ----------
     own_id : str
+    key_lease : fleet.KeyLease
+        Without a valid lease of its key, this VM has no authority as grantor.
 
     Attributes
     ----------
-    authority : Authority
     vm_count : int
         Number of VMs present.
     """
 
     __slots__ = (
-        "authority",
         "vm_count",
         "_own_id",
+        "_key_lease",
         "_leaders",
         "_leaders_changed_at",
         "_started_at",
@@ -128,10 +110,10 @@
         "_roles",
     )
 
-    def __init__(self, own_id):
-        self.authority = Authority()
+    def __init__(self, own_id, key_lease):
         self.vm_count = 1
         self._own_id = own_id
+        self._key_lease = key_lease
         self._leaders = None
         self._leaders_changed_at = -math.inf
         self._started_at = -math.inf
@@ -151,7 +133,7 @@
             self._leaders_changed_at = now
         else:
             # The first list says nothing about the time before the start; what happened
-            # then follows from `Authority.key_since`.
+            # then follows from `fleet.KeyLease.since`.
             self._started_at = now
         self._leaders = leaders
         for name, roles in self._roles.items():
@@ -192,11 +174,10 @@
         Infinity if it is not the grantor or its lease is not valid.
         """
         roles = self.get(customer_name, now)
-        authority = self.authority
-        if now >= authority.lease_until:
+        if not self._key_lease.is_valid(now):
             return math.inf
         if roles.grantor_id == self._own_id:
-            begins_at = max(roles.changed_at, authority.key_since) + HANDOVER_S
+            begins_at = max(roles.changed_at, self._key_lease.since) + HANDOVER_S
             return max(begins_at - now, 0.0)
         is_continuing = (
             roles.previous_id == self._own_id and now < roles.changed_at + CONTINUE_S
@@ -213,7 +194,7 @@
             return self._started_at
         if roles.grantor_id != self._own_id:
             return roles.continued_since
-        begins_at = max(roles.changed_at, self.authority.key_since) + HANDOVER_S
+        begins_at = max(roles.changed_at, self._key_lease.since) + HANDOVER_S
         return max(begins_at, self._started_at)
 
     def count_held(self, now):
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -4,6 +4,7 @@
 
 from ..errors import Finding, FindingsError
 from ..gateway import GatewaySettings
+from ..grants import AllowanceBounds
 
 
 def load_settings(path):
@@ -66,12 +67,25 @@
         # service's rate times this factor, plus the slack.
         cold_factor=read("bounds", "warmup-overshoot", number, 1.0),
         cold_slack=read("bounds", "warmup-slack", number, 0),
+        allowance_bounds=_read_allowance_bounds(read),
     )
     if findings:
         raise FindingsError(findings)
     return settings
 
 
+def _read_allowance_bounds(read):
+    """Return the `AllowanceBounds`; None unless all three settings are present."""
+    number = (int, float)
+    # Requests of a customer beyond its allowance in a window, for all VMs together.
+    window_s = read("bounds", "quota-window-s", number, 0)
+    overshoot = read("bounds", "quota-overshoot", number, -1)
+    slack = read("bounds", "quota-slack", number, -1)
+    if window_s <= 0 or overshoot < 0 or slack < 0:
+        return None
+    return AllowanceBounds(window_s, overshoot, slack)
+
+
 def _choose_search_address(content):
     """Return the address for searches: the first port of the range for other VMs."""
     ports = content.get("port-range")
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -102,7 +102,7 @@
             await self._listen(nursery, settings.peer_address, self._peer_handler)
             if settings.search_address:
                 address = settings.search_address
-                ChannelListener(gateway.reactor, address, gateway.shard_server)
+                ChannelListener(gateway.reactor, address, gateway.channel_owner)
             await self._listen_for_metrics(nursery)
             # Objects created at start-up live as long as the process, so the garbage
             # collector need not traverse them again.
--- a/tarragonchute/requestrecords.py
+++ b/tarragonchute/requestrecords.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from .errors import AllowanceExceededError, AllowanceUnknownError
 from .gatewaymetrics import NO_ROUTE, SEARCH, SEARCH_COVERAGE, SINGLE
 
 logger = logging.getLogger("tarragonchute.decisions")
@@ -46,7 +47,9 @@
             Monotonic seconds.
         """
         elapsed_s = now - self._started_at
-        self._write_log_line(elapsed_s)
+        if not isinstance(self.error, (AllowanceExceededError, AllowanceUnknownError)):
+            # Refusals by allowance are many, and are logged together by `allowances`.
+            self._write_log_line(elapsed_s)
         self._update_metrics(metrics, elapsed_s)
 
     def _write_log_line(self, elapsed_s):
--- a/tests/allowancefleet.py
+++ b/tests/allowancefleet.py
@@ -7,7 +7,7 @@
 from tarragonchute.allowances import Allowances
 from tarragonchute.customers import Customer
 from tarragonchute.errors import AllowanceExceededError
-from tarragonchute.fleet import VmInfo
+from tarragonchute.fleet import KeyLease, VmInfo
 from tarragonchute.gatewaymetrics import GatewayMetrics
 from tarragonchute.grantmessages import decode_grant_message
 from tarragonchute.grantroles import RoleTable
@@ -73,8 +73,8 @@
         self.info = info
         self.paused_until = 0.0
         self.metrics = GatewayMetrics()
-        self.roles = RoleTable(info.vm_id)
-        self.roles.authority.key_since = -1e9 if is_restart else fleet.now
+        self.key_lease = KeyLease(since=-1e9 if is_restart else fleet.now)
+        self.roles = RoleTable(info.vm_id, self.key_lease)
         source = random.Random(info.vm_id)
         self.book = GrantBook(info.vm_id, info.domain, BOUNDS, self.roles, source)
         self.links = FakeLinks(fleet, info.vm_id)
@@ -128,7 +128,7 @@
         if self.vms.get(vm.info.vm_id) is not vm:
             return
         if vm.info.vm_id not in self.out_of_touch and self.now >= vm.paused_until:
-            vm.roles.authority.lease_until = self.now + 10.0
+            vm.key_lease.valid_until = self.now + 10.0
         vm.allowances.sweep(self.now)
         self.call_later(SWEEP_S, lambda: self.sweep(vm))
 
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -206,6 +206,8 @@
         priorities = []
         for key in (b"Bearer k1", b"Bearer k2"):
             request = build_request((b"authorization", key))
-            query = gateway._build_query(request, "r1", trio.current_time())
+            now = trio.current_time()
+            identified = gateway._identify(request, "r1", now)
+            query = gateway._build_query(request, "r1", *identified, now)
             priorities.append((query.customer_name, query.priority, query.weight))
         self.assertEqual([("c1", 0, 2.0), ("c2", 1, 1.0)], priorities)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -36,6 +36,7 @@
         retry_slack=50.0,
         cold_factor=1.5,
         cold_slack=5.0,
+        allowance_bounds=None,
     )
 
 
