--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,12 +1,16 @@
 """Tests of the list of VMs that share limits, and of their registration."""
 
+import math
+
 import testtools
 import trio
 
 from tarragonchute.fleet import (
     KEY_LEASE_S,
+    LEASE_MARGIN_S,
     MISSING_VM_GRACE_S,
     RENEW_INTERVAL_S,
+    RETRY_DELAY_S,
     VM_PREFIX,
     Fleet,
     VmInfo,
@@ -116,3 +120,42 @@
             await trio.sleep(2 * RENEW_INTERVAL_S)
             self.assertIsNotNone(await store.get(VM_PREFIX + "a"))
             nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_lease_of_the_key_is_known(self):
+        """Guards against grants of a VM whose key others no longer see."""
+        store = MemoryStore()
+        fleet = build_fleet()
+        lease = fleet.key_lease
+        async with trio.open_nursery() as nursery:
+            await self.start(nursery, store, fleet)
+            now = trio.current_time()
+            self.assertTrue(now - 0.2 < lease.since <= now)
+            store.is_unavailable = True
+            await trio.sleep(KEY_LEASE_S - LEASE_MARGIN_S - 0.3)
+            self.assertTrue(lease.is_valid(trio.current_time()))
+            await trio.sleep(0.3)
+            self.assertFalse(lease.is_valid(trio.current_time()))
+            store.is_unavailable = False
+            await trio.sleep(RETRY_DELAY_S + 0.1)
+            self.assertTrue(lease.is_valid(trio.current_time()))
+            fleet.apply("a", None, trio.current_time())
+            self.assertFalse(lease.is_valid(trio.current_time()))
+            nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_key_of_an_earlier_run_is_told_from_a_lost_answer(self):
+        """Guards against a new VM that believes others have listed it before."""
+        for has_key, lost_answers in ((True, 0), (False, 0), (False, 1), (True, 1)):
+            store = MemoryStore()
+            fleet = build_fleet()
+            if has_key:
+                value = fleet.own_vm.encode()
+                await store.put(VM_PREFIX + "a", value, 0)
+            store.lose_answers = lost_answers
+            async with trio.open_nursery() as nursery:
+                await self.start(nursery, store, fleet)
+                await trio.sleep(3 * RETRY_DELAY_S)
+                is_known = fleet.key_lease.since == -math.inf
+                self.assertEqual(has_key, is_known)
+                nursery.cancel_scope.cancel()
