Order attempts that wait for a target by priority, time left and customer

Targets with more requests than slots decided the order in their own queues, where an urgent search waited behind long ones. With customers in the configuration, a VM now bounds its attempts in flight at each target, and the others wait in its own queue.

--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -9,12 +9,22 @@
 import enum
 import errno
 import logging
+import math
 import select
 import socket
 
 from .errors import ProtocolError
 from .reactor import Reactor
 from .replies import ReplyReader
+from .targetqueues import (
+    QueuePolicy,
+    RefusalReason,
+    TargetLoad,
+    TargetQueue,
+    WaitTerms,
+    estimate_least_s,
+    find_refusal,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +72,12 @@
 """Interval between calls of `Gateway.sweep`, and so between the checks for connect
 timeouts and overdue abandoned exchanges."""
 
+BACKPRESSURE_STATUSES = frozenset((429, 503))
+"""Statuses with which a target states that it has no room."""
+
+UNKNOWN_TERMS = WaitTerms(0, "", 1.0, math.inf)
+"""Terms of exchanges whose owner states none."""
+
 IDLE_SWEEP_PERIOD_S = 1.0
 """Interval between checks for idle connections whose timeout has passed."""
 
@@ -72,6 +88,10 @@
     UNSENT = "unsent"
     """No byte of the request was sent, so it did not run."""
 
+    NO_ROOM = "no_room"
+    """This VM did not send it, because it could not have been answered in time. That
+    does not show that the target has failed."""
+
     LOST = "lost"
     """Sending had begun and no valid reply arrived, so it may have run."""
 
@@ -94,6 +114,8 @@
         Notified of the reply and of the end, also if the exchange is abandoned.
     mean_reply_time_s : float
         Average reply time of the route, with which the time of this one is compared.
+    terms : targetqueues.WaitTerms or None
+        Used where the configuration has customers.
 
     Attributes
     ----------
@@ -109,6 +131,11 @@
     is_aborted : bool
         Whether the exchange was abandoned and its connection then closed, because no
         reply had arrived within `ABANDON_GRACE_S`.
+    has_waited_for_room : bool
+        Whether it was queued because enough attempts were in flight at the target.
+    drain_s : float or None
+        Time until the target's queue is expected to drain, if the exchange failed as
+        `FailureKind.NO_ROOM`.
     """
 
     __slots__ = (
@@ -125,6 +152,9 @@
         "target",
         "mean_reply_time_s",
         "is_aborted",
+        "terms",
+        "has_waited_for_room",
+        "drain_s",
     )
 
     def __init__(
@@ -136,6 +166,7 @@
         started_at,
         target=None,
         mean_reply_time_s=0.0,
+        terms=None,
     ):
         self.request = request
         self.method = method
@@ -150,16 +181,22 @@
         self.target = target
         self.mean_reply_time_s = mean_reply_time_s
         self.is_aborted = False
+        self.terms = terms or UNKNOWN_TERMS
+        self.has_waited_for_room = False
+        self.drain_s = None
 
 
 class ExchangeOwner:
     """Callback interface for the outcome of an exchange.
 
-    At most one of the methods is called, once.
+    At most one of `handle_reply` and `handle_failure` is called, once.
     """
 
     __slots__ = ()
 
+    def update_request(self, exchange, now):
+        """Build the message of an exchange again, as it has waited and is sent now."""
+
     def handle_reply(self, exchange, reply):
         """Handle the `Reply` of the target."""
 
@@ -238,9 +275,14 @@
     address : tuple of (str, int)
     max_connections : int
         Maximum number of open connections.
+    policy : targetqueues.QueuePolicy or None
+        Without customers, exchanges wait first-in-first-out for a connection.
+    service : str
 
     Attributes
     ----------
+    load : targetqueues.TargetLoad
+        Bounds the exchanges in flight where the configuration has customers.
     in_flight : collections.OrderedDict
         Exchanges that were started and have not ended, oldest first, as keys. Unlike in
         `reactor.Reactor.in_flight`, abandoned exchanges are included.
@@ -263,10 +305,12 @@
         "_idle",
         "_connections",
         "_queue",
+        "_policy",
+        "load",
         "_is_closed",
     )
 
-    def __init__(self, reactor, address, max_connections):
+    def __init__(self, reactor, address, max_connections, policy=None, service=""):
         self._reactor = reactor
         self.address = address
         self.max_connections = max_connections
@@ -276,30 +320,40 @@
         self.is_kept_connected = False
         self._idle = []
         self._connections = {}
-        self._queue = collections.deque()
+        self._policy = policy or QueuePolicy()
+        self._queue = TargetQueue(self._policy.get_shares(service))
+        self.load = TargetLoad()
         self._is_closed = False
 
     def start(self, exchange, now):
         """Send the request on an idle connection, or queue it until one is ready.
 
+        Where the configuration has customers, it is also queued, or refused, if enough
+        attempts are in flight already.
+
         The owner may be notified of a failure before this returns.
         """
         exchange.pool = self
         self.in_flight[exchange] = None
         self._reactor.record_start(self)
-        connection = self._pop_idle(now)
-        if connection is not None and (
-            connection.last_request_id == exchange.request_id
-        ):
-            # A late second copy of the earlier reply would state the expected id.
-            self._close_connection(connection)
-            connection = None
+        if self._policy.is_active and not self.has_room(now):
+            self._wait_for_room(exchange, now)
+            return
+        connection = self._pop_idle_for(exchange, now)
         if connection is not None:
             self._send(connection, exchange, now)
             return
-        self._queue.append(exchange)
+        self._enqueue(exchange, now)
         self._open_connections_for_queue(now)
 
+    def has_room(self, now):
+        """Return whether an exchange started now need not wait for another one."""
+        return self._count_busy() + len(self._queue) < self._compute_bound(now)
+
+    def count_queued(self):
+        """Return the number of exchanges that wait for room or for a connection."""
+        return len(self._queue)
+
     def abandon(self, exchange, now):
         """Abandon an exchange; its owner is not notified of the outcome.
 
@@ -311,7 +365,8 @@
         exchange.owner = None
         exchange.abandoned_at = now
         self._reactor.record_end()
-        if exchange.connection is None:
+        # It is not in the queue any more if all queued ones are just being failed.
+        if exchange.connection is None and exchange in self._queue:
             self._queue.remove(exchange)
             self._finish(exchange, now)
 
@@ -361,6 +416,8 @@
         A connection is overdue if it was not established within `CONNECT_TIMEOUT_S`, or
         if its exchange was abandoned more than `ABANDON_GRACE_S` ago.
         """
+        if self._policy.is_active and self._queue:
+            self._open_connections_for_queue(now)
         needs_sweep = bool(self.in_flight)
         for connection in list(self._connections.values()):
             if connection.phase is _Phase.CONNECTING:
@@ -417,6 +474,105 @@
             self._close_connection(connection)
         return None
 
+    def _pop_idle_for(self, exchange, now):
+        connection = self._pop_idle(now)
+        if connection is None or connection.last_request_id != exchange.request_id:
+            return connection
+        # A late second copy of the earlier reply would state the expected id.
+        self._close_connection(connection)
+        return None
+
+    def _count_busy(self):
+        return sum(c.exchange is not None for c in self._connections.values())
+
+    def _compute_bound(self, now):
+        return min(self.load.compute_bound(now), self.max_connections)
+
+    def _wait_for_room(self, exchange, now):
+        """Queue an exchange, or refuse it if it could not be answered in time."""
+        exchange.has_waited_for_room = True
+        reason = find_refusal(
+            self._queue,
+            self.load,
+            exchange.terms,
+            self._count_busy(),
+            exchange.mean_reply_time_s,
+            now,
+            self.max_connections,
+        )
+        if reason is not None:
+            self._refuse(exchange, reason, now)
+            return
+        self._enqueue(exchange, now)
+        self._open_connections_for_queue(now)
+
+    def _enqueue(self, exchange, now):
+        terms = exchange.terms
+        self._queue.offer(
+            exchange,
+            terms.priority,
+            terms.customer_name,
+            terms.weight,
+            terms.deadline,
+            now,
+            terms.is_extra,
+        )
+
+    def _refuse(self, exchange, reason, now):
+        """Fail an exchange that is not queued, because there is no room."""
+        self._policy.observer.record_refusal(reason)
+        exchange.drain_s = self.load.estimate_answer_s(
+            len(self._queue), exchange.mean_reply_time_s, self.max_connections
+        )
+        owner = exchange.owner
+        self._finish(exchange, now)
+        if owner is not None:
+            text = f"no room at the target: {reason.value}"
+            owner.handle_failure(exchange, FailureKind.NO_ROOM, text)
+
+    def _take_queued(self, now):
+        """Remove and return the exchange to be sent next, or None if there is none."""
+        if not self._queue:
+            return None
+        if not self._policy.is_active:
+            return self._queue.take_first()
+        busy = self._count_busy()
+        if busy >= self._compute_bound(now):
+            return None
+        waiting_in_all = busy + len(self._queue) - self.load.slots
+        exchange = self._queue.take(
+            now, self._estimate_least_s(), waiting_in_all > self.load.slots
+        )
+        if exchange is None:
+            return None
+        self._policy.observer.record_wait(now - exchange.started_at)
+        if exchange.owner is not None:
+            exchange.owner.update_request(exchange, now)
+        return exchange
+
+    def _estimate_least_s(self):
+        """See `targetqueues.estimate_least_s`; 0 without replies so far."""
+        return estimate_least_s(
+            self.load, self._count_busy(), 0.0, self.max_connections
+        )
+
+    def _send_queued(self, now):
+        """Refuse what cannot be answered any more, and send what there is room for."""
+        for exchange in self._queue.take_expired(now, self._estimate_least_s()):
+            self._refuse(exchange, RefusalReason.EXPIRED, now)
+        while self._queue and self._idle and self._has_unused_bound(now):
+            exchange = self._take_queued(now)
+            if exchange is None:
+                return
+            connection = self._pop_idle_for(exchange, now)
+            if connection is None:
+                self._queue.put_back(exchange)
+                continue
+            self._send(connection, exchange, now)
+
+    def _has_unused_bound(self, now):
+        return self._count_busy() < self._compute_bound(now)
+
     def _is_stale(self, connection, now):
         idle_timeout_s = connection.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
         return now - connection.idle_since > idle_timeout_s
@@ -425,7 +581,12 @@
         connecting = sum(
             c.phase is _Phase.CONNECTING for c in self._connections.values()
         )
-        while len(self._queue) > connecting:
+        needed = len(self._queue)
+        if self._policy.is_active:
+            self._send_queued(now)
+            unused = self._compute_bound(now) - self._count_busy()
+            needed = min(len(self._queue), unused)
+        while needed > connecting:
             if self._is_closed or len(self._connections) >= self.max_connections:
                 break
             if not self._open(now):
@@ -473,8 +634,9 @@
 
     def _assign_connection(self, connection, now):
         """Send the next queued request on a connection, or mark the connection idle."""
-        if self._queue:
-            self._send(connection, self._queue.popleft(), now)
+        exchange = self._take_queued(now)
+        if exchange is not None:
+            self._send(connection, exchange, now)
         elif self._is_closed:
             self._close_connection(connection)
         else:
@@ -496,7 +658,7 @@
             connection.exchange = None
             exchange.connection = None
             self._close_connection(connection)
-            self._queue.appendleft(exchange)
+            self._queue.put_back(exchange)
             self._open_connections_for_queue(now)
             return
         exchange.sent_at = now
@@ -560,6 +722,8 @@
         if exchange.target is not None:
             # Before the connection is used again, because the target may be leaving.
             exchange.target.handle_reply(reply, now)
+        if self._policy.is_active:
+            self._record_load(exchange, reply, now)
         self._release(connection, reply, now)
         owner = exchange.owner
         self._finish(exchange, now)
@@ -567,6 +731,17 @@
             owner.handle_reply(exchange, reply)
         return True
 
+    def _record_load(self, exchange, reply, now):
+        if reply.status in BACKPRESSURE_STATUSES:
+            self.load.record_refusal(now)
+            return
+        self.load.record_reply(
+            now - exchange.sent_at,
+            exchange.mean_reply_time_s,
+            self._count_busy(),
+            now,
+        )
+
     def _drop_reply(self, connection, exchange):
         logger.info(
             "dropped a reply to another request",
@@ -608,9 +783,7 @@
         return exchange
 
     def _fail_queued_exchanges(self, now, reason):
-        queued = list(self._queue)
-        self._queue.clear()
-        for exchange in queued:
+        for exchange in self._queue.take_all():
             owner = exchange.owner
             self._finish(exchange, now)
             if owner is not None:
@@ -678,9 +851,9 @@
         self.pools = set()
         self.disconnected_pools = collections.deque()
 
-    def open_pool(self, address, max_connections):
+    def open_pool(self, address, max_connections, policy=None, service=""):
         """Return a new `TargetPool`."""
-        pool = TargetPool(self, address, max_connections)
+        pool = TargetPool(self, address, max_connections, policy, service)
         self.pools.add(pool)
         return pool
 
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -276,6 +276,7 @@
             "hedges": sum(subrequest.hedges for subrequest in self.subrequests),
             "refusals": sum(subrequest.refusals for subrequest in self.subrequests),
             "delegated": [delegated.describe() for delegated in self.delegated_shards],
+            **self.describe_queues(),
         }
 
     def estimate_return_s(self, now):
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -32,6 +32,7 @@
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     PAUSED_TARGETS,
+    QUEUED_ATTEMPTS,
     SUBSEARCHES,
     TARGETS,
     VMS,
@@ -45,6 +46,7 @@
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
+from .targetqueues import QueuePolicy
 
 logger = logging.getLogger(__name__)
 
@@ -190,6 +192,7 @@
         self._retry_budgets = {}
         self._reply_times = {}
         self._service_choices = {}
+        self._queue_policy = QueuePolicy(self.metrics)
         self.reactor = exchanges.TargetReactor(header_names.lowercase.request_id)
         self.chooser = replicas.ReplicaChooser(
             settings.domain, self._try_reserve_cold_request, self._random
@@ -214,6 +217,7 @@
             self._get_retry_budget,
             self.reactor.poll,
             self._delegates,
+            self._queue_policy,
         )
         self.shard_server = ShardServer(
             settings.vm_id, self._context, self._get_reply_times, self._record_subsearch
@@ -227,6 +231,7 @@
         self.table = table
         self._service_choices.clear()
         self._delete_obsolete_state(table)
+        self._queue_policy.is_active = table.customers is not None
         self._apply_server_limits(table.limits)
         self.registry.invalidate_all()
         now = trio.current_time()
@@ -453,6 +458,7 @@
             name for name in self._retry_budgets if name not in table.services
         ]:
             del self._retry_budgets[service]
+        self._queue_policy.delete_except(table.services)
 
     def _apply_server_limits(self, limits):
         options = self._server_options
@@ -464,7 +470,11 @@
         options.idle_timeout_s = limits.idle_timeout_s
 
     def _open_pool(self, registration):
-        return self.reactor.open_pool(registration.address, 1)
+        pool = self.reactor.open_pool(
+            registration.address, 1, self._queue_policy, registration.service
+        )
+        pool.load.slots = registration.slots
+        return pool
 
     def _preconnect(self, now):
         """Open connections in advance of their use, a limited number per tick."""
@@ -495,7 +505,12 @@
         else:
             preferred = shares.choose_preferred(service, targets, limit)
             connection_limit = shares.compute_connection_limit(limit, len(targets))
+        is_assigned = table.is_wide_shard(service) and shares.is_assigned(
+            service, targets
+        )
         for target in targets:
+            target.pool.load.slots = target.registration.slots
+            target.pool.load.is_assigned = is_assigned
             target.is_preferred = target in preferred
             target.pool.is_kept_connected = target.is_preferred and is_kept_connected
             if target.pool.is_kept_connected and not target.pool.count_connections():
@@ -548,5 +563,6 @@
             (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
+            (QUEUED_ATTEMPTS, (), sum(pool.count_queued() for pool in pools)),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -74,6 +74,24 @@
     MetricKind.GAUGE,
     "Registered targets that get no requests because their replies say they leave.",
 )
+QUEUED_ATTEMPTS = MetricSpec(
+    "gateway_queued_attempts",
+    MetricKind.GAUGE,
+    "Attempts that wait for room at a target, or for a connection to it.",
+)
+QUEUE_WAIT = MetricSpec(
+    "gateway_queue_wait_seconds",
+    MetricKind.HISTOGRAM,
+    "Time that attempts waited before they were sent; with customers only.",
+    (),
+    LATENCY_BUCKETS_S,
+)
+QUEUE_REFUSALS = MetricSpec(
+    "gateway_queue_refusals_total",
+    MetricKind.COUNTER,
+    "Attempts that were not sent because there was no room at the target.",
+    ("reason",),
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -91,6 +109,9 @@
     SUBSEARCHES,
     PAUSED_TARGETS,
     LEAVING_TARGETS,
+    QUEUED_ATTEMPTS,
+    QUEUE_WAIT,
+    QUEUE_REFUSALS,
     LOG_LINES_DROPPED,
     ATTEMPTS,
     STORE_CALLS,
@@ -140,6 +161,14 @@
             ATTEMPTS, (RETRY,), sum(subrequest.retries for subrequest in subrequests)
         )
 
+    def record_wait(self, wait_s):
+        """See `targetqueues.QueueObserver`."""
+        self.observe(QUEUE_WAIT, (), wait_s)
+
+    def record_refusal(self, reason):
+        """See `targetqueues.QueueObserver`."""
+        self.count(QUEUE_REFUSALS, (reason.value,))
+
     def count_store_call(self, operation, result):
         """Record one call to the key-value service."""
         self.count(STORE_CALLS, (operation, result))
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -7,6 +7,7 @@
 from .delegation import NoDelegation
 from .errors import (
     NoTargetError,
+    OverloadedError,
     TargetFailedError,
     TargetTimeoutError,
 )
@@ -14,6 +15,7 @@
 from .replies import list_end_to_end_headers
 from .subrequests import ReplyClass, Subrequest, SubrequestState
 from .subsearches import OutgoingRequest
+from .targetqueues import QueuePolicy
 
 RESPONSE_MARGIN_S = 0.012
 """Time reserved before the caller's time limit for the response to reach the caller."""
@@ -67,6 +69,7 @@
         Called with the time; processes the replies that have arrived.
     delegation : delegation.Delegation or None
         Chooses other VMs to which shards of searches are delegated.
+    queue_policy : targetqueues.QueuePolicy or None
 
     Attributes
     ----------
@@ -81,12 +84,20 @@
         "get_retry_budget",
         "poll",
         "delegation",
+        "queue_policy",
         "lag_s",
         "_lowercase_names",
     )
 
     def __init__(
-        self, registry, chooser, header_names, get_retry_budget, poll, delegation=None
+        self,
+        registry,
+        chooser,
+        header_names,
+        get_retry_budget,
+        poll,
+        delegation=None,
+        queue_policy=None,
     ):
         self.registry = registry
         self.chooser = chooser
@@ -94,6 +105,7 @@
         self.get_retry_budget = get_retry_budget
         self.poll = poll
         self.delegation = delegation or NoDelegation()
+        self.queue_policy = queue_policy or QueuePolicy()
         self.lag_s = 0.0
         self._lowercase_names = header_names.lowercase
 
@@ -358,6 +370,9 @@
 
     def _build_no_target_error(self, reason):
         """Return the error for a request that has not run on any target."""
+        drain_s = self._estimate_drain_s()
+        if drain_s is not None:
+            return self._build_overloaded_error(reason, drain_s)
         error = NoTargetError(reason)
         error.retry_after_s = RETRY_AFTER_S
         wait_s = self.estimate_return_s(self._closed_at)
@@ -366,6 +381,28 @@
             error.retry_after_s = chooser.add_jitter(wait_s, RETRY_SPREAD_FRACTION)
         return error
 
+    def _build_overloaded_error(self, reason, drain_s):
+        error = OverloadedError(reason)
+        wait_s = max(drain_s, RETRY_AFTER_S)
+        chooser = self._context.chooser
+        error.retry_after_s = chooser.add_jitter(wait_s, RETRY_SPREAD_FRACTION)
+        return error
+
+    def _estimate_drain_s(self):
+        """Return the time until all queues that had no room drain, or None."""
+        drains = (subrequest.drain_s for subrequest in self.subrequests)
+        return max((d for d in drains if d is not None), default=None)
+
+    def describe_queues(self):
+        """Return the fields for the log line of a request that had to wait."""
+        wait_s = max((s.wait_s for s in self.subrequests), default=0.0)
+        fields = {
+            "queued_ms": round(wait_s * 1000, 1),
+            "moves": sum(subrequest.moves for subrequest in self.subrequests),
+            "no_room": sum(subrequest.no_room for subrequest in self.subrequests),
+        }
+        return {name: value for name, value in fields.items() if value}
+
     def _finish(self):
         self.is_finished = True
         self._wakeup.set()
@@ -410,6 +447,7 @@
             "retries": subrequest.retries,
             "hedges": subrequest.hedges,
             "refusals": subrequest.refusals,
+            **self.describe_queues(),
         }
 
     def _forward(self, reply):
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -4,6 +4,7 @@
 
 from . import replicas
 from .exchanges import Exchange, FailureKind
+from .targetqueues import WaitTerms
 
 MAX_UNSENT_ATTEMPTS = 3
 """A subrequest fails after this many attempts that did not send the request, for
@@ -71,6 +72,14 @@
     refusals, hedges, retries : int
     unsent_attempts : int
         Attempts that failed before the request was sent.
+    no_room : int
+        Attempts that this VM did not send, because there was no room at the target.
+    moves : int
+        Attempts that waited for room and were sent to another target instead.
+    wait_s : float
+        Longest time that an attempt waited for room.
+    drain_s : float or None
+        Shortest time until the queue of a target without room drains.
     reason : str
         Why the subrequest failed or why a hedge was not sent, for the log.
     hedge_at : float or None
@@ -89,6 +98,10 @@
         "unsent_attempts",
         "hedges",
         "retries",
+        "no_room",
+        "moves",
+        "wait_s",
+        "drain_s",
         "reason",
         "hedge_at",
         "is_cancelled",
@@ -96,6 +109,7 @@
         "_context",
         "_budget",
         "_max_attempts",
+        "_is_extra",
         "_is_limited_to_one_attempt",
         "_deferred_retry_reason",
         "_first_target",
@@ -113,6 +127,10 @@
         self.unsent_attempts = 0
         self.hedges = 0
         self.retries = 0
+        self.no_room = 0
+        self.moves = 0
+        self.wait_s = 0.0
+        self.drain_s = None
         self.reason = ""
         self.hedge_at = None
         self.is_cancelled = False
@@ -120,6 +138,8 @@
         self._context = context
         self._budget = context.get_retry_budget(service)
         self._max_attempts = max_attempts
+        # Whether another VM may have made the first attempt.
+        self._is_extra = False
         self._is_limited_to_one_attempt = False
         self._deferred_retry_reason = None
         self._first_target = None
@@ -160,6 +180,7 @@
         if self._first_target is None:
             self._fail("no usable target", now)
             return
+        self._is_extra = uses_retry_budget
         if not uses_retry_budget:
             self._budget.record_first_attempt(now)
         elif not self._budget.try_spend(now):
@@ -204,6 +225,9 @@
         if target is None:
             self.reason = "no other usable target for a hedge"
             return
+        if not self._context.queue_policy.has_room(target, now):
+            self.reason = "no room at the target for a hedge"
+            return
         if not self._budget.try_spend(now):
             self.reason = "no retry budget for a hedge"
             return
@@ -220,6 +244,10 @@
             return False
         exchange = self._in_flight[0]
         hedge_delay_s = self._query.reply_times.compute_hedge_delay_s()
+        if exchange.sent_at is None and exchange.has_waited_for_room:
+            if not self._move(exchange, now):
+                self.hedge_at = now + hedge_delay_s
+            return True
         if exchange.sent_at is None:
             due_at = exchange.started_at + CONNECT_HEDGE_FACTOR * hedge_delay_s
         else:
@@ -229,6 +257,33 @@
         self.hedge_at = due_at
         return True
 
+    def _move(self, exchange, now):
+        """Send an attempt that waits for room to another target that has room.
+
+        It was not sent yet, so that this is no retry. Return whether it was moved.
+        """
+        policy = self._context.queue_policy
+        targets = self._context.registry.list_usable(self.service)
+        excluded = [
+            target
+            for target in targets
+            if target in self._tried_targets
+            or now < max(target.cold_until, target.suspect_until)
+            or target.pool.has_connect_failed
+            or not policy.has_room(target, now)
+        ]
+        mean_s = self._query.reply_times.mean_s
+        target = self._context.chooser.choose(targets, now, mean_s, excluded)
+        if target is None:
+            return False
+        exchange.pool.abandon(exchange, now)
+        self._in_flight.remove(exchange)
+        self._tried_targets.remove(exchange.target)
+        self.possible_runs -= 1
+        self.moves += 1
+        self._send(target, now)
+        return True
+
     def limit_to_one_attempt(self):
         """Limit the subrequest to one attempt until `permit_retries` is called."""
         self._is_limited_to_one_attempt = self._max_attempts > 1
@@ -272,7 +327,7 @@
         reply_class = self._context.classify(reply)
         if reply_class is ReplyClass.GOOD:
             replicas.record_success(exchange.target, now)
-            self._query.reply_times.record(now - exchange.started_at)
+            self._query.reply_times.record(now - self._find_start(exchange))
             self._finish(reply, now)
         elif reply_class is ReplyClass.REFUSED:
             self._handle_refusal(exchange, reply, now)
@@ -282,10 +337,24 @@
                 replicas.record_failure(exchange.target, now)
             self._retry_after_possible_run(f"target answered {reply.status}", now)
 
+    def update_request(self, exchange, now):
+        """See `exchanges.ExchangeOwner`."""
+        exchange.request = self._query.build_message(exchange.target, now)
+
+    def _find_start(self, exchange):
+        """Return when an exchange started; the wait for room is not part of it."""
+        if not exchange.has_waited_for_room:
+            return exchange.started_at
+        self.wait_s = max(self.wait_s, exchange.sent_at - exchange.started_at)
+        return exchange.sent_at
+
     def handle_failure(self, exchange, kind, reason):
         """See `exchanges.ExchangeOwner`."""
         now = exchange.finished_at
         self._in_flight.remove(exchange)
+        if kind is FailureKind.NO_ROOM:
+            self._handle_no_room(exchange, reason, now)
+            return
         if not exchange.target.is_withdrawn(now):
             replicas.record_failure(exchange.target, now)
         if kind is FailureKind.UNSENT:
@@ -300,6 +369,18 @@
         else:
             self._retry_after_possible_run(reason, now)
 
+    def _handle_no_room(self, exchange, reason, now):
+        """Try another target; the attempt was not sent and its target is not at fault.
+
+        If it was a hedge or retry, the budget has been spent on it already.
+        """
+        self.possible_runs -= 1
+        self.no_room += 1
+        self.wait_s = max(self.wait_s, now - exchange.started_at)
+        self.drain_s = min(self.drain_s or exchange.drain_s, exchange.drain_s)
+        is_allowed = self.no_room < MAX_UNSENT_ATTEMPTS
+        self._send_next_attempt(reason, now, is_allowed, needs_budget=False)
+
     def _handle_refusal(self, exchange, reply, now):
         self.possible_runs -= 1
         self.refusals += 1
@@ -369,6 +450,14 @@
             now,
             target,
             query.reply_times.mean_s,
+            WaitTerms(
+                query.priority,
+                query.customer_name,
+                query.weight,
+                query.deadline,
+                is_extra=self._is_extra or self.has_possible_runs or self.refusals > 0,
+                is_reserved=now < target.cold_until,
+            ),
         )
         self.possible_runs += 1
         self._tried_targets.append(target)
