--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -539,13 +539,14 @@
         busy = self._count_busy()
         if busy >= self._compute_bound(now):
             return None
-        waiting_in_all = busy + len(self._queue) - self.load.slots
-        exchange = self._queue.take(
-            now, self._estimate_least_s(), waiting_in_all > self.load.slots
-        )
+        # The bound leaves one attempt per slot waiting at the target, or fewer if the
+        # target is slow or refuses requests.
+        is_pressed = busy + len(self._queue) > self.load.compute_bound(now)
+        exchange = self._queue.take(now, self._estimate_least_s(), is_pressed)
         if exchange is None:
             return None
-        self._policy.observer.record_wait(now - exchange.started_at)
+        if exchange.has_waited_for_room:
+            self._policy.observer.record_wait(now - exchange.started_at)
         if exchange.owner is not None:
             exchange.owner.update_request(exchange, now)
         return exchange
@@ -767,6 +768,9 @@
         if connection.idle_timeout_s is None:
             connection.idle_timeout_s = _read_idle_timeout_s(reply)
         self._assign_connection(connection, now)
+        if self._policy.is_active and self._queue:
+            # The reply may have raised the bound, so that there is room for more.
+            self._open_connections_for_queue(now)
 
     def _fail_exchange(self, connection, reason, now):
         exchange = self._close_busy(connection, now)
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -82,7 +82,7 @@
 QUEUE_WAIT = MetricSpec(
     "gateway_queue_wait_seconds",
     MetricKind.HISTOGRAM,
-    "Time that attempts waited before they were sent; with customers only.",
+    "Time that attempts waited for room at a target before they were sent.",
     (),
     LATENCY_BUCKETS_S,
 )
