--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -543,7 +543,10 @@
             return None
         # The bound leaves one attempt per slot waiting at the target, or fewer if the
         # target is slow or refuses requests.
-        is_pressed = busy + len(self._queue) > self.load.compute_bound(now)
+        waiting = len(self._queue)
+        is_pressed = (
+            waiting > self.load.slots or busy + waiting > self.load.compute_bound(now)
+        )
         exchange = self._queue.take(now, self._estimate_least_s(), is_pressed)
         if exchange is None:
             return None
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -221,12 +221,14 @@
             return
         if self.possible_runs >= self._get_allowed_attempts():
             return
-        target = self._choose_target(now)
+        full_targets = self._list_full_targets(now)
+        target = self._choose_target(now, full_targets)
         if target is None:
             self.reason = "no other usable target for a hedge"
-            return
-        if not self._context.queue_policy.has_room(target, now):
-            self.reason = "no room at the target for a hedge"
+            if any(target not in self._tried_targets for target in full_targets):
+                self.reason = "no room at another target for a hedge"
+                delay_s = self._query.reply_times.compute_hedge_delay_s()
+                self.hedge_at = now + delay_s
             return
         if not self._budget.try_spend(now):
             self.reason = "no retry budget for a hedge"
@@ -262,18 +264,15 @@
 
         It was not sent yet, so that this is no retry. Return whether it was moved.
         """
-        policy = self._context.queue_policy
         targets = self._context.registry.list_usable(self.service)
-        excluded = [
+        unsuitable = [
             target
             for target in targets
-            if target in self._tried_targets
-            or now < max(target.cold_until, target.suspect_until)
+            if now < max(target.cold_until, target.suspect_until)
             or target.pool.has_connect_failed
-            or not policy.has_room(target, now)
         ]
-        mean_s = self._query.reply_times.mean_s
-        target = self._context.chooser.choose(targets, now, mean_s, excluded)
+        unsuitable += self._list_full_targets(now)
+        target = self._choose_target(now, unsuitable)
         if target is None:
             return False
         exchange.pool.abandon(exchange, now)
@@ -284,6 +283,14 @@
         self._send(target, now)
         return True
 
+    def _list_full_targets(self, now):
+        has_room = self._context.queue_policy.has_room
+        return [
+            target
+            for target in self._context.registry.list_usable(self.service)
+            if not has_room(target, now)
+        ]
+
     def limit_to_one_attempt(self):
         """Limit the subrequest to one attempt until `permit_retries` is called."""
         self._is_limited_to_one_attempt = self._max_attempts > 1
@@ -422,11 +429,13 @@
             self.retries += 1
             self._send(target, now)
 
-    def _choose_target(self, now):
+    def _choose_target(self, now, excluded=()):
         targets = self._context.registry.list_usable(self.service)
         mean_reply_time_s = self._query.reply_times.mean_s
         chooser = self._context.chooser
-        target = chooser.choose(targets, now, mean_reply_time_s, self._tried_targets)
+        target = chooser.choose(
+            targets, now, mean_reply_time_s, [*self._tried_targets, *excluded]
+        )
         if target is None and self._refusing_targets and self._query.route.is_search:
             # All targets were tried. One that refused may have capacity by now.
             targets_that_may_have_run = [
@@ -434,6 +443,7 @@
                 for tried in self._tried_targets
                 if tried not in self._refusing_targets
             ]
+            targets_that_may_have_run += excluded
             target = chooser.choose(
                 targets, now, mean_reply_time_s, targets_that_may_have_run
             )
--- a/tarragonchute/targetqueues.py
+++ b/tarragonchute/targetqueues.py
@@ -118,7 +118,7 @@
     ):
         self.priority = priority
         self.customer_name = customer_name
-        self.weight = weight
+        self.weight = weight if weight > 0 else 1.0
         self.deadline = deadline
         self.is_extra = is_extra
         self.is_reserved = is_reserved
--- a/tests/test_queued_attempts.py
+++ b/tests/test_queued_attempts.py
@@ -318,6 +318,21 @@
         marks = [exchange.terms.is_extra for exchange in harness.started]
         self.assertEqual([False, True], marks)
 
+    def test_hedge_waits_for_room(self):
+        """Guards against hedges that spend the budget and then wait or are refused."""
+        harness = self.build_harness()
+        query = build_single(harness)
+        other = self.get_target(harness, 0)
+        if other is harness.started[0].target:
+            other = self.get_target(harness, 1)
+        other.pool.is_full = True
+        delay_s = query.reply_times.compute_hedge_delay_s()
+        query.advance(delay_s)
+        self.assertEqual((1, 0), (len(harness.started), query.subrequests[0].hedges))
+        other.pool.is_full = False
+        query.advance(query.get_next_due_time())
+        self.assertEqual((2, 1), (len(harness.started), query.subrequests[0].hedges))
+
     def test_waiting_attempt_is_moved(self):
         """Guards against a wait at a slow target while another has room."""
         harness = self.build_harness(full=(0, 1), refuses=False)
