--- a/standins/platform.py
+++ b/standins/platform.py
@@ -169,6 +169,8 @@
         Seconds between the start of a request and its rejection.
     extra_headers : dict of str to str
         Headers added to every response, also to failures and refusals.
+    response_bytes : int
+        Size of the response to a request without a body.
     """
 
     def __init__(self, service, domain):
@@ -182,6 +184,7 @@
         self.refused = []
         self.refusal_delay_s = 0.0
         self.extra_headers = {}
+        self.response_bytes = RECORDS_PER_RESPONSE * RECORD_BYTES
         self._started_ms = int(trio.current_time() * 1000)
 
     async def handle(self, request):
@@ -203,7 +206,7 @@
         self.ran.append(request_id)
         await trio.sleep(self.delay_s)
         stamp = f"{self.target_id}.{request_id}"
-        body = request.body or secrets.token_bytes(RECORDS_PER_RESPONSE * RECORD_BYTES)
+        body = request.body or secrets.token_bytes(self.response_bytes)
         return HttpResponse(200, body, {**echoed_headers, "Response-Stamp": stamp})
 
     def describe(self, state="ready", warmup_left_ms=0):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -422,11 +422,21 @@
 
 
 class Deployment:
-    """A stand-in store and targets in this process, and one gateway process."""
+    """A stand-in store and targets in this process, and one gateway process.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    folder : pathlib.Path
+        For the settings file.
+    limits : dict of str to int
+        Section ``limits`` of the settings file.
+    """
 
-    def __init__(self, nursery, folder):
+    def __init__(self, nursery, folder, limits=None):
         self.nursery = nursery
         self.folder = folder
+        self.limits = limits or {}
         self.server = PlatformStoreServer()
         self.targets = []
         self.process = None
@@ -462,6 +472,7 @@
         self.ready = await reserve_closed_port()
         control = await reserve_closed_port()
         path = self.folder / "node.toml"
+        limits = "".join(f"{name} = {self.limits[name]}\n" for name in self.limits)
         path.write_text(
             f"""node-name = "vm-1"
 zone = "a"
@@ -478,7 +489,8 @@
 warmup-slack = 5
 [platform]
 address = "{store_address}"
-"""
+[limits]
+{limits}"""
         )
         self.process = await trio.lowlevel.open_process(
             [sys.executable, "-m", "tarragonchute", "gateway"],
@@ -527,11 +539,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_deployment(services=("s0", "s1", "s2", "desk")):
+async def open_deployment(services=("s0", "s1", "s2", "desk"), limits=None):
     """Yield a `Deployment` that is ready, and kill its process at the end."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            deployment = Deployment(nursery, pathlib.Path(folder))
+            deployment = Deployment(nursery, pathlib.Path(folder), limits)
             try:
                 await deployment.start(services)
                 yield deployment
