Bound the memory and the connections of all callers in one account

Callers that pipelined requests and did not read the answers ended a process: each connection read up to 256 KB ahead, and nothing bounded all of them. A connection now reads only what its next request needs, and notices a close by EPOLLRDHUP. An account for the whole process makes large requests wait, refuses them with 503, and closes the largest and slowest connections. Connections are bounded by the descriptors and the memory in the settings, kernel buffers by SO_RCVBUF and SO_SNDBUF; callers that take nothing of an answer for 10 s are closed.

--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -94,6 +94,8 @@
     peers : tuple of str
         Peer addresses of some VMs; they may be outdated.
     max_descriptors : int
+    memory_mb : float
+        Memory of this VM, in units of 1,000,000 bytes.
     stop_grace_s : float
         Time between the request to stop and the forced end of the process.
     retry_share : float
@@ -122,6 +124,7 @@
         "peers",
         "store_address",
         "max_descriptors",
+        "memory_mb",
         "stop_grace_s",
         "retry_share",
         "retry_window_s",
@@ -536,15 +539,17 @@
         self.metrics.count_subrequests(query.subrequests)
         self.metrics.count(SUBSEARCHES, ())
 
+    def count_target_connections(self):
+        """Return the number of open connections to targets."""
+        return sum(pool.count_connections() for pool in self.reactor.pools)
+
     def _list_gauges(self):
-        pools = self.reactor.pools
-        connections = sum(pool.count_connections() for pool in pools)
         version = self.table.version if self.table else 0
         return [
             (CONFIGURATION_VERSION, (), version),
             (TARGETS, (), len(self.registry)),
             (VMS, (), self._shares.vm_count),
-            (CONNECTIONS, (), connections),
+            (CONNECTIONS, (), self.count_target_connections()),
             (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
--- a/tarragonchute/httpmessages.py
+++ b/tarragonchute/httpmessages.py
@@ -4,7 +4,11 @@
 brackets.
 """
 
+import contextlib
 import errno
+import os
+import socket
+from urllib.parse import parse_qsl, unquote
 
 import orjson
 import trio
@@ -70,6 +74,24 @@
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
+def close_listener(listener):
+    """Close a listener and return streams for the connections in its backlog.
+
+    Closing a listening socket resets the connections that have not been accepted, so
+    they are accepted first. No checkpoint may occur between the last accept and the
+    close, because another connection could arrive meanwhile.
+    """
+    streams = []
+    with socket.socket(fileno=os.dup(listener.socket.fileno())) as backlog:
+        backlog.setblocking(False)
+        with contextlib.suppress(OSError):
+            while True:
+                accepted = trio.socket.from_stdlib_socket(backlog.accept()[0])
+                streams.append(trio.SocketStream(accepted))
+        listener.socket.close()
+    return streams
+
+
 class HttpRequest:
     """A request as the server passes it to its handler.
 
@@ -240,3 +262,24 @@
 def decode_headers(headers):
     """Return headers of h11 as a dict of str to str; of a repeated one, the last."""
     return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
+
+
+def build_request_error(status, message):
+    """Build a `BadRequestError` with another status."""
+    error = BadRequestError(message)
+    error.status = status
+    return error
+
+
+def build_request(event, body):
+    """Build the `HttpRequest` of an `h11.Request` and its body (bytes)."""
+    path, _, query = event.target.decode("ascii").partition("?")
+    return HttpRequest(
+        event.method.decode("ascii"),
+        unquote(path),
+        dict(parse_qsl(query, keep_blank_values=True)) if query else {},
+        decode_headers(event.headers),
+        body,
+        event.target,
+        list(event.headers),
+    )
--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -1,24 +1,36 @@
-"""HTTP/1.1 server on h11 and trio."""
+"""HTTP/1.1 server on h11 and trio.
+
+A connection reads no more than the request that it serves next needs: what a caller
+sends ahead waits in the kernel, whose buffers are bounded. `memory.MemoryAccount`
+decides when a connection waits, is refused or is closed because of its bytes.
+"""
 
-import contextlib
 import errno
 import logging
-import os
+import random
 import socket
-from urllib.parse import parse_qsl, unquote
+import struct
 
 import h11
 import trio
 
-from .errors import BadRequestError, ProtocolError, TarragonchuteError
+from .disconnects import DisconnectWatcher
+from .errors import (
+    BadRequestError,
+    OverloadedError,
+    ProtocolError,
+    TarragonchuteError,
+)
 from .httpmessages import (
     MAX_BODY_BYTES,
     RECEIVE_BYTES,
     BodyCollector,
-    HttpRequest,
     build_error_response,
-    decode_headers,
+    build_request,
+    build_request_error,
+    close_listener,
 )
+from .memory import RETRY_AFTER_S, MemoryAccount, MemoryLimits, Phase, Source
 
 logger = logging.getLogger(__name__)
 
@@ -35,9 +47,32 @@
 ACCEPT_RETRY_DELAY_S = 0.1
 # File descriptors, memory or buffers are exhausted; accepting is retried later.
 _RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
-# Bounds the memory for pipelined data: a client that sends more while the handler runs
-# is no longer watched for a disconnect.
-MAX_PIPELINED_BYTES = 256 * 1024
+
+HEAD_RECEIVE_BYTES = 16 * 1024
+"""Bytes read at once of a request whose size is not known yet. Bounds the pipelined
+requests that a connection holds."""
+
+SEND_BYTES = 64 * 1024
+"""Bytes of an answer that a caller has to take within `SEND_TIMEOUT_S`; answers up to
+this size are sent in one piece."""
+
+SEND_TIMEOUT_S = 10.0
+"""Time after which a caller that takes no bytes of its answer is closed. Ordinary
+callers wait for it; a lost segment is sent again within a second."""
+
+PAUSE_S = 0.02
+MAX_PAUSES = 25
+"""A request waits for room in up to 25 pauses of 20 ms. It is then read on, and others
+are refused or closed for it. Most requests end sooner."""
+
+BODY_COPIES = 2
+"""The body of a request that runs is held twice: as received, and as forwarded."""
+
+REFUSAL_TIMEOUT_S = 0.05
+"""Time for the refusal of a new connection; its send buffer is empty."""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` value with which closing drops the unsent bytes in the kernel."""
 
 
 class ServerOptions:
@@ -58,6 +93,12 @@
     cancel_on_disconnect : bool
         Whether the handler is cancelled when the client closes the connection, or the
         sending half of it, before the response has been sent.
+    memory : memory.MemoryAccount or None
+        Shared by all servers of the process; None for one of this server alone.
+    source : memory.Source
+        Who opens connections to this server.
+    send_timeout_s : float
+        Seconds after which a connection is closed if nothing of a response is taken.
     """
 
     __slots__ = (
@@ -67,6 +108,9 @@
         "request_timeout_s",
         "accept_grace_s",
         "cancel_on_disconnect",
+        "memory",
+        "source",
+        "send_timeout_s",
     )
 
     def __init__(
@@ -77,6 +121,9 @@
         request_timeout_s=REQUEST_TIMEOUT_S,
         accept_grace_s=ACCEPT_GRACE_S,
         cancel_on_disconnect=False,
+        memory=None,
+        source=Source.CALLER,
+        send_timeout_s=SEND_TIMEOUT_S,
     ):
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
@@ -84,6 +131,9 @@
         self.request_timeout_s = request_timeout_s
         self.accept_grace_s = accept_grace_s
         self.cancel_on_disconnect = cancel_on_disconnect
+        self.memory = memory
+        self.source = source
+        self.send_timeout_s = send_timeout_s
 
 
 async def serve_http(handler, listeners, options=None, shutdown=None):
@@ -106,10 +156,16 @@
     server = _Server(handler, options or ServerOptions())
     async with trio.open_nursery() as nursery:
         for listener in listeners:
-            nursery.start_soon(server.accept, listener, nursery)
-        if shutdown is not None:
-            await shutdown.wait()
-            await server.drain()
+            server.limit_kernel_buffers(listener)
+        async with trio.open_nursery() as connections:
+            if server.watcher is not None:
+                nursery.start_soon(server.watcher.run)
+            for listener in listeners:
+                connections.start_soon(server.accept, listener, connections)
+            if shutdown is not None:
+                await shutdown.wait()
+                await server.drain()
+        nursery.cancel_scope.cancel()
 
 
 class _Server:
@@ -121,6 +177,8 @@
         Whether each response closes its connection.
     is_closing : bool
         Whether the listeners are closed and idle connections time out early.
+    memory : memory.MemoryAccount
+    watcher : disconnects.DisconnectWatcher or None
     """
 
     __slots__ = (
@@ -128,6 +186,8 @@
         "options",
         "is_draining",
         "is_closing",
+        "memory",
+        "watcher",
         "idle_connections",
         "_accept_scopes",
     )
@@ -137,9 +197,23 @@
         self.options = options
         self.is_draining = False
         self.is_closing = False
+        self.memory = options.memory or MemoryAccount(MemoryLimits.from_process())
+        self.watcher = DisconnectWatcher() if options.cancel_on_disconnect else None
         self.idle_connections = set()
         self._accept_scopes = []
 
+    def limit_kernel_buffers(self, listener):
+        """Bound the buffers of the connections that a listener will accept.
+
+        The kernel would let a receive buffer grow to megabytes.
+        """
+        if self.options.source is Source.CALLER and isinstance(
+            listener, trio.SocketListener
+        ):
+            size = self.memory.limits.kernel_buffer_bytes
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                listener.socket.setsockopt(socket.SOL_SOCKET, option, size)
+
     async def accept(self, listener, nursery):
         async with listener:
             with trio.CancelScope() as scope:
@@ -147,7 +221,7 @@
                 while True:
                     await self._accept_connection(listener, nursery)
             if isinstance(listener, trio.SocketListener):
-                for stream in _close_listener(listener):
+                for stream in close_listener(listener):
                     nursery.start_soon(self.serve_connection, stream)
 
     async def drain(self):
@@ -171,32 +245,90 @@
             nursery.start_soon(self.serve_connection, stream)
 
     async def serve_connection(self, stream):
+        connection = _ServerConnection(self, stream)
         try:
-            await _ServerConnection(self, stream).run()
+            await connection.run()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception:
             # An error in one connection must not stop the server.
             logger.exception("unexpected error on a server connection")
         finally:
+            connection.close()
             await trio.aclose_forcefully(stream)
 
 
+class _ClosingError(Exception):
+    """The account has asked for the connection to be closed, or refused its request."""
+
+
+class _StalledError(Exception):
+    """The client takes no bytes of its response."""
+
+
 class _ServerConnection:
     """Reads requests from one accepted connection and sends the responses."""
 
-    __slots__ = ("_server", "_stream", "_h11", "_idle_scope", "_is_unused")
+    __slots__ = (
+        "_server",
+        "_stream",
+        "_memory",
+        "_holding",
+        "_h11",
+        "_scope",
+        "_idle_scope",
+        "_handler_scope",
+        "_read_bytes",
+        "_pauses_left",
+        "_watched_fd",
+        "_is_unused",
+        "_is_disconnected",
+    )
 
     def __init__(self, server, stream):
         self._server = server
         self._stream = stream
+        self._memory = server.memory
+        self._scope = trio.CancelScope()
         self._idle_scope = None
+        self._handler_scope = None
+        # Bytes received of the request that is being read, and behind it.
+        self._read_bytes = 0
+        self._pauses_left = MAX_PAUSES
         self._is_unused = True
+        self._is_disconnected = False
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.options.max_header_bytes
         )
+        self._watched_fd = None
+        if server.watcher is not None and isinstance(stream, trio.SocketStream):
+            self._watched_fd = stream.socket.fileno()
+            server.watcher.add(self._watched_fd, self._handle_disconnect)
+        self._holding = self._memory.open(
+            server.options.source, self._scope.cancel, trio.current_time()
+        )
 
     async def run(self):
+        if self._holding is None:
+            with trio.move_on_after(REFUSAL_TIMEOUT_S):
+                await self._send_error(_build_no_room_error(), lingers=False)
+            return
+        with self._scope:
+            await self._serve_requests()
+        if self._holding.is_refused:
+            with trio.move_on_after(LINGER_TIMEOUT_S):
+                await self._send_error(_build_no_room_error())
+        elif self._holding.is_closing:
+            self._reset_on_close()
+
+    def close(self):
+        """Give up what the connection holds; the stream is closed afterwards."""
+        if self._watched_fd is not None:
+            self._server.watcher.remove(self._watched_fd)
+        if self._holding is not None:
+            self._memory.release(self._holding)
+
+    async def _serve_requests(self):
         try:
             while await self._serve_request():
                 self._h11.start_next_cycle()
@@ -204,42 +336,58 @@
             await self._send_error(self._convert_protocol_error(error))
         except BadRequestError as error:
             await self._send_error(error)
+        except _ClosingError:
+            pass  # `run` sends the refusal, or closes the connection.
+        except _StalledError:
+            self._memory.record_stall()
+            self._reset_on_close()
 
     async def _serve_request(self):
         """Serve one request; return whether the connection can carry another."""
         request = await self._read_request()
         if request is None:
             return False
+        is_head = request.method == "HEAD"
+        size = len(request.body) * BODY_COPIES + self._count_buffered_bytes()
+        self._enter(Phase.RUNNING, size)
         response = await self._run_handler(request)
+        # The body is not needed any more, and sending may take long.
+        del request
         if response is None:
             return False
-        await self._send(response, is_head=request.method == "HEAD")
+        await self._send(response, is_head)
         return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
 
     async def _read_request(self):
+        self._read_bytes = self._count_buffered_bytes()
+        self._pauses_left = MAX_PAUSES
         event = self._h11.next_event()
         if event is h11.NEED_DATA:
-            if not await self._wait_for_data():
+            if not self._read_bytes and not await self._wait_for_data():
                 return None
             event = None
+        self._enter(Phase.READING, self._read_bytes)
         with trio.move_on_after(self._server.options.request_timeout_s):
             return await self._read_message(event)
-        raise _build_request_error(408, "the request was not received in time")
+        raise build_request_error(408, "the request was not received in time")
 
     async def _wait_for_data(self):
         """Wait for data on an idle connection; return False on a timeout or EOF."""
         server = self._server
         data = b""
+        if not self._is_unused:
+            self._enter(Phase.IDLE, 0)
         with trio.move_on_after(server.options.idle_timeout_s) as self._idle_scope:
             server.idle_connections.add(self)
             try:
                 if server.is_closing:
                     self.shorten_idle_timeout()
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._stream.receive_some(HEAD_RECEIVE_BYTES)
             finally:
                 server.idle_connections.discard(self)
         self._is_unused = False
         if data:
+            self._read_bytes = len(data)
             self._h11.receive_data(data)
         return bool(data)
 
@@ -249,6 +397,26 @@
         scope = self._idle_scope
         scope.deadline = min(scope.deadline, trio.current_time() + wait_s)
 
+    def _enter(self, phase, size):
+        """Change the phase; raises `_ClosingError` if there is no room for `size`."""
+        if not self._memory.enter(self._holding, phase, size, trio.current_time()):
+            raise _ClosingError
+
+    def _count_buffered_bytes(self):
+        return len(self._h11.trailing_data[0])
+
+    async def _receive(self, max_bytes):
+        """Read bytes of a request, once there is room for them."""
+        holding = self._holding
+        while self._pauses_left and self._memory.must_pause(holding):
+            self._pauses_left -= 1
+            await trio.sleep(PAUSE_S)
+        data = await self._stream.receive_some(max_bytes)
+        self._h11.receive_data(data)
+        self._read_bytes += len(data)
+        if not self._memory.resize(holding, self._read_bytes, trio.current_time()):
+            raise _ClosingError
+
     async def _read_message(self, event):
         event = event or await self._next_event()
         if type(event) is h11.ConnectionClosed:
@@ -256,22 +424,29 @@
         self._check_headers(event)
         if self._h11.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
-            await self._stream.send_all(self._h11.send(reply))
-        return _build_request(event, await self._read_body())
+            await self._send_bytes(self._h11.send(reply))
+        return build_request(event, await self._read_body(_get_length(event)))
 
-    async def _read_body(self):
+    async def _read_body(self, length):
         body = BodyCollector()
         try:
-            while type(event := await self._next_event()) is h11.Data:
+            while type(event := await self._next_event(length, body.size)) is h11.Data:
                 await body.append(event)
                 self._check_body_size(body.size)
         except ProtocolError as error:
-            raise _build_request_error(400, str(error)) from error
+            raise build_request_error(400, str(error)) from error
         return body.join()
 
-    async def _next_event(self):
+    async def _next_event(self, length=None, size=0):
+        """Return the next event of the request.
+
+        Of a body with a stated length, nothing beyond its end is read.
+        """
         while (event := self._h11.next_event()) is h11.NEED_DATA:
-            self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            if length is None:
+                await self._receive(HEAD_RECEIVE_BYTES)
+            else:
+                await self._receive(min(max(length - size, 1), RECEIVE_BYTES))
         return event
 
     def _check_headers(self, event):
@@ -286,28 +461,34 @@
     def _check_body_size(self, size):
         limit = self._server.options.max_body_bytes
         if size > limit:
-            raise _build_request_error(413, f"the body exceeds {limit} bytes")
+            raise build_request_error(413, f"the body exceeds {limit} bytes")
 
     def _convert_protocol_error(self, error):
         status = error.error_status_hint
         if status == 431:
             return self._build_header_size_error()
-        return _build_request_error(status, f"the request breaks HTTP: {error}")
+        return build_request_error(status, f"the request breaks HTTP: {error}")
 
     def _build_header_size_error(self):
         limit = self._server.options.max_header_bytes
-        return _build_request_error(431, f"the headers exceed {limit} bytes")
+        return build_request_error(431, f"the headers exceed {limit} bytes")
 
     async def _run_handler(self, request):
-        if not self._server.options.cancel_on_disconnect:
+        if self._server.watcher is None:
             return await self._call_handler(request)
         response = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
+        with trio.CancelScope() as self._handler_scope:
+            if self._is_disconnected:
+                self._handler_scope.cancel()
             response = await self._call_handler(request)
-            nursery.cancel_scope.cancel()
+        self._handler_scope = None
         return response
 
+    def _handle_disconnect(self):
+        self._is_disconnected = True
+        if self._handler_scope is not None:
+            self._handler_scope.cancel()
+
     async def _call_handler(self, request):
         try:
             return await self._server.handler(request)
@@ -317,38 +498,50 @@
             logger.exception("handler of %s %s failed", request.method, request.path)
             return build_error_response(TarragonchuteError("internal error"))
 
-    async def _cancel_on_disconnect(self, scope):
-        size = 0
-        while size < MAX_PIPELINED_BYTES:
-            try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-            except trio.BrokenResourceError:
-                data = b""
-            if not data:
-                scope.cancel()
-                return
-            self._h11.receive_data(data)
-            size += len(data)
-
     async def _send(self, response, is_head=False):
         headers = response.list_header_lines()
         headers.append(("Content-Length", str(len(response.body))))
         if self._server.is_draining:
             headers.append(("Connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        parts = [self._h11.send(head)]
+        parts = [
+            self._h11.send(h11.Response(status_code=response.status, headers=headers))
+        ]
         if response.body and not is_head:
             parts.append(self._h11.send(h11.Data(data=response.body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
-        await self._stream.send_all(b"".join(parts))
-
-    async def _send_error(self, error):
+        size = sum(map(len, parts))
+        buffered = self._count_buffered_bytes()
+        if self._holding is not None and not self._holding.is_closing:
+            self._enter(Phase.SENDING, size + buffered)
+        if size <= SEND_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            await self._send_bytes(part)
+
+    async def _send_bytes(self, data):
+        view = memoryview(data)
+        for start in range(0, len(view), SEND_BYTES):
+            with trio.move_on_after(self._server.options.send_timeout_s) as scope:
+                await self._stream.send_all(view[start : start + SEND_BYTES])
+            if scope.cancelled_caught:
+                raise _StalledError
+            if self._holding:
+                self._memory.record_progress(self._holding, trio.current_time())
+
+    async def _send_error(self, error, lingers=True):
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         response = build_error_response(error)
         response.headers["Connection"] = "close"
         await self._send(response)
-        await self._linger()
+        if lingers:
+            await self._linger()
+
+    def _reset_on_close(self):
+        if isinstance(self._stream, trio.SocketStream):
+            self._stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
 
     async def _linger(self):
         """Discard incoming data until the client closes or `LINGER_TIMEOUT_S` passes.
@@ -363,38 +556,15 @@
                 pass
 
 
-def _close_listener(listener):
-    """Close a listener and return streams for the connections in its backlog.
-
-    Closing a listening socket resets the connections that have not been accepted, so
-    they are accepted first. No checkpoint may occur between the last accept and the
-    close, because another connection could arrive meanwhile.
-    """
-    streams = []
-    with socket.socket(fileno=os.dup(listener.socket.fileno())) as backlog:
-        backlog.setblocking(False)
-        with contextlib.suppress(OSError):
-            while True:
-                accepted = trio.socket.from_stdlib_socket(backlog.accept()[0])
-                streams.append(trio.SocketStream(accepted))
-        listener.socket.close()
-    return streams
-
-
-def _build_request_error(status, message):
-    error = BadRequestError(message)
-    error.status = status
+def _build_no_room_error():
+    error = OverloadedError("no room for the request, which has not run")
+    error.retry_after_s = RETRY_AFTER_S * random.uniform(0.5, 1.5)
     return error
 
 
-def _build_request(event, body):
-    path, _, query = event.target.decode("ascii").partition("?")
-    return HttpRequest(
-        event.method.decode("ascii"),
-        unquote(path),
-        dict(parse_qsl(query, keep_blank_values=True)) if query else {},
-        decode_headers(event.headers),
-        body,
-        event.target,
-        list(event.headers),
-    )
+def _get_length(event):
+    """Return the stated length of a request's body, or None if it is chunked."""
+    headers = dict(event.headers)
+    if b"transfer-encoding" in headers:
+        return None
+    return int(headers.get(b"content-length", 0))
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -166,7 +166,7 @@
 
 
 async def _run(settings, file, stream):
-    options = build_server_options(settings.stop_grace_s)
+    options = build_server_options(settings)
     gateway = Gateway(settings, HEADER_NAMES, options)
     gateway.count_dropped_lines = lambda: stream.dropped
     store = PlatformStore(settings.store_address)
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -4,6 +4,7 @@
 
 from ..errors import Finding, FindingsError
 from ..gateway import GatewaySettings
+from ..memory import DEFAULT_MEMORY_MB
 
 
 def load_settings(path):
@@ -56,6 +57,8 @@
         * read("limits", "cpu-cores", number, 1),
         link_mbps=read("limits", "link-mbps", number, 1000.0),
         max_descriptors=read("limits", "max-fds", int, 1024),
+        # Memory of this VM in units of 1,000,000 bytes; callers get a part of it.
+        memory_mb=read("limits", "memory-mb", number, DEFAULT_MEMORY_MB),
         # Time from SIGTERM to SIGKILL.
         stop_grace_s=read("bounds", "grace-s", number, 6),
         retry_share=read("bounds", "retry-ratio", number, 0.1),
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -10,6 +10,7 @@
 from .errors import PortInUseError
 from .exchanges import SWEEP_PERIOD_S
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
+from .memory import MemoryAccount, MemoryLimits, Source
 from .timers import TimerService
 
 logger = logging.getLogger(__name__)
@@ -34,10 +35,23 @@
 """Delay before a background task that raised an unexpected error runs again."""
 
 
-def build_server_options(stop_grace_s):
-    """Return the options of the HTTP server for callers."""
+MEMORY_CHECK_PERIOD_S = 1.0
+"""Period at which the descriptors of targets are counted, and refused or closed callers
+are logged."""
+
+
+def build_server_options(settings):
+    """Return the options of the HTTP server for callers.
+
+    Parameters
+    ----------
+    settings : gateway.GatewaySettings
+    """
+    limits = MemoryLimits(settings.memory_mb, settings.max_descriptors)
     return ServerOptions(
-        cancel_on_disconnect=True, accept_grace_s=stop_grace_s * DRAIN_ACCEPT_FRACTION
+        cancel_on_disconnect=True,
+        accept_grace_s=settings.stop_grace_s * DRAIN_ACCEPT_FRACTION,
+        memory=MemoryAccount(limits),
     )
 
 
@@ -48,7 +62,8 @@
     ----------
     gateway : gateway.Gateway
     server_options : httpio.ServerOptions
-        Options of the server for callers; the gateway adjusts them.
+        Options of the server for callers; the gateway adjusts them. Its account of
+        the memory is used for all servers and channels.
     tasks : list
         Objects with an async `run` method, started before the listeners.
     peer_handler : callable
@@ -87,6 +102,7 @@
         gateway.shard_server.get_pause_s = timers.get_pause_s
         timers.subscribe("sweep", SWEEP_PERIOD_S, gateway.sweep)
         timers.subscribe("settings", SETTINGS_CHECK_PERIOD_S, self._check_settings)
+        timers.subscribe("memory", MEMORY_CHECK_PERIOD_S, self._check_memory)
         async with trio.open_nursery() as nursery:
             self._scope = nursery.cancel_scope
             nursery.start_soon(self._handle_signals)
@@ -116,7 +132,8 @@
 
     async def _listen(self, nursery, address, handler):
         listeners = await bind_listeners(address)
-        nursery.start_soon(serve_http, handler, listeners)
+        options = ServerOptions(memory=self._options.memory, source=Source.INTERNAL)
+        nursery.start_soon(serve_http, handler, listeners, options)
 
     async def _listen_for_metrics(self, nursery):
         address = f"{self._gateway.settings.host}:{METRICS_PORT}"
@@ -155,6 +172,16 @@
     def _check_settings(self, _now):
         self._reload_settings()
 
+    def _check_memory(self, _now):
+        memory = self._options.memory
+        memory.other_descriptors = self._gateway.count_target_connections()
+        events = memory.list_new_events()
+        if events:
+            fields = {"held_bytes": memory.held_bytes, **events}
+            logger.warning(
+                "refused or closed connections for lack of room", extra=fields
+            )
+
 
 async def run_supervised(run):
     """Run a background task, and again after an unexpected error.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -30,6 +30,7 @@
         peers=(),
         store_address="127.0.0.1:4",
         max_descriptors=100,
+        memory_mb=160,
         stop_grace_s=3.0,
         retry_share=0.2,
         retry_window_s=10.0,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -37,7 +37,7 @@
 
         self.patch(process, "bind_listeners", bind)
         settings = build_settings()
-        options = build_server_options(settings.stop_grace_s)
+        options = build_server_options(settings)
         gateway = Gateway(settings, HEADER_NAMES, options)
         self.addCleanup(gateway.reactor.close)
         gateway_process = GatewayProcess(
