--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -55,8 +55,8 @@
 send a late second copy of a reply, but not an endless series."""
 
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""Bytes of incomplete replies that all connections may hold together. The smallest VMs
-have 160 MB of memory."""
+"""Bytes of incomplete replies that all connections may hold together, unless
+`memory.MemoryLimits` states less."""
 
 SWEEP_PERIOD_S = 0.05
 """Interval between calls of `Gateway.sweep`, and so between the checks for connect
@@ -657,9 +657,12 @@
     pools : set of TargetPool
     disconnected_pools : collections.deque of TargetPool
         Pools without a connection that should reconnect before their next exchange.
+    max_buffered_bytes : int
+        Limit of the incomplete replies on all connections.
     """
 
     __slots__ = (
+        "max_buffered_bytes",
         "_pools_to_sweep",
         "_next_idle_sweep_at",
         "_buffered_bytes",
@@ -673,6 +676,7 @@
         self.reply_id_field = reply_id_field
         self._pools_to_sweep = {}
         self._next_idle_sweep_at = 0.0
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
         # Bytes of the incomplete reply on each connection that has received any.
         self._buffered_bytes = {}
         self.pools = set()
@@ -700,11 +704,11 @@
     def record_buffered_bytes(self, connection, now):
         """Update the size of a connection's incomplete reply.
 
-        If all incomplete replies together exceed `MAX_BUFFERED_BYTES`, the exchanges
+        If all incomplete replies together exceed `max_buffered_bytes`, the exchanges
         with the largest ones fail.
         """
         self._buffered_bytes[connection] = connection.reader.buffered_bytes
-        while sum(self._buffered_bytes.values()) > MAX_BUFFERED_BYTES:
+        while sum(self._buffered_bytes.values()) > self.max_buffered_bytes:
             largest = max(self._buffered_bytes, key=self._buffered_bytes.get)
             largest.pool.abort_connection(
                 largest, "incomplete replies exceed the memory limit", now
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -29,8 +29,10 @@
     CONFIGURATION_VERSION,
     CONNECTIONS,
     DELEGATES,
+    HELD_BYTES,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
+    OPENED_CONNECTIONS,
     PAUSED_TARGETS,
     SUBSEARCHES,
     TARGETS,
@@ -38,6 +40,7 @@
     GatewayMetrics,
 )
 from .leaders import estimate_rate, hash_to_fraction
+from .memory import Source
 from .notices import NoticeReader
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
@@ -194,6 +197,9 @@
         self._reply_times = {}
         self._service_choices = {}
         self.reactor = exchanges.TargetReactor(header_names.lowercase.request_id)
+        self._memory = server_options.memory
+        if self._memory is not None:
+            self.reactor.max_buffered_bytes = self._memory.limits.reply_bytes
         self.chooser = replicas.ReplicaChooser(
             settings.domain, self._try_reserve_cold_request, self._random
         )
@@ -554,4 +560,17 @@
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
+            *self._list_memory_gauges(),
+        ]
+
+    def _list_memory_gauges(self):
+        memory = self._memory
+        if memory is None:
+            return []
+        return [
+            (HELD_BYTES, (), memory.held_bytes),
+            *(
+                (OPENED_CONNECTIONS, (source.value,), memory.count_connections(source))
+                for source in Source
+            ),
         ]
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -79,6 +79,23 @@
     MetricKind.GAUGE,
     "Log lines dropped because their reader is slow, since the start.",
 )
+HELD_BYTES = MetricSpec(
+    "gateway_held_bytes",
+    MetricKind.GAUGE,
+    "Bytes read and not yet answered, and of answers not yet taken.",
+)
+OPENED_CONNECTIONS = MetricSpec(
+    "gateway_opened_connections",
+    MetricKind.GAUGE,
+    "Open connections that callers or other VMs have opened.",
+    ("source",),
+)
+MEMORY_EVENTS = MetricSpec(
+    "gateway_memory_events_total",
+    MetricKind.COUNTER,
+    "Connections and requests that were refused or closed for lack of room.",
+    ("kind",),
+)
 
 SPECS = (
     REQUEST_DURATION,
@@ -92,6 +109,9 @@
     PAUSED_TARGETS,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
+    HELD_BYTES,
+    OPENED_CONNECTIONS,
+    MEMORY_EVENTS,
     ATTEMPTS,
     STORE_CALLS,
     CPU_SECONDS,
--- a/tarragonchute/memory.py
+++ b/tarragonchute/memory.py
@@ -24,7 +24,7 @@
 """Assumed if the settings state less than `BASE_BYTES` and this. With less, a single
 request of the largest size and its answer would not fit."""
 
-HELD_SHARE = 0.4
+HELD_SHARE = 0.3
 CONNECTION_SHARE = 0.3
 REPLY_SHARE = 0.15
 """Parts of the memory above `BASE_BYTES`: bytes held for callers; connections with
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -13,7 +13,11 @@
 from ..logs import NonBlockingStream, configure_logging
 from ..otherwatchers import OtherWatchers
 from ..peers import PeerServer, PeerSnapshots, RelayChooser
-from ..process import GatewayProcess, build_server_options
+from ..process import (
+    GatewayProcess,
+    build_server_options,
+    fix_allocation_threshold,
+)
 from ..store import InstrumentedStore
 from ..storewatcher import StoreUpdateHandler, StoreWatcher
 from .decoding import (
@@ -159,6 +163,7 @@
     except FindingsError as error:
         print(error, file=sys.stderr)
         return 2
+    fix_allocation_threshold()
     stream = NonBlockingStream(1)
     configure_logging("json", "info", settings.vm_id, stream)
     trio.run(_run, settings, file, stream, clock=BootTimeClock())
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -1,5 +1,6 @@
 """Runs a gateway process: listeners, timers, signals and shutdown."""
 
+import ctypes
 import gc
 import logging
 import signal
@@ -9,6 +10,7 @@
 from .channels import ChannelListener
 from .errors import PortInUseError
 from .exchanges import SWEEP_PERIOD_S
+from .gatewaymetrics import MEMORY_EVENTS
 from .httpio import HttpResponse, ServerOptions, bind_listeners, serve_http
 from .memory import MemoryAccount, MemoryLimits, Source
 from .timers import TimerService
@@ -25,6 +27,13 @@
 ANSWER_MARGIN_S = 0.2
 """Time before the exit at which requests that are still in flight are answered."""
 
+_M_MMAP_THRESHOLD = -3
+MMAP_THRESHOLD_BYTES = 128 * 1024
+"""Size from which blocks are mapped apart and returned to the machine when freed. This
+is the value at the start of the C library, which otherwise raises it with each block
+freed; bodies and answers then leave gaps in the heap. Measured with 40 callers who do
+not read answers of 4 MB: 66 MB in place of 84 MB."""
+
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 
@@ -176,6 +185,8 @@
         memory = self._options.memory
         memory.other_descriptors = self._gateway.count_target_connections()
         events = memory.list_new_events()
+        for kind, count in events.items():
+            self._gateway.metrics.count(MEMORY_EVENTS, (kind,), count)
         if events:
             fields = {"held_bytes": memory.held_bytes, **events}
             logger.warning(
@@ -183,6 +194,13 @@
             )
 
 
+def fix_allocation_threshold():
+    """Keep the C library's threshold at `MMAP_THRESHOLD_BYTES`, if it has one."""
+    library = ctypes.CDLL(None)
+    if hasattr(library, "mallopt"):
+        library.mallopt(_M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
+
+
 async def run_supervised(run):
     """Run a background task, and again after an unexpected error.
 
