--- a/tarragonchute/memory.py
+++ b/tarragonchute/memory.py
@@ -212,6 +212,8 @@
     (Phase.SENDING, MIN_INACTIVE_S),
     (Phase.IDLE, MIN_INACTIVE_S),
 )
+# Channels of other VMs are idle for long, and requests wait for their answers there.
+_CHANNELS_CLOSED_FOR_NEW = _CLOSED_FOR_NEW[:2]
 
 CONNECTION_REFUSED = "connection_refused"
 CONNECTION_CLOSED = "connection_closed"
@@ -352,6 +354,22 @@
             largest.close()
         return True
 
+    def reserve(self, size):
+        """Hold bytes for a request that has no connection; return False if refused."""
+        if self.held_bytes + size > self.limits.held_bytes * LARGE_FRACTION:
+            self.events[REQUEST_REFUSED] += 1
+            return False
+        self.held_bytes += size
+        return True
+
+    def cancel_reservation(self, size):
+        """Stop holding the bytes of `reserve`."""
+        self.held_bytes -= size
+
+    def list_holdings(self, source, phase):
+        """Return the holdings of a phase, the one longest in it first."""
+        return list(self._by_phase[source][phase])
+
     def record_progress(self, holding, now):
         """Record that the caller has taken bytes of its answer."""
         holding.progressed_at = now
@@ -392,7 +410,9 @@
         return max(candidates, key=weigh)
 
     def _close_inactive(self, source, now):
-        for phase, min_inactive_s in _CLOSED_FOR_NEW:
+        is_channel = source is Source.CHANNEL
+        order = _CHANNELS_CLOSED_FOR_NEW if is_channel else _CLOSED_FOR_NEW
+        for phase, min_inactive_s in order:
             holding = self._find_inactive(source, phase, now - min_inactive_s)
             if holding is not None:
                 self.events[CONNECTION_CLOSED] += 1
