Bound channels and subsearches of other VMs in the same account

Frames that never end, answers that another VM does not read, and subsearches without limit could fill the memory of a VM. A refused subsearch names its shards as not asked, so that they go elsewhere.

--- a/tarragonchute/channels.py
+++ b/tarragonchute/channels.py
@@ -10,9 +10,12 @@
 import socket
 from typing import Protocol
 
+import trio
+
 from .errors import ProtocolError
 from .frames import FrameReader, encode_frame
 from .httpio import KeepAlive, split_address
+from .memory import Phase, Source
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +63,8 @@
     owner : ChannelOwner
     is_connecting : bool
         Whether the connection is not established yet; frames are buffered until it is.
+    memory : memory.MemoryAccount or None
+        Account in which a channel of another VM holds its buffered bytes.
     """
 
     __slots__ = (
@@ -71,9 +76,11 @@
         "_is_connecting",
         "_reader",
         "_unsent",
+        "_memory",
+        "_holding",
     )
 
-    def __init__(self, reactor, sock, owner, is_connecting):
+    def __init__(self, reactor, sock, owner, is_connecting, memory=None):
         self.fd = sock.fileno()
         self.is_closed = False
         self._reactor = reactor
@@ -82,8 +89,23 @@
         self._is_connecting = is_connecting
         self._reader = FrameReader()
         self._unsent = bytearray()
+        self._memory = memory
+        self._holding = None
         reactor.add(self, select.EPOLLOUT if is_connecting else select.EPOLLIN)
 
+    @classmethod
+    def accept(cls, reactor, sock, owner, memory, now):
+        """Return a channel on an accepted socket, or None if the account refuses it."""
+        channel = cls(reactor, sock, owner, is_connecting=False, memory=memory)
+        if memory is not None:
+            channel._holding = memory.open(
+                Source.CHANNEL, channel._close_for_memory, now
+            )
+            if channel._holding is None:
+                channel.close()
+                return None
+        return channel
+
     @classmethod
     def open(cls, reactor, address, owner):
         """Start connecting to ``host:port`` and return the channel.
@@ -125,6 +147,8 @@
             self.is_closed = True
             self._reactor.remove(self)
             self._sock.close()
+            if self._holding is not None:
+                self._memory.release(self._holding)
 
     def handle_event(self, events, now):
         """See `reactor.EventHandler`."""
@@ -162,6 +186,7 @@
         del self._unsent[:sent]
         events = select.EPOLLIN | (select.EPOLLOUT if self._unsent else 0)
         self._reactor.set_events(self, events)
+        self._update_held_bytes(now)
 
     def _receive(self, now):
         try:
@@ -178,9 +203,29 @@
         except ProtocolError as error:
             self._close_and_notify(str(error), now)
             return
-        if payloads:
+        self._update_held_bytes(now)
+        if payloads and not self.is_closed:
             self._owner.handle_frames(self, payloads, now)
 
+    def _update_held_bytes(self, now):
+        """Hold the bytes of unsent frames and of a frame that is not complete."""
+        holding = self._holding
+        if holding is None:
+            return
+        size = len(self._unsent) + self._reader.buffered_bytes
+        phase = Phase.IDLE
+        if size:
+            phase = Phase.SENDING if self._unsent else Phase.READING
+        if phase is not holding.phase:
+            is_kept = self._memory.enter(holding, phase, size, now)
+        else:
+            is_kept = size == holding.size or self._memory.resize(holding, size, now)
+        if not is_kept and not self.is_closed:
+            self._close_for_memory()
+
+    def _close_for_memory(self):
+        self._close_and_notify("no room for its buffered bytes", trio.current_time())
+
     def _close_and_notify(self, reason, now):
         self.close()
         self._owner.handle_close(self, reason, now)
@@ -196,6 +241,8 @@
         ``host:port``.
     owner : ChannelOwner
         Owner of all accepted channels.
+    memory : memory.MemoryAccount or None
+        Bounds the number of accepted channels and the bytes buffered for them.
 
     Raises
     ------
@@ -203,9 +250,18 @@
         If the socket cannot be bound to the address.
     """
 
-    __slots__ = ("fd", "is_closed", "address", "_reactor", "_sock", "_owner")
+    __slots__ = (
+        "fd",
+        "is_closed",
+        "address",
+        "_reactor",
+        "_sock",
+        "_owner",
+        "_memory",
+    )
 
-    def __init__(self, reactor, address, owner):
+    def __init__(self, reactor, address, owner, memory=None):
+        self._memory = memory
         self._sock = socket.create_server(
             split_address(address), backlog=LISTEN_BACKLOG
         )
@@ -229,7 +285,7 @@
                 logger.warning("cannot accept a connection from another VM: %s", error)
                 return
             _set_options(sock)
-            Channel(self._reactor, sock, self._owner, is_connecting=False)
+            Channel.accept(self._reactor, sock, self._owner, self._memory, now)
 
     def abort(self, reason, now):
         """See `reactor.EventHandler`; an error on one channel ends no other."""
--- a/tarragonchute/disconnects.py
+++ b/tarragonchute/disconnects.py
@@ -1,6 +1,8 @@
 """Notices that callers close their connections, without reading from these.
 
 Reading would notice it too, but only after all bytes that the caller has sent ahead.
+Bytes sent ahead that exceed the buffers of the kernel still hide a close, because they
+arrive before it.
 """
 
 import select
@@ -34,10 +36,13 @@
 
     async def run(self):
         """Watch until cancelled."""
-        with self._epoll:
-            while True:
-                await trio.lowlevel.wait_readable(self._epoll.fileno())
-                for fd, _ in self._epoll.poll(0):
-                    callback = self._callbacks.pop(fd, None)
-                    if callback is not None:
-                        callback()
+        while True:
+            await trio.lowlevel.wait_readable(self._epoll.fileno())
+            for fd, _ in self._epoll.poll(0):
+                callback = self._callbacks.pop(fd, None)
+                if callback is not None:
+                    callback()
+
+    def close(self):
+        """Close the epoll set, after all sockets were removed."""
+        self._epoll.close()
--- a/tarragonchute/frames.py
+++ b/tarragonchute/frames.py
@@ -31,6 +31,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self):
+        """Number of bytes held of a frame that is not complete yet."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Append received bytes and return the payloads of the completed frames.
 
--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -154,13 +154,20 @@
         response to the last request in flight has been sent.
     """
     server = _Server(handler, options or ServerOptions())
+    try:
+        await _run_server(server, listeners, shutdown)
+    finally:
+        if server.watcher is not None:
+            server.watcher.close()
+
+
+async def _run_server(server, listeners, shutdown):
     async with trio.open_nursery() as nursery:
-        for listener in listeners:
-            server.limit_kernel_buffers(listener)
+        if server.watcher is not None:
+            nursery.start_soon(server.watcher.run)
         async with trio.open_nursery() as connections:
-            if server.watcher is not None:
-                nursery.start_soon(server.watcher.run)
             for listener in listeners:
+                server.limit_kernel_buffers(listener)
                 connections.start_soon(server.accept, listener, connections)
             if shutdown is not None:
                 await shutdown.wait()
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -109,6 +109,7 @@
         logger.info("started", extra={"domain": settings.domain})
         timers = TimerService(trio.current_time())
         gateway.shard_server.get_pause_s = timers.get_pause_s
+        gateway.shard_server.memory = self._options.memory
         timers.subscribe("sweep", SWEEP_PERIOD_S, gateway.sweep)
         timers.subscribe("settings", SETTINGS_CHECK_PERIOD_S, self._check_settings)
         timers.subscribe("memory", MEMORY_CHECK_PERIOD_S, self._check_memory)
@@ -126,8 +127,12 @@
             await self._listen(nursery, settings.ready_address, self._serve_probe)
             await self._listen(nursery, settings.peer_address, self._peer_handler)
             if settings.search_address:
-                address = settings.search_address
-                ChannelListener(gateway.reactor, address, gateway.shard_server)
+                ChannelListener(
+                    gateway.reactor,
+                    settings.search_address,
+                    gateway.shard_server,
+                    self._options.memory,
+                )
             await self._listen_for_metrics(nursery)
             # Objects created at start-up live as long as the process, so the garbage
             # collector need not traverse them again.
--- a/tarragonchute/shardserver.py
+++ b/tarragonchute/shardserver.py
@@ -20,6 +20,13 @@
 logger = logging.getLogger(__name__)
 request_logger = logging.getLogger("tarragonchute.decisions")
 
+SUBSEARCH_BYTES = 32 * 1024
+"""Memory assumed for a subsearch in progress: its task, and a request and a reply of
+some hundred bytes for each of a dozen shards. Estimated, not measured."""
+
+BODY_COPIES = 2
+"""The body is held as received, and as sent to targets."""
+
 
 class _RunningSubsearch:
     """A subsearch in progress and the cancel scope of its task."""
@@ -49,6 +56,8 @@
     get_pause_s : callable
         Called with the time; returns for how long this process was just paused, in
         seconds.
+    memory : memory.MemoryAccount or None
+        Account in which the subsearches hold their bytes.
     """
 
     def __init__(self, vm_id, context, find_reply_times, record_end):
@@ -57,6 +66,7 @@
         self._find_reply_times = find_reply_times
         self._record_end = record_end
         self.get_pause_s = lambda now: 0.0
+        self.memory = None
         # Channels whose `Hello` was answered, and those on which it is to be answered.
         self._answered_channels = set()
         self._waiting_channels = set()
@@ -155,14 +165,26 @@
             reason = "the time limit had passed"
             report(SubsearchAnswer(subsearch.number, True, False, [], b"", [reason]))
             return
+        size = SUBSEARCH_BYTES + len(subsearch.outgoing.body) * BODY_COPIES
+        if self.memory is not None and not self.memory.reserve(size):
+            # The other VM sends the shards elsewhere, because they were not asked.
+            reasons, services = ["no room for a subsearch"], subsearch.services
+            report(
+                SubsearchAnswer(
+                    subsearch.number, True, False, [], b"", reasons, services
+                )
+            )
+            return
         channel.send(Acknowledgement(subsearch.number).encode(), now)
         times = self._find_reply_times(subsearch.route_name, subsearch.goal_s)
         query = DelegatedQuery(subsearch, self._context, times, report, now)
         running = _RunningSubsearch(query, trio.CancelScope())
         self._running.setdefault(channel, {})[subsearch.number] = running
-        self._nursery.start_soon(self._search, channel, subsearch, running, report, now)
+        self._nursery.start_soon(
+            self._search, channel, subsearch, running, report, size, now
+        )
 
-    async def _search(self, channel, subsearch, running, report, now):
+    async def _search(self, channel, subsearch, running, report, size, now):
         query = running.query
         outcome = "cancelled"
         try:
@@ -179,6 +201,8 @@
             report(SubsearchAnswer(subsearch.number, True, True, [], b"", [outcome]))
         finally:
             self._remove_running(channel, subsearch.number)
+            if self.memory is not None:
+                self.memory.cancel_reservation(size)
             self._record_end(query)
             self._log_end(query, subsearch, outcome, now)
 
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -8,6 +8,7 @@
 import trio.lowlevel
 
 from tarragonchute.channels import MAX_UNSENT_BYTES, Channel, ChannelListener
+from tarragonchute.memory import MemoryAccount, MemoryLimits, Source
 from tarragonchute.reactor import Reactor
 from tools.ports import PortReservations
 
@@ -108,6 +109,35 @@
                     ["the peer does not read from the connection"], client.closes
                 )
 
+    @run_async
+    async def test_channels_of_other_vms_are_bounded(self):
+        """Guards against frames that never end and fill the memory of a VM.
+
+        The largest is closed at the limit of the bytes, and a channel beyond the limit
+        of the number is closed at once.
+        """
+        limits = MemoryLimits(160, 1024)
+        limits.held_bytes, limits.channels = 1_000_000, 2
+        memory = MemoryAccount(limits)
+        async with open_reactor() as reactor:
+            server = RecordingOwner()
+            listener = ChannelListener(reactor, ANY_PORT, server, memory)
+            host, port = listener.address.split(":")
+            streams = [await trio.open_tcp_stream(host, int(port)) for _ in range(3)]
+            with trio.fail_after(5):
+                self.assertEqual(b"", await streams[2].receive_some(1))
+            for stream, size in zip(streams, (600_000, 300_000), strict=False):
+                await stream.send_all((8_000_000).to_bytes(4, "big") + bytes(size))
+            await wait_for(lambda: server.closes)
+            self.assertEqual(["no room for its buffered bytes"], server.closes)
+            await wait_for(lambda: memory.held_bytes == 300_004)
+            await streams[1].aclose()
+            await wait_for(lambda: memory.held_bytes == 0)
+            self.assertEqual(0, memory.count_connections(Source.CHANNEL))
+            for stream in streams:
+                await stream.aclose()
+            listener.close()
+
     @run_async
     async def test_oversized_length_prefix_closes_the_channel(self):
         """Guards against buffering a frame whose length prefix is too large."""
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -16,9 +16,10 @@
 )
 from tarragonchute.fleet import VmInfo
 from tarragonchute.leaders import MIN_WIDE_SEARCH_SHARDS
+from tarragonchute.memory import MemoryAccount, MemoryLimits
 from tarragonchute.reactor import Reactor
 from tarragonchute.replicas import ReplyTimes
-from tarragonchute.shardserver import ShardServer
+from tarragonchute.shardserver import SUBSEARCH_BYTES, ShardServer
 from tarragonchute.subsearches import Cancellation, Hello, decode_message
 
 from .test_channels import RecordingOwner, wait_for
@@ -126,6 +127,29 @@
             self.assertEqual({}, vms.delegate.open_subsearches)
             await wait_for(lambda: vms.ended)
 
+    @run_async
+    async def test_subsearch_without_room_is_refused_as_not_asked(self):
+        """Guards against subsearches of other VMs that fill the memory.
+
+        The shards have to go elsewhere; the bytes are free again after the end.
+        """
+        async with open_vms() as vms:
+            await vms.connect()
+            limits = MemoryLimits(160, 1024)
+            limits.held_bytes = SUBSEARCH_BYTES * 2
+            memory = vms.server.memory = MemoryAccount(limits)
+            first, second = vms.delegate_two_shards(), vms.delegate_two_shards()
+            await wait_for(lambda: second.answers)
+            self.assertFalse(second.is_acknowledged)
+            answer = second.answers[-1]
+            self.assertEqual((True, False), (answer.is_final, answer.has_run))
+            self.assertEqual(build_subsearch().services, answer.unasked)
+            self.assertEqual([], first.answers)
+            for exchange in vms.harness.started:
+                vms.harness.reply(exchange, trio.current_time())
+            await wait_for(lambda: vms.ended)
+            self.assertEqual(0, memory.held_bytes)
+
     @run_async
     async def test_vm_without_configuration_is_not_used(self):
         """Guards against delegating shards to a VM that does not know the targets yet.
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import socket
 import time
 
 import testtools
@@ -10,6 +11,12 @@
 from tarragonchute import errors, httpio
 from tarragonchute.exchanges import SWEEP_PERIOD_S
 from tarragonchute.httpio import HttpConnection, HttpResponse, ServerOptions
+from tarragonchute.memory import (
+    ANSWER_NOT_TAKEN,
+    MemoryAccount,
+    MemoryLimits,
+    Source,
+)
 from tools.ports import PortReservations
 
 TEST_TIMEOUT_S = 10
@@ -205,6 +212,93 @@
             connection.close()
             await cancelled.wait()
 
+    @run_async
+    async def test_disconnect_behind_unread_bytes_cancels_the_handler(self):
+        """Guards against a handler that runs on because bytes sent ahead hide the end.
+
+        The bytes sent ahead are not read while the handler runs. The client closes the
+        connection, or only its sending half.
+        """
+        for closes_both in (True, False):
+            started = trio.Event()
+            cancelled = trio.Event()
+
+            async def handle(request, started=started, cancelled=cancelled):
+                started.set()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    cancelled.set()
+
+            memory = MemoryAccount(MemoryLimits(160, 1024))
+            options = ServerOptions(cancel_on_disconnect=True, memory=memory)
+            async with start_server(handle, options) as address:
+                stream = await trio.open_tcp_stream(*httpio.split_address(address))
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                await started.wait()
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 300)
+                await trio.sleep(0.05)
+                self.assertFalse(cancelled.is_set())
+                self.assertEqual(0, memory.held_bytes)
+                if closes_both:
+                    await trio.aclose_forcefully(stream)
+                else:
+                    stream.socket.shutdown(socket.SHUT_WR)
+                await cancelled.wait()
+                await stream.aclose()
+
+    @run_async
+    async def test_answer_that_is_not_taken_ends_its_connection(self):
+        """Guards against answers that are held for a caller who does not read."""
+
+        async def handle(_request):
+            return HttpResponse(200, bytes(8 * 1024 * 1024))
+
+        memory = MemoryAccount(MemoryLimits(160, 1024))
+        options = ServerOptions(memory=memory, send_timeout_s=0.1)
+        async with start_server(handle, options) as address:
+            stream = await trio.open_tcp_stream(*httpio.split_address(address))
+            await stream.send_all(CLOSING_REQUEST)
+            while memory.count_connections(Source.CALLER) or not memory.events:
+                await trio.sleep(0.01)
+            self.assertEqual({ANSWER_NOT_TAKEN: 1}, memory.list_new_events())
+            await stream.aclose()
+
+    @run_async
+    async def test_request_without_room_gets_503(self):
+        """Guards against a request that is refused without the promise of a 503.
+
+        Its body is larger than the account has room for. The connection is closed.
+        """
+        limits = MemoryLimits(160, 1024)
+        limits.held_bytes = 100_000
+        memory = MemoryAccount(limits)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+        options = ServerOptions(memory=memory)
+        async with start_server(echo_request, options) as address:
+            data = await send_raw(address, head + bytes(200_000))
+            self.assertTrue(data.startswith(b"HTTP/1.1 503 "), data)
+            self.assertIn(b"Retry-After: 0.", data)
+            self.assertIn(b"not_run", data)
+            data = await send_raw(address, CLOSING_REQUEST)
+            self.assertTrue(data.startswith(b"HTTP/1.1 200 "), data)
+        self.assertEqual(0, memory.held_bytes)
+
+    @run_async
+    async def test_connections_beyond_the_limit_get_503(self):
+        """Guards against more connections than descriptors."""
+        limits = MemoryLimits(160, 1024)
+        limits.caller_connections = 1
+        options = ServerOptions(memory=MemoryAccount(limits))
+        async with start_server(echo_request, options) as address:
+            first = await HttpConnection.open(address, 1.0)
+            await first.exchange("GET", "/")
+            second = await HttpConnection.open(address, 1.0)
+            self.assertEqual(503, (await second.exchange("GET", "/")).status)
+            self.assertEqual(200, (await first.exchange("GET", "/")).status)
+            first.close()
+            second.close()
+
     @run_async
     async def test_shutdown_finishes_requests_in_flight(self):
         """Guards against a shutdown that aborts requests or waits for idle clients."""
