--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -31,8 +31,10 @@
     CONNECTIONS,
     DELEGATES,
     HELD_ALLOWANCES,
+    HELD_BYTES,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
+    OPENED_CONNECTIONS,
     PAUSED_TARGETS,
     QUEUED_ATTEMPTS,
     SUBSEARCHES,
@@ -42,6 +44,7 @@
 )
 from .grantlinks import build_allowances
 from .leaders import estimate_rate, hash_to_fraction
+from .memory import Source
 from .notices import NoticeReader
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
@@ -99,6 +102,8 @@
     peers : tuple of str
         Peer addresses of some VMs; they may be outdated.
     max_descriptors : int
+    memory_mb : float
+        Memory of this VM, in units of 1,000,000 bytes.
     stop_grace_s : float
         Time between the request to stop and the forced end of the process.
     retry_share : float
@@ -129,6 +134,7 @@
         "peers",
         "store_address",
         "max_descriptors",
+        "memory_mb",
         "stop_grace_s",
         "retry_share",
         "retry_window_s",
@@ -204,6 +210,9 @@
         self._service_choices = {}
         self._queue_policy = QueuePolicy(self.metrics)
         self.reactor = exchanges.TargetReactor(header_names.lowercase.request_id)
+        self._memory = server_options.memory
+        if self._memory is not None:
+            self.reactor.max_buffered_bytes = self._memory.limits.reply_bytes
         self.chooser = replicas.ReplicaChooser(
             settings.domain, self._try_reserve_cold_request, self._random
         )
@@ -595,9 +604,14 @@
         self.metrics.count_subrequests(query.subrequests)
         self.metrics.count(SUBSEARCHES, ())
 
+    def count_target_connections(self):
+        """Return the number of open connections to targets."""
+        return sum(pool.count_connections() for pool in self.reactor.pools)
+
+    def _count_queued(self):
+        return sum(pool.count_queued() for pool in self.reactor.pools)
+
     def _list_gauges(self):
-        pools = self.reactor.pools
-        connections = sum(pool.count_connections() for pool in pools)
         version = self.table.version if self.table else 0
         now = trio.current_time()
         held = self.allowances.count_held(now) if self.allowances else 0
@@ -605,11 +619,24 @@
             (CONFIGURATION_VERSION, (), version),
             (TARGETS, (), len(self.registry)),
             (VMS, (), self._shares.vm_count),
-            (CONNECTIONS, (), connections),
+            (CONNECTIONS, (), self.count_target_connections()),
             (DELEGATES, (), self._delegates.count_usable(now)),
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
-            (QUEUED_ATTEMPTS, (), sum(pool.count_queued() for pool in pools)),
+            (QUEUED_ATTEMPTS, (), self._count_queued()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
             (HELD_ALLOWANCES, (), held),
+            *self._list_memory_gauges(),
+        ]
+
+    def _list_memory_gauges(self):
+        memory = self._memory
+        if memory is None:
+            return []
+        return [
+            (HELD_BYTES, (), memory.held_bytes),
+            *(
+                (OPENED_CONNECTIONS, (source.value,), memory.count_connections(source))
+                for source in Source
+            ),
         ]
