Stand-in: a store with eras that returns to an earlier copy

Store-Era on all answers if an era is set. After a restore, revisions and lease ids are given out again, watches that wait go on waiting, and one from a revision that the store lacks gets 410. Operator and targets can write again what was lost. Without an era nothing changes.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -34,6 +34,9 @@
 LEASE_RENEWAL_PERIOD_S = 1.2
 RENEWALS_PER_LEASE_TTL = 3
 
+RESTORED_WATCH_PERIOD_S = 0.05
+"""Interval at which a watch that waits across a restore looks for changes."""
+
 
 class PlatformStoreServer:
     """Serves the HTTP routes of the platform's store from a `MemoryStore`.
@@ -50,9 +53,16 @@
         connections stay open.
     stale_revision : int or None
         Revision that stale reads return; None for the current one.
+    era : int or None
+        Value of the header ``Store-Era``, which rises with each `restore`; None if the
+        store does not send it.
+    hides_era : bool
+        Whether the header is left out of the answers for now.
     """
 
     def __init__(self):
+        self.era = None
+        self.hides_era = False
         self.store = MemoryStore()
         self.compacted_revision = 0
         self.refuses = False
@@ -63,8 +73,32 @@
         """Drop all changes up to the current revision from the watch history."""
         self.compacted_revision = self.store.revision
 
+    def copy(self):
+        """Return a copy of the content for `restore`."""
+        return self.store.save_backup()
+
+    async def restore(self, copy, away_s=0.0):
+        """Return to an earlier copy, after an outage of some seconds.
+
+        Revisions and lease ids are given out again. Watches that wait go on waiting for
+        a change after their revision.
+        """
+        self.refuses = away_s > 0
+        await trio.sleep(away_s)
+        if self.era is not None:
+            self.era += 1
+        self.store.restore_backup(copy, restarts_leases=True)
+        self.compacted_revision = min(self.compacted_revision, self.store.revision)
+        self.refuses = False
+
     async def handle(self, request):
         """Answer one `HttpRequest`."""
+        response = await self._answer(request)
+        if response is not None and self.era is not None and not self.hides_era:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _answer(self, request):
         if self.refuses:
             return HttpResponse(503)
         try:
@@ -123,14 +157,29 @@
         after = int(query["after"])
         if after < self.compacted_revision:
             return HttpResponse(410)
-        wait_s = int(query["wait-ms"]) / 1000
-        entries, revision = await self.store.watch(query["prefix"], after, wait_s)
+        if self.era is not None and after > self.store.revision:
+            return HttpResponse(410)
+        era = self.era
+        ends_at = trio.current_time() + int(query["wait-ms"]) / 1000
+        entries, revision = await self._wait_for_changes(
+            query["prefix"], after, ends_at
+        )
+        while era != self.era and not entries and trio.current_time() < ends_at:
+            # Restored meanwhile; the store's revision may be lower than `after`.
+            await trio.sleep(RESTORED_WATCH_PERIOD_S)
+            entries, revision = await self._wait_for_changes(
+                query["prefix"], after, ends_at
+            )
         if entries and self.lost_watch_answers:
             self.lost_watch_answers -= 1
             await trio.sleep_forever()
         events = [_encode_event(entry) for entry in entries]
         return HttpResponse.from_json({"events": events, "store-revision": revision})
 
+    async def _wait_for_changes(self, prefix, after, ends_at):
+        wait_s = max(ends_at - trio.current_time(), 0.0)
+        return await self.store.watch(prefix, after, wait_s)
+
     async def _answer_commit(self, body):
         (expected,) = body["expected-rev"]
         if body["deletes"]:
@@ -146,6 +195,42 @@
         return HttpResponse.from_json({"revision": revision})
 
 
+class PlatformOperator:
+    """Writes configurations and evacuations, and those again that the store has lost.
+
+    Parameters
+    ----------
+    store : MemoryStore
+    """
+
+    def __init__(self, store):
+        self._store = store
+        # Latest value and revision of each key that was written.
+        self._written = {}
+
+    async def write(self, key, value):
+        """Write a key, or delete it if the value is None."""
+        entry = await self._store.get(key)
+        expect = 0 if entry is None else entry.revision
+        if value is not None:
+            revision = await self._store.put(key, value, expect)
+        elif entry is not None:
+            revision = await self._store.delete(key, expect)
+        else:
+            revision = self._store.revision
+        self._written[key] = (value, revision)
+
+    async def write_again(self, restored_revision):
+        """Write what was written after the revision of the copy, in the same order."""
+        lost = [
+            (revision, key, value)
+            for key, (value, revision) in self._written.items()
+            if revision > restored_revision
+        ]
+        for _, key, value in sorted(lost, key=lambda item: item[0]):
+            await self.write(key, value)
+
+
 class PlatformTarget:
     """One target of a service.
 
@@ -169,6 +254,10 @@
         Seconds between the start of a request and its rejection.
     extra_headers : dict of str to str
         Headers added to every response, also to failures and refusals.
+    state : str
+        State that it last wrote into its registration.
+    sequence : int
+        Number of its latest registration.
     """
 
     def __init__(self, service, domain):
@@ -182,6 +271,9 @@
         self.refused = []
         self.refusal_delay_s = 0.0
         self.extra_headers = {}
+        self.state = "ready"
+        self.sequence = 1
+        self._lease = None
         self._started_ms = int(trio.current_time() * 1000)
 
     async def handle(self, request):
@@ -223,19 +315,37 @@
             "capacity": 2,
             "state": state,
             "warmup-left-ms": warmup_left_ms,
-            "call-seq": 1,
+            "call-seq": self.sequence,
             "born": self._started_ms,
         }
         return orjson.dumps(body).decode()
 
     async def register(self, store):
         """Register the target under a lease and renew the lease until cancelled."""
-        lease = await store.grant_lease(RENEWALS_PER_LEASE_TTL * LEASE_RENEWAL_PERIOD_S)
-        key = f"servers/{self.target_id}"
-        await store.put(key, self.describe(), 0, lease)
+        await self._write_registration(store, is_new_lease=True)
         while True:
             await trio.sleep(LEASE_RENEWAL_PERIOD_S)
-            await store.renew_lease(lease)
+            try:
+                await store.renew_lease(self._lease)
+            except LeaseNotFoundError:
+                # A restored copy of the store does not have the lease.
+                self.sequence += 1
+                await self._write_registration(store, is_new_lease=True)
+
+    async def change_state(self, store, state):
+        """Write the registration again with another state."""
+        self.state = state
+        self.sequence += 1
+        await self._write_registration(store)
+
+    async def _write_registration(self, store, is_new_lease=False):
+        if is_new_lease:
+            ttl_s = RENEWALS_PER_LEASE_TTL * LEASE_RENEWAL_PERIOD_S
+            self._lease = await store.grant_lease(ttl_s)
+        key = f"servers/{self.target_id}"
+        entry = await store.get(key)
+        expect = 0 if entry is None else entry.revision
+        await store.put(key, self.describe(self.state), expect, self._lease)
 
 
 def build_configuration(version, shards, single_service):
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -1,6 +1,5 @@
 """The platform's key-value service: interface, in-memory fake and HTTP client."""
 
-import itertools
 import math
 import operator
 from typing import Protocol
@@ -202,7 +201,7 @@
         self._entries = {}
         self._deleted = {}
         self._leases = {}
-        self._lease_numbers = itertools.count(1)
+        self._last_lease = 0
         self._changed = trio.Event()
         self.is_unavailable = False
         self.delay_s = 0.0
@@ -260,7 +259,8 @@
     async def grant_lease(self, ttl_s):
         """Create a lease and return its id; see `Store.grant_lease`."""
         await self._begin_call("grant_lease")
-        lease = f"lease-{next(self._lease_numbers)}"
+        self._last_lease += 1
+        lease = f"lease-{self._last_lease}"
         self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
         return lease
 
@@ -275,14 +275,22 @@
         """Return a copy of the data for `restore_backup`."""
         self._expire_leases()
         leases = _copy_leases(self._leases)
-        return dict(self._entries), dict(self._deleted), leases, self.revision
+        counters = self.revision, self._last_lease
+        return dict(self._entries), dict(self._deleted), leases, counters
 
-    def restore_backup(self, backup):
-        """Restore older data; revisions are then reused, as after a real restore."""
-        entries, deleted, leases, self.revision = backup
+    def restore_backup(self, backup, restarts_leases=False):
+        """Restore older data; revisions and lease ids are then reused.
+
+        With `restarts_leases`, the time to live of all restored leases begins again.
+        """
+        entries, deleted, leases, counters = backup
+        self.revision, self._last_lease = counters
         self._entries = dict(entries)
         self._deleted = dict(deleted)
         self._leases = _copy_leases(leases)
+        if restarts_leases:
+            for lease in self._leases.values():
+                lease.ends_at = self._clock() + lease.ttl_s
         self._notify()
 
     def expire_leases(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -456,17 +456,22 @@
         self.targets.append(target)
         return target
 
-    async def start_gateway(self, store_address):
-        """Write the settings file and start the gateway process."""
-        self.callers = await reserve_closed_port()
-        self.ready = await reserve_closed_port()
-        control = await reserve_closed_port()
+    async def start_gateway(
+        self, store_address, vm_id="vm-1", addresses=None, seeds=()
+    ):
+        """Write the settings file and start the gateway process.
+
+        `addresses` are those for callers, the readiness probe and other VMs.
+        """
+        if addresses is None:
+            addresses = [await reserve_closed_port() for _ in range(3)]
+        self.callers, self.ready, control = addresses
         path = self.folder / "node.toml"
         path.write_text(
-            f"""node-name = "vm-1"
+            f"""node-name = "{vm_id}"
 zone = "a"
 ip = "127.0.0.1"
-seeds = []
+seeds = {orjson.dumps(seeds).decode()}
 [listen-addrs]
 front = "{self.callers}"
 ready = "{self.ready}"
@@ -480,10 +485,14 @@
 address = "{store_address}"
 """
         )
+        await self.restart_gateway()
+
+    async def restart_gateway(self):
+        """Start the gateway process with the settings file that was written."""
         self.process = await trio.lowlevel.open_process(
             [sys.executable, "-m", "tarragonchute", "gateway"],
             cwd=ROOT,
-            env={"TARRAGONCHUTE_NODE_FILE": str(path), "PATH": ""},
+            env={"TARRAGONCHUTE_NODE_FILE": str(self.folder / "node.toml"), "PATH": ""},
             stdout=subprocess.DEVNULL,
         )
 
