Order revisions by the store's era, and keep what was accepted before a restore

Cause: after a restore from an older copy, revisions were compared with those of the lost history. Tests (a), a configuration at a revision given out before, and (b), a draining target that was used again, failed on over three VMs: orders got 404 from all VMs, and the target got requests. So did a VM that started from the copy (older configuration) and registrations that the copy lacks (503).

The store's client composes era and revision into one integer. The watcher lists again in a new era and keeps configuration, draining, registrations and evacuations as its handler's rule says. A VM registers again with a new lease. The registry orders entries of one process by their sequence.

--- a/tarragonchute/errors.py
+++ b/tarragonchute/errors.py
@@ -228,6 +228,12 @@
     code = "history_lost"
 
 
+class StoreEraChangedError(HistoryLostError):
+    """The store came back from an older copy, which gives revisions out again."""
+
+    code = "store_era_changed"
+
+
 class RelayUnavailableError(NotRunError):
     """This VM's relay does not respond or does not watch the store."""
 
@@ -283,6 +289,15 @@
         self.entry = entry
 
 
+class ConditionOutdatedError(StoreConflictError):
+    """The revision in the condition of a write is from before a restore of the store.
+
+    The write was not sent, so the current entry is not known.
+    """
+
+    code = "condition_outdated"
+
+
 class StoreOutcomeUnknownError(TarragonchuteError):
     """The response to a write was lost, so the write may have taken effect."""
 
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -8,6 +8,7 @@
 import ipaddress
 import logging
 import math
+import random
 
 import orjson
 import trio
@@ -19,6 +20,7 @@
     TarragonchuteError,
 )
 from .httpio import split_address
+from .revisions import StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +36,12 @@
 RETRY_DELAY_S = 1.0
 """Delay before another attempt to write the key or renew its lease."""
 
+REGISTRATION_SPREAD_S = 2.0
+MAX_REGISTRATIONS_PER_S = 200
+"""Time over which the VMs write their keys again after a restore of the store, and the
+number of VMs per second for which it is longer: a registration takes up to three
+billed writes, which then use half of what the store accepts."""
+
 MISSING_VM_GRACE_S = 30.0
 """Time for which a VM whose key is gone is still listed. It may only be unable to reach
 the store, and still send requests."""
@@ -191,9 +199,16 @@
     store : store.Store
     fleet : Fleet
         Provides this VM's properties, and whether its key was removed.
+    eras : revisions.StoreEras or None
+        Eras of the store, if it has any. The key is written again in each new one.
+    random_source : random.Random or None
     """
 
-    def __init__(self, store, fleet):
+    def __init__(self, store, fleet, eras=None, random_source=None):
+        self._eras = eras or StoreEras()
+        # Era in which the lease was granted.
+        self._era = 0
+        self._random = random_source or random.Random()
         self._store = store
         self._fleet = fleet
         self._key = VM_PREFIX + fleet.own_vm.vm_id
@@ -205,23 +220,39 @@
         """Register and renew until cancelled."""
         while True:
             try:
+                await self._discard_lease_of_earlier_era()
                 await self._renew_or_register()
-                await trio.sleep(RENEW_INTERVAL_S)
+                with trio.move_on_after(RENEW_INTERVAL_S):
+                    await self._eras.wait_for_newer(self._era)
             except LeaseNotFoundError:
-                logger.info("the lease of this VM's key has expired")
-                self._lease = None
+                if self._eras.current == self._era:
+                    logger.info("the lease of this VM's key has expired")
+                    self._lease = None
             except TarragonchuteError as error:
                 logger.info("cannot register this VM or renew its lease: %s", error)
                 await trio.sleep(RETRY_DELAY_S)
 
+    async def _discard_lease_of_earlier_era(self):
+        """After a restore of the store, wait for this VM's turn to register again."""
+        if self._lease is None or self._eras.current == self._era:
+            return
+        vm_count = len(self._fleet.list_vms(trio.current_time()))
+        spread_s = max(REGISTRATION_SPREAD_S, vm_count / MAX_REGISTRATIONS_PER_S)
+        await trio.sleep(spread_s * self._random.random())
+        logger.info("registering this VM again in a new era of the store")
+        self._lease = None
+        self._revision = 0
+
     async def _renew_or_register(self):
         if self._lease is not None and not self._fleet.is_own_key_missing:
             await self._store.renew_lease(self._lease)
             return
         self._fleet.is_own_key_missing = False
         lease = await self._store.grant_lease(KEY_LEASE_S)
+        era = self._eras.current
         await self._write_key(lease)
         self._lease = lease
+        self._era = era
 
     async def _write_key(self, lease):
         try:
@@ -230,6 +261,7 @@
             )
         except StoreConflictError as error:
             # The key is from an earlier run, or from a write whose answer was lost.
+            self._revision = 0
             expect = 0 if error.entry is None else error.entry.revision
             self._revision = await self._store.put(
                 self._key, self._value, expect, lease
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -32,6 +32,8 @@
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     PAUSED_TARGETS,
+    RETAINED_ENTRIES,
+    STORE_ERA,
     SUBSEARCHES,
     TARGETS,
     VMS,
@@ -42,6 +44,7 @@
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .requestrecords import RequestRecord
+from .revisions import StoreEras
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
@@ -174,7 +177,8 @@
         self.is_draining = False
         self._stop_at = math.inf
         self._queries = set()
-        self.count_dropped_lines = int  # `int()` returns 0.
+        self.count_dropped_lines = self.count_retained = int  # `int()` returns 0.
+        self.store_eras = StoreEras()
         self._header_names = header_names
         self._server_options = server_options
         self._random = random_source or random.Random()
@@ -549,4 +553,6 @@
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
+            (STORE_ERA, (), self.store_eras.current),
+            (RETAINED_ENTRIES, (), self.count_retained()),
         ]
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -79,6 +79,16 @@
     MetricKind.GAUGE,
     "Log lines dropped because their reader is slow, since the start.",
 )
+STORE_ERA = MetricSpec(
+    "gateway_store_era",
+    MetricKind.GAUGE,
+    "Number of times that the store has come back from an older copy, as it states.",
+)
+RETAINED_ENTRIES = MetricSpec(
+    "gateway_retained_entries",
+    MetricKind.GAUGE,
+    "Entries that are kept in place of those of a restored store.",
+)
 
 SPECS = (
     REQUEST_DURATION,
@@ -92,6 +102,8 @@
     PAUSED_TARGETS,
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
+    STORE_ERA,
+    RETAINED_ENTRIES,
     ATTEMPTS,
     STORE_CALLS,
     CPU_SECONDS,
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -9,6 +9,7 @@
 """
 
 import logging
+import math
 import zlib
 
 import orjson
@@ -22,6 +23,7 @@
 )
 from .httpio import HttpConnection, HttpResponse
 from .leaders import hash_to_fraction
+from .revisions import RESTORED_KEY_RETENTION_S, RetainedEntry
 from .store import Entry
 
 logger = logging.getLogger(__name__)
@@ -104,7 +106,8 @@
         if COMPRESSION not in request.headers.get("accept-encoding", ""):
             return HttpResponse.from_json(self._build_snapshot())
         key = (watcher.last_applied_revision, self._is_current())
-        if key != self._compressed_key:
+        # What is retained expires without a new revision.
+        if key != self._compressed_key or watcher.list_retained():
             data = orjson.dumps(self._build_snapshot())
             self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
             self._compressed_key = key
@@ -116,8 +119,21 @@
             "revision": watcher.last_applied_revision,
             "rows": [_encode_entry(entry) for entry in watcher.list_entries()],
             "current": self._is_current(),
+            "retained": self._list_retained(),
         }
 
+    def _list_retained(self):
+        now = trio.current_time()
+        return [
+            [
+                entry.key,
+                entry.value,
+                entry.restored_revision,
+                None if entry.until == math.inf else entry.until - now,
+            ]
+            for entry in self._watcher.list_retained()
+        ]
+
     def _is_current(self):
         """Whether a VM may start with this one's content in place of a listing."""
         watcher = self._watcher
@@ -169,14 +185,17 @@
     revision : int
     is_current : bool
         Whether that VM reaches the store, or a relay that does.
+    retained : list of revisions.RetainedEntry
+        What counts in place of the store's entries after a restore.
     """
 
-    __slots__ = ("entries", "revision", "is_current")
+    __slots__ = ("entries", "revision", "is_current", "retained")
 
-    def __init__(self, entries, revision, is_current):
+    def __init__(self, entries, revision, is_current, retained=()):
         self.entries = entries
         self.revision = revision
         self.is_current = is_current
+        self.retained = retained
 
 
 class PeerSnapshots:
@@ -212,6 +231,20 @@
         """
         if self._is_seed or not self._addresses:
             return None
+        found = await self._fetch_first(lambda snapshot: snapshot.is_current)
+        if found is None:
+            logger.info("no other VM has a current snapshot; listing the store")
+        return found
+
+    async def fetch_any(self):
+        """Return the first `PeerSnapshot` that a VM has, current or not, or None.
+
+        Waits as long as `fetch_at_start`. Used by a VM that starts after a restore of
+        the store, for what the others have accepted before.
+        """
+        return await self._fetch_first(lambda snapshot: True)
+
+    async def _fetch_first(self, is_acceptable):
         found = None
 
         async def ask(address, delay_s):
@@ -222,7 +255,7 @@
             except _PEER_ERRORS as error:
                 logger.debug("no snapshot from %s: %r", address, error)
                 return
-            if snapshot is not None and snapshot.is_current and found is None:
+            if snapshot is not None and found is None and is_acceptable(snapshot):
                 found = snapshot
                 _log_start(address, snapshot)
                 nursery.cancel_scope.cancel()
@@ -231,8 +264,6 @@
             async with trio.open_nursery() as nursery:
                 for index, address in enumerate(self._addresses):
                     nursery.start_soon(ask, address, index * START_STAGGER_S)
-        if found is None:
-            logger.info("no other VM has a current snapshot; listing the store")
         return found
 
     async def fetch(self):
@@ -487,7 +518,18 @@
         data = _decompress(data)
     body = orjson.loads(data)
     entries, revision = _decode_rows(body)
-    return PeerSnapshot(entries, revision, body.get("current") is True)
+    # Releases without store eras do not send what is retained.
+    retained = [_decode_retained(row) for row in body.get("retained", ())]
+    return PeerSnapshot(entries, revision, body.get("current") is True, retained)
+
+
+def _decode_retained(row):
+    key, value, revision, left_s = row
+    _decode_entry((key, value, revision))
+    if left_s is None:
+        return RetainedEntry(key, value, revision, math.inf)
+    left_s = min(float(left_s), RESTORED_KEY_RETENTION_S)
+    return RetainedEntry(key, value, revision, trio.current_time() + left_s)
 
 
 def _decompress(data):
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -1,6 +1,7 @@
 """Starts the gateway on the platform: ``python3 -m tarragonchute gateway``."""
 
 import logging
+import math
 import os
 import sys
 
@@ -14,8 +15,11 @@
 from ..otherwatchers import OtherWatchers
 from ..peers import PeerServer, PeerSnapshots, RelayChooser
 from ..process import GatewayProcess, build_server_options
+from ..registry import REGISTRATION_GRACE_S
+from ..revisions import RESTORED_KEY_RETENTION_S
 from ..store import InstrumentedStore
-from ..storewatcher import StoreUpdateHandler, StoreWatcher
+from ..storecontent import StoreUpdateHandler
+from ..storewatcher import StoreWatcher
 from .decoding import (
     decode_configuration,
     decode_evacuated_domain,
@@ -24,6 +28,7 @@
 )
 from .names import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     HEADER_NAMES,
     READY_PATH,
     SETTINGS_VARIABLE,
@@ -33,6 +38,10 @@
 
 logger = logging.getLogger(__name__)
 
+RETAINED_PREFIXES = (EVACUATION_PREFIX,)
+"""Keys of operators that neither appear nor disappear because the store came back from
+an older copy; see `revisions`."""
+
 
 class GatewayUpdater(StoreUpdateHandler):
     """Decodes the entries of the store and applies them to a gateway.
@@ -97,6 +106,16 @@
             self._gateway.registry.set_evacuated(self._evacuated)
         return False
 
+    def choose_retention_s(self, key, known, restored):
+        """Choose what is kept; see `StoreUpdateHandler.choose_retention_s`."""
+        if key == CONFIGURATION_KEY and known is not None:
+            return math.inf if _is_older_configuration(restored, known) else 0.0
+        if (target_id := decode_target_key(key)) is not None:
+            return _choose_target_retention_s(target_id, known, restored)
+        if key.startswith(RETAINED_PREFIXES):
+            return RESTORED_KEY_RETENTION_S
+        return 0.0
+
     def _apply_target_entry(self, target_id, key, value):
         registration = None
         if value is not None:
@@ -107,6 +126,29 @@
         return self._gateway.registry.apply(target_id, registration, now)
 
 
+def _is_older_configuration(text, known_text):
+    """Whether a configuration, None if it is absent, is older than a known one."""
+    known_table = decode_configuration(known_text)
+    if known_table is None:
+        return False
+    table = None if text is None else decode_configuration(text)
+    return table is None or table.version < known_table.version
+
+
+def _choose_target_retention_s(target_id, known_text, text):
+    """Choose how long a target's known entry is kept; None is an absent entry."""
+    if known_text is None or text is None:
+        return REGISTRATION_GRACE_S
+    known = decode_registration(target_id, known_text)
+    registration = decode_registration(target_id, text)
+    if known is None or registration is None:
+        return 0.0
+    if not registration.is_same_process(known):
+        # The copy may have an earlier process; the known one registers again.
+        return REGISTRATION_GRACE_S
+    return math.inf if registration.is_older_than(known) else 0.0
+
+
 def _log_invalid_entry(key):
     logger.warning("an entry of the store cannot be used", extra={"key": key})
 
@@ -169,14 +211,21 @@
     options = build_server_options(settings.stop_grace_s)
     gateway = Gateway(settings, HEADER_NAMES, options)
     gateway.count_dropped_lines = lambda: stream.dropped
-    store = PlatformStore(settings.store_address)
+    eras = gateway.store_eras
+    store = PlatformStore(settings.store_address, eras=eras)
     store = InstrumentedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
     relays = RelayChooser(gateway.fleet, settings.vm_id)
     watcher = StoreWatcher(
-        store, GatewayUpdater(gateway), relays, peers, OtherWatchers(gateway.fleet)
+        store,
+        GatewayUpdater(gateway),
+        relays,
+        peers,
+        OtherWatchers(gateway.fleet),
+        eras=eras,
     )
-    vm_registration = VmRegistration(store, gateway.fleet)
+    gateway.count_retained = lambda: len(watcher.list_retained())
+    vm_registration = VmRegistration(store, gateway.fleet, eras)
     process = GatewayProcess(
         gateway,
         options,
--- a/tarragonchute/platform/names.py
+++ b/tarragonchute/platform/names.py
@@ -10,6 +10,10 @@
 
 READY_PATH = "/ready"
 
+ERA_HEADER = "store-era"
+"""On all answers of the store, in lower case; rises each time the store comes back from
+an older copy."""
+
 HEADER_NAMES = HeaderNames(
     request_id=b"Request-Id",
     # Carries the remaining milliseconds, not a point in time.
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -13,8 +13,8 @@
 
 
 MAX_REMEMBERED_NOTICES = 4096
-"""Removed targets whose notices are kept, because an old registration may be read
-again, for example in the snapshot of another VM."""
+"""Removed targets whose notices and draining registrations are kept, because an old
+registration may be read again, for example in the snapshot of another VM."""
 
 
 RETURN_SPREAD_S = 1.0
@@ -97,6 +97,13 @@
             and self.service == other.service
         )
 
+    def is_older_than(self, other):
+        """Whether the same process has written the other one later.
+
+        Entries without a sequence number are not ordered.
+        """
+        return 0 < self.sequence < other.sequence and self.is_same_process(other)
+
 
 class RegisteredTarget:
     """A target process, and what this VM has observed of it.
@@ -375,11 +382,15 @@
         if registration is None:
             self._remove(target_id, now, "registration removed")
             return False
+        if known is not None and registration.is_older_than(known.registration):
+            known.missing_since = None
+            return False
         if known is not None and not known.registration.is_same_process(registration):
             self._remove(target_id, now, "replaced by another process")
             known = None
         is_new = known is None
         if is_new:
+            registration = self._find_newest(registration)
             known = self._add(registration, now)
         elif known.registration.is_draining != registration.is_draining:
             logger.info(
@@ -507,13 +518,20 @@
             if since is not None and now - since > REGISTRATION_GRACE_S:
                 self._remove(target_id, now, "registration expired")
 
+    def _find_newest(self, registration):
+        """Return the registration of a removed draining target if it is newer."""
+        notices = self._removed_notices.get(registration.target_id)
+        if notices is not None and registration.is_older_than(notices[-1]):
+            return notices[-1]
+        return registration
+
     def _add(self, registration, now):
         target = RegisteredTarget(registration, self._open_pool(registration))
         target.on_exchange_end = self._on_exchange_end
         target.on_reply = self.on_reply
         notices = self._removed_notices.pop(registration.target_id, None)
         if notices is not None and notices[0] == registration.started_ms:
-            _, target.is_leaving, target.resumes_at, target.fully_used_at = notices
+            _, target.is_leaving, target.resumes_at, target.fully_used_at, _ = notices
             if target.resumes_at > now and not target.is_leaving:
                 self._paused[target] = None
         self._targets[registration.target_id] = target
@@ -539,13 +557,15 @@
         )
 
     def _remember_notices(self, target, now):
-        if not target.is_leaving and target.fully_used_at <= now:
+        is_withdrawn = target.is_leaving or target.registration.is_draining
+        if not is_withdrawn and target.fully_used_at <= now:
             return
         self._removed_notices[target.registration.target_id] = (
             target.registration.started_ms,
             target.is_leaving,
             target.resumes_at,
             target.fully_used_at,
+            target.registration,
         )
         if len(self._removed_notices) > MAX_REMEMBERED_NOTICES:
             self._removed_notices.popitem(last=False)
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -7,20 +7,22 @@
 """
 
 import logging
-import math
 import random
 
 import trio
 
 from .backoff import compute_backoff_s
-from .changes import ChangeLog
 from .errors import (
     HistoryLostError,
     RelayUnavailableError,
+    RelayWithoutStoreError,
+    StoreEraChangedError,
     StoreUnavailableError,
     TarragonchuteError,
 )
 from .pacing import WatchPacer
+from .revisions import StoreEras, get_era
+from .storecontent import StoreContent
 
 # JSON log lines carry this name, so it stays although the module was renamed.
 logger = logging.getLogger("tarragonchute.feeds")
@@ -71,6 +73,9 @@
 """Mean delay between the failure of a relay and the next attempt. The relay may reach
 the store again by then. Jitter keeps its followers from all switching at once."""
 
+ERA_LISTING_SPREAD_S = 0.5
+"""Time over which the VMs that watch the store list it again in a new era."""
+
 BURST_WINDOW_S = 0.2
 """A watch that returns changes within this time counts as part of a burst."""
 
@@ -80,42 +85,21 @@
 a probe takes to fail, and shorter than three heartbeat intervals of a target."""
 
 
-class StoreUpdateHandler:
-    """Callback interface for the content of the store and its changes."""
-
-    __slots__ = ()
-
-    def apply_snapshot(self, entries, is_after_outage):
-        """Replace all known entries by those given.
-
-        With `is_after_outage`, keys may be missing because their leases expired during
-        a store outage.
-        """
-
-    def apply_change(self, key, value):
-        """Apply one change; `value` is None if the key was removed.
-
-        Returns
-        -------
-        bool
-            Whether the change is urgent: similar ones are likely to follow, and each
-            must be applied at once.
-        """
-
-
 class StoreWatcher:
     """Tracks all keys of the store, directly or through a relay.
 
     Parameters
     ----------
     store : store.Store
-    handler : StoreUpdateHandler
+    handler : storecontent.StoreUpdateHandler
     relays : peers.RelayChooser or None
         Chooses the relay to follow, if any.
     peers : peers.PeerSnapshots or None
         Source of the first snapshot.
     other_watchers : otherwatchers.OtherWatchers or None
         Other VMs that watch the store.
+    eras : revisions.StoreEras or None
+        Eras of the store, if it has any.
     clock : callable or None
         Returns monotonic seconds; `trio.current_time` by default.
     random_source : random.Random or None
@@ -144,9 +128,9 @@
         other_watchers=None,
         clock=None,
         random_source=None,
+        eras=None,
     ):
         self._store = store
-        self._handler = handler
         self._relays = relays
         self._peers = peers
         self._other_watchers = other_watchers
@@ -158,8 +142,10 @@
         self._is_compared = True
         self._clock = clock or trio.current_time
         self._random = random_source or random.Random()
-        self._entries = {}
-        self._change_log = ChangeLog(math.inf)
+        self._content = StoreContent(handler)
+        self._eras = eras or StoreEras()
+        self._retained_changed = trio.Event()
+        self._is_new_era = False
         self._changed = trio.Event()
         self._pacer = WatchPacer()
         self._last_success_at = None
@@ -174,34 +160,41 @@
 
     async def run(self):
         """Track the store until cancelled."""
-        while True:
-            try:
-                if self.revision is None:
-                    await self._load_first_content()
-                await self._watch_once()
-            except HistoryLostError as error:
-                logger.info("listing the store again: %s", error)
-                self.revision = None
-            except RelayUnavailableError as error:
-                await self._handle_relay_failure(error)
-            except TarragonchuteError as error:
-                self._record_failure(error)
-                await self._load_from_peers()
-                await self._wait_for_store_or_relay()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._release_retained)
+            while True:
+                await self._follow_once()
+
+    async def _follow_once(self):
+        try:
+            if self.revision is None or self._is_new_era:
+                await self._load_first_content()
+            await self._watch_once()
+        except StoreEraChangedError as error:
+            # Followers get the known content until the listing is complete.
+            logger.info("listing the store in its new era: %s", error)
+            self._is_new_era = True
+        except HistoryLostError as error:
+            logger.info("listing the store again: %s", error)
+            self.revision = None
+        except RelayUnavailableError as error:
+            await self._handle_relay_failure(error)
+        except TarragonchuteError as error:
+            self._record_failure(error)
+            await self._load_from_peers()
+            await self._wait_for_store_or_relay()
 
     def list_entries(self):
-        """Return all known entries."""
-        return list(self._entries.values())
+        """Return all known entries of the store, without what is retained."""
+        return self._content.list_entries()
 
-    def list_changes(self, after):
-        """Return the latest entries of the keys that changed after a revision.
+    def list_retained(self):
+        """Return the `RetainedEntry` that count in place of the store's entries."""
+        return self._content.list_retained()
 
-        Returns
-        -------
-        list of Entry or None
-            None if the log of changes does not go back so far.
-        """
-        return self._change_log.list_after(after)
+    def list_changes(self, after):
+        """Return the changes after a revision; see `StoreContent.list_changes`."""
+        return self._content.list_changes(after)
 
     async def wait_for_change(self):
         """Wait for the next change, or until the store cannot be reached."""
@@ -231,7 +224,12 @@
         if snapshot is None:
             await self._load_listing()
         else:
-            self._apply_snapshot(snapshot.entries, snapshot.revision, False)
+            self._apply_snapshot(
+                snapshot.entries,
+                snapshot.revision,
+                is_after_outage=False,
+                retained=snapshot.retained,
+            )
 
     async def _load_from_peers(self):
         if self.is_loaded or self._peers is None:
@@ -241,12 +239,19 @@
         except TarragonchuteError as error:
             logger.info("no initial snapshot from other VMs: %s", error)
             return
-        # The snapshot of a peer may be outdated. With the revision None, the store is
-        # listed before a watch starts.
-        self._apply_snapshot(snapshot.entries, None, is_after_outage=True)
+        self._apply_outdated(snapshot)
 
     async def _load_listing(self):
+        if self.is_loaded and self._content.era < self._eras.current:
+            await trio.sleep(ERA_LISTING_SPREAD_S * self._random.random())
         entries, revision = await self._store.list(ALL_KEYS)
+        if not self.is_loaded and self._peers is not None and get_era(revision):
+            # The store may lack what other VMs have accepted.
+            snapshot = await self._peers.fetch_any()
+            if snapshot is not None:
+                self._apply_outdated(snapshot)
+        if get_era(revision) < self._content.era:
+            raise StoreUnavailableError("the listing is of an earlier era")
         is_after_outage = self._registrations_may_have_expired or (
             not self.is_connected and self._was_outage_long()
         )
@@ -254,15 +259,46 @@
         self._apply_snapshot(entries, revision, is_after_outage)
         self._registrations_may_have_expired = False
 
-    def _apply_snapshot(self, entries, revision, is_after_outage):
-        self._entries = {entry.key: entry for entry in entries}
-        self._change_log = ChangeLog(math.inf if revision is None else revision)
-        self.revision = revision
-        self.last_applied_revision = revision or 0
-        self._handler.apply_snapshot(entries, is_after_outage)
+    def _apply_snapshot(self, entries, revision, is_after_outage, retained=()):
+        self.revision = self.last_applied_revision = revision
+        self._content.replace_all(
+            entries, revision, self._clock(), is_after_outage, retained=retained
+        )
+        self._finish_snapshot()
+
+    def _apply_outdated(self, snapshot):
+        """Apply the snapshot of a peer, which may be outdated.
+
+        With the revision None, the store is listed before a watch starts.
+        """
+        self.revision = None
+        self.last_applied_revision = 0
+        self._content.replace_all(
+            snapshot.entries,
+            snapshot.revision,
+            self._clock(),
+            is_after_outage=True,
+            is_complete=False,
+            retained=snapshot.retained,
+        )
+        self._finish_snapshot()
+
+    def _finish_snapshot(self):
         self.is_loaded = True
+        self._eras.observe(self._content.era)
+        self._is_new_era = False
+        self._retained_changed.set()
+        self._retained_changed = trio.Event()
         self._notify_followers()
 
+    async def _release_retained(self):
+        """Apply the store's entries once those that were kept expire."""
+        while True:
+            left_s = self._content.get_next_expiry() - self._clock()
+            with trio.move_on_after(max(left_s, 0.0)):
+                await self._retained_changed.wait()
+            self._content.release_expired(self._clock())
+
     async def _watch_once(self):
         """Make one watch call to the store or a relay, and apply its changes."""
         relay = self._relays.choose(self._clock()) if self._relays else None
@@ -297,10 +333,17 @@
     async def _watch_relay(self, relay):
         self.is_watching_store = False
         answer = await relay.watch(self.revision)
+        self._check_relayed_era(answer)
         self._record_success()
         self._relays.record_success()
         self._apply_relayed(*answer)
 
+    def _check_relayed_era(self, answer):
+        """Raise an error if a relay has content of an earlier era than this VM."""
+        _, revision, _ = answer
+        if get_era(revision) < self._content.era:
+            raise RelayWithoutStoreError("the relay is in an earlier era of the store")
+
     def _apply_relayed(self, entries, revision, is_snapshot):
         if is_snapshot:
             self._apply_snapshot(entries, revision, is_after_outage=False)
@@ -319,27 +362,12 @@
 
     def _apply_changes(self, entries, revision):
         """Apply the changes of a watch; return whether one of them is urgent."""
-        is_urgent = False
-        for entry in _list_latest(entries):
-            if entry.value is None:
-                self._entries.pop(entry.key, None)
-            else:
-                self._entries[entry.key] = entry
-            is_urgent |= self._apply_change(entry)
-            self._change_log.record(entry)
+        is_urgent = self._content.apply_changes(entries, revision)
         self.revision = self.last_applied_revision = revision
         if entries:
             self._notify_followers()
         return is_urgent
 
-    def _apply_change(self, entry):
-        try:
-            return bool(self._handler.apply_change(entry.key, entry.value))
-        except Exception:
-            # One entry that cannot be applied must not stop all later changes.
-            logger.exception("cannot apply a change", extra={"key": entry.key})
-            return False
-
     def _notify_followers(self):
         self._changed.set()
         self._changed = trio.Event()
@@ -361,6 +389,7 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(check_and_cancel_watch, self._probe_during_watch)
+            nursery.start_soon(check_and_cancel_watch, self._wait_for_new_era)
             wait_s = WATCH_TIMEOUT_S
             if self._other_watchers is not None:
                 nursery.start_soon(check_and_cancel_watch, self._compare_during_watch)
@@ -377,6 +406,11 @@
             return None
         raise failure
 
+    async def _wait_for_new_era(self):
+        """Return an error once any call of this VM has shown a new era."""
+        await self._eras.wait_for_newer(get_era(self.revision))
+        return StoreEraChangedError("another call or VM has shown it")
+
     async def _probe_during_watch(self):
         """Probe the store; return an error once the watch has to be restarted.
 
@@ -423,6 +457,7 @@
             with trio.move_on_after(COMPARISON_TIMEOUT_S):
                 revision = await self._fetch_other_revision(after)
             self._is_compared = revision is not None
+            self._eras.observe(get_era(revision or 0))
             if revision is None:
                 if not self.is_connected:
                     # Failing probes show more than a restarted watch would.
@@ -477,6 +512,7 @@
         try:
             while True:
                 answer = await relay.watch(self.last_applied_revision)
+                self._check_relayed_era(answer)
                 self._record_success()
                 self._apply_relayed(*answer)
                 if await self._is_store_reachable():
@@ -530,12 +566,3 @@
             self._failures, RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S
         )
         return delay_s * (0.5 + 0.5 * self._random.random())
-
-
-def _list_latest(entries):
-    """Return the last entry of each key, in the order of these entries."""
-    latest = {}
-    for entry in entries:
-        latest.pop(entry.key, None)
-        latest[entry.key] = entry
-    return list(latest.values())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,8 @@
 from tarragonchute.fleet import Fleet, VmInfo
 from tarragonchute.peers import PeerServer, PeerSnapshots, Relay, RelayChooser
 from tarragonchute.store import Entry, MemoryStore
-from tarragonchute.storewatcher import StoreUpdateHandler, StoreWatcher
+from tarragonchute.storecontent import StoreUpdateHandler
+from tarragonchute.storewatcher import StoreWatcher
 
 from .test_httpio import TEST_TIMEOUT_S, reserve_closed_port, start_server
 from .trial import run_async
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -22,6 +22,7 @@
 """Time after the start until followers follow, and after a write until all know it."""
 
 REVISIONS_SINCE_COPY = 40
+OUTAGE_S = 1.0
 REWRITE_DELAY_S = 3.0
 """Time after a restore until the target writes its registration again."""
 
@@ -54,9 +55,7 @@
             folder = self.folder / str(number)
             folder.mkdir()
             self.vms.append(Deployment(self.nursery, folder))
-        addresses = [
-            [await reserve_closed_port() for _ in range(3)] for _ in self.vms
-        ]
+        addresses = [[await reserve_closed_port() for _ in range(3)] for _ in self.vms]
         seeds = [control for _, _, control in addresses]
         for number, vm in enumerate(self.vms):
             await vm.start_gateway(
@@ -130,12 +129,12 @@
         Its revision had been given out before the restore, so that watches from a later
         revision did not return it.
         """
-        await self.check_that_new_version_is_in_force(away_s=0.0)
+        await self.check_that_new_version_is_in_force(0.0)
 
     @run_async
     async def test_version_after_an_outage_and_a_restore(self):
         """Guards against followers that wait for a revision of the lost history."""
-        await self.check_that_new_version_is_in_force(away_s=1.0)
+        await self.check_that_new_version_is_in_force(OUTAGE_S)
 
     @run_async
     async def test_accepted_version_that_the_copy_lacks_stays_in_force(self):
@@ -158,8 +157,8 @@
             self.assertEqual([200] * VM_COUNT, statuses)
 
 
-class DrainingTests(testtools.TestCase):
-    """A target whose report that it drains is lost."""
+class RegistrationTests(testtools.TestCase):
+    """Registrations that are lost, or that the copy has in an earlier state."""
 
     @run_async
     async def test_target_stays_draining(self):
@@ -168,24 +167,38 @@
         The copy has its earlier registration, until it writes the next one.
         """
         async with open_fleet() as fleet:
-            target = fleet.targets[-1]
+            # VMs prefer it to the other one, which is of another failure domain.
+            target = fleet.targets[-2]
             copy = fleet.server.copy()
             await target.change_state(fleet.server.store, "draining")
             await trio.sleep(SETTLE_S)
             before = len(target.ran)
-            await fleet.server.restore(copy)
-            with trio.move_on_after(REWRITE_DELAY_S):
-                await self.order_until_cancelled(fleet)
+            await fleet.server.restore(copy, OUTAGE_S)
+            statuses = await self.order_for(REWRITE_DELAY_S, fleet)
             await target.change_state(fleet.server.store, "draining")
-            with trio.move_on_after(REWRITE_DELAY_S):
-                await self.order_until_cancelled(fleet)
+            statuses += await self.order_for(REWRITE_DELAY_S, fleet)
             self.assertEqual([], target.ran[before:])
+            # The other target of the service is known all the time.
+            self.assertEqual({200}, set(statuses))
 
-    async def order_until_cancelled(self, fleet):
-        number = 0
-        while True:
+    @run_async
+    async def test_targets_that_the_copy_lacks_stay_usable(self):
+        """Guards against refused requests until all targets have registered again."""
+        async with open_fleet() as fleet:
+            copy = fleet.server.copy()
+            await fleet.server.restore(copy, OUTAGE_S)
+            fleet.server.store.expire_leases()
+            statuses = await self.order_for(REWRITE_DELAY_S, fleet)
+            self.assertEqual({200}, set(statuses))
+
+    async def order_for(self, duration_s, fleet):
+        """Send orders through all VMs for a time and return the statuses."""
+        statuses = []
+        ends_at = trio.current_time() + duration_s
+        while trio.current_time() < ends_at:
             for vm in fleet.vms:
-                number += 1
-                response = await vm.call("/order-1/1", "POST", b"x", f"o{number}")
-                self.assertEqual(200, response.status, response.body)
+                request_id = f"o{len(statuses)}-{ends_at}"
+                response = await vm.call("/order-1/1", "POST", b"x", request_id)
+                statuses.append(response.status)
             await trio.sleep(0.05)
+        return statuses
