--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -8,6 +8,7 @@
 import ipaddress
 import logging
 import math
+import random
 
 import orjson
 import trio
@@ -19,6 +20,7 @@
     TarragonchuteError,
 )
 from .httpio import split_address
+from .revisions import StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +36,16 @@
 RETRY_DELAY_S = 1.0
 """Delay before another attempt to write the key or renew its lease."""
 
+MAX_RESTORE_GAP_S = 4.0
+"""Time after a restore of the store within which this VM's key counts as never gone.
+Another VM that takes over a role waits longer before it acts (`grantroles`)."""
+
+REGISTRATION_SPREAD_S = 2.0
+MAX_REGISTRATIONS_PER_S = 200
+"""Time over which the VMs write their keys again after a restore of the store, and the
+number of VMs per second for which it is longer: a registration takes up to three
+billed writes, which then use half of what the store accepts."""
+
 MISSING_VM_GRACE_S = 30.0
 """Time for which a VM whose key is gone is still listed. It may only be unable to reach
 the store, and still send requests."""
@@ -243,15 +255,23 @@
     store : store.Store
     fleet : Fleet
         Provides this VM's properties, and whether its key was removed.
+    eras : revisions.StoreEras or None
+        Eras of the store, if it has any. The key is written again in each new one.
+    random_source : random.Random or None
     """
 
-    def __init__(self, store, fleet):
+    def __init__(self, store, fleet, eras=None, random_source=None):
+        self._eras = eras or StoreEras()
+        # Era in which the lease was granted.
+        self._era = 0
+        self._random = random_source or random.Random()
         self._store = store
         self._fleet = fleet
         self._key = VM_PREFIX + fleet.own_vm.vm_id
         self._value = fleet.own_vm.encode()
         self._lease = None
         self._revision = 0
+        self._restored_at = -math.inf
         # Whether this process may have written the key.
         self._may_have_written = False
 
@@ -259,16 +279,33 @@
         """Register and renew until cancelled."""
         while True:
             try:
+                await self._discard_lease_of_earlier_era()
                 await self._renew_or_register()
-                await trio.sleep(RENEW_INTERVAL_S)
+                with trio.move_on_after(RENEW_INTERVAL_S):
+                    await self._eras.wait_for_newer(self._era)
             except LeaseNotFoundError:
-                logger.info("the lease of this VM's key has expired")
-                self._lease = None
                 self._fleet.key_lease.valid_until = -math.inf
+                if self._eras.current == self._era:
+                    logger.info("the lease of this VM's key has expired")
+                    self._lease = None
             except TarragonchuteError as error:
                 logger.info("cannot register this VM or renew its lease: %s", error)
                 await trio.sleep(RETRY_DELAY_S)
 
+    async def _discard_lease_of_earlier_era(self):
+        """After a restore of the store, wait for this VM's turn to register again."""
+        if self._lease is None or self._eras.current == self._era:
+            return
+        self._restored_at = trio.current_time()
+        # The restored store has no lease of this VM any more.
+        self._fleet.key_lease.valid_until = -math.inf
+        vm_count = len(self._fleet.list_vms(self._restored_at))
+        spread_s = max(REGISTRATION_SPREAD_S, vm_count / MAX_REGISTRATIONS_PER_S)
+        await trio.sleep(spread_s * self._random.random())
+        logger.info("registering this VM again in a new era of the store")
+        self._lease = None
+        self._revision = 0
+
     async def _renew_or_register(self):
         started_at = trio.current_time()
         if self._lease is not None and not self._fleet.is_own_key_missing:
@@ -279,13 +316,20 @@
             key_lease.valid_until = -math.inf
             key_lease.is_missing = False
             lease = await self._store.grant_lease(KEY_LEASE_S)
+            era = self._eras.current
             was_there = await self._write_key(lease)
             self._may_have_written = True
-            key_lease.since = -math.inf if was_there else trio.current_time()
+            if not self._is_lost_by_restore(started_at):
+                key_lease.since = -math.inf if was_there else trio.current_time()
             self._lease = lease
+            self._era = era
         valid_until = started_at + KEY_LEASE_S - LEASE_MARGIN_S
         self._fleet.key_lease.valid_until = valid_until
 
+    def _is_lost_by_restore(self, now):
+        """Whether the key was lost by a restore so lately that no VM has its role."""
+        return now - self._restored_at < MAX_RESTORE_GAP_S
+
     async def _write_key(self, lease):
         """Write the key; return whether it was there since before this process."""
         try:
@@ -294,6 +338,7 @@
             )
         except StoreConflictError as error:
             # The key is from an earlier run, or from a write whose answer was lost.
+            self._revision = 0
             expect = 0 if error.entry is None else error.entry.revision
             self._revision = await self._store.put(
                 self._key, self._value, expect, lease
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -37,6 +37,8 @@
     OPENED_CONNECTIONS,
     PAUSED_TARGETS,
     QUEUED_ATTEMPTS,
+    RETAINED_ENTRIES,
+    STORE_ERA,
     SUBSEARCHES,
     TARGETS,
     VMS,
@@ -49,6 +51,7 @@
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .requestrecords import RequestRecord
+from .revisions import StoreEras
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
@@ -192,7 +195,8 @@
         self.is_draining = False
         self._stop_at = math.inf
         self._queries = set()
-        self.count_dropped_lines = int  # `int()` returns 0.
+        self.count_dropped_lines = self.count_retained = int  # `int()` returns 0.
+        self.store_eras = StoreEras()
         self._header_names = header_names
         self._server_options = server_options
         self._random = random_source or random.Random()
@@ -626,6 +630,8 @@
             (QUEUED_ATTEMPTS, (), self._count_queued()),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
             (HELD_ALLOWANCES, (), held),
+            (STORE_ERA, (), self.store_eras.current),
+            (RETAINED_ENTRIES, (), self.count_retained()),
             *self._list_memory_gauges(),
         ]
 
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -137,6 +137,16 @@
     "Connections and requests that were refused or closed for lack of room.",
     ("kind",),
 )
+STORE_ERA = MetricSpec(
+    "gateway_store_era",
+    MetricKind.GAUGE,
+    "Number of times that the store has come back from an older copy, as it states.",
+)
+RETAINED_ENTRIES = MetricSpec(
+    "gateway_retained_entries",
+    MetricKind.GAUGE,
+    "Entries that are kept in place of those of a restored store.",
+)
 
 SPECS = (
     REQUEST_DURATION,
@@ -160,6 +170,8 @@
     HELD_BYTES,
     OPENED_CONNECTIONS,
     MEMORY_EVENTS,
+    STORE_ERA,
+    RETAINED_ENTRIES,
     ATTEMPTS,
     STORE_CALLS,
     CPU_SECONDS,
