--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -23,6 +23,9 @@
 """Time after which the next VM is asked: this part of the route's goal, or the minimum
 if that is longer. The same times apply to subsearches."""
 
+EXTENSION = 2.0
+"""Factor on the timeout of an ask if no other VM has granted what it asked for."""
+
 RELEASED_TOKEN_LEASE_S = 1.0
 """Time for which a released token is valid; it was granted some time before."""
 
@@ -101,6 +104,7 @@
         "wanted",
         "sent_at",
         "timeout_at",
+        "is_extended",
     )
 
     def __init__(self, account, vm_id, ask, now, timeout_s):
@@ -111,6 +115,7 @@
         self.wanted = ask.wanted
         self.sent_at = now
         self.timeout_at = now + timeout_s
+        self.is_extended = False
 
 
 class _Account:
@@ -319,7 +324,8 @@
         if pending is not None and now >= pending.timeout_at:
             # A late answer may still bring tokens.
             account.pending = None
-            self._links.record_timeout(pending.vm_id, now)
+            if not pending.is_extended:
+                self._links.record_timeout(pending.vm_id, now)
             if account.pending is None:
                 self._ask(account, now)
 
@@ -398,12 +404,27 @@
             elif self._links.send(role[0], ask, now):
                 self._pending[ask.number] = account.pending = pending
                 return
-        if account.waiters:
+        if account.waiters and not self._wait_longer(account, now):
             account.is_hold_unknown = True
             account.held_until = now + max(account.deputy_hold_s, UNKNOWN_HOLD_S)
             account.spread_s = UNKNOWN_HOLD_S
             self._refuse_waiters(account, now)
 
+    def _wait_longer(self, account, now):
+        """Wait once more for a late answer; return whether one is still open.
+
+        The process of a busy grantor may be late by more than the timeout.
+        """
+        for pending in self._pending.values():
+            if pending.account is account and not pending.is_extended:
+                timeout_at = pending.sent_at + EXTENSION * account.timeout_s
+                if now < timeout_at:
+                    pending.is_extended = True
+                    pending.timeout_at = timeout_at
+                    account.pending = pending
+                    return True
+        return False
+
     def _choose_role(self, account, now):
         """Return the VM to ask, with whether it is asked as deputy, or None."""
         if len(account.asked) >= MAX_ASKED_VMS:
--- a/tests/allowancefleet.py
+++ b/tests/allowancefleet.py
@@ -54,10 +54,11 @@
         def deliver_answer():
             asker = fleet.vms.get(self.own_id)
             if asker is not None and not fleet.is_cut(self.own_id, vm_id):
+                self.suspect_until.pop(vm_id, None)
                 message = decode_grant_message(answer)
                 asker.allowances.handle_answer(vm_id, message, fleet.now)
 
-        fleet.call_later(DELAY_S, deliver_answer)
+        fleet.call_later(DELAY_S + vm.delay_s, deliver_answer)
 
     def record_timeout(self, vm_id, now):
         self.suspect_until[vm_id] = now + 0.5
@@ -72,6 +73,7 @@
     def __init__(self, fleet, info, is_restart):
         self.info = info
         self.paused_until = 0.0
+        self.delay_s = 0.0
         self.metrics = GatewayMetrics()
         self.key_lease = KeyLease(since=-1e9 if is_restart else fleet.now)
         self.roles = RoleTable(info.vm_id, self.key_lease)
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -238,6 +238,18 @@
         round_trips_s = (MAX_ASKED_VMS - 1) * ROUND_TRIP_S
         self.assertLess(max(fleet.waits), GOAL_PART * GOAL_S + round_trips_s)
 
+    def test_slow_grantor_within_the_allowance(self):
+        """Guards against refusals because a busy grantor answers after the timeout.
+
+        The parts of the deputies do not suffice for this load.
+        """
+        fleet = start_fleet()
+        fleet.vms[fleet.get_grantor_id()].delay_s = 1.5 * GOAL_PART * GOAL_S
+        fleet.send_load(0.6 * RATE, fleet.now + 20)
+        fleet.run(21)
+        self.assertEqual([], fleet.refusals)
+        self.assertLess(max(fleet.waits), 0.6 * GOAL_S)
+
     def test_grantor_paused_past_its_lease(self):
         """Guards against a VM that wakes up and grants beside its successor."""
         old = self.fleet.vms[self.grantor_id]
