Close three gaps in which two VMs granted one allowance

The key now tells since when it exists, the list counts for 5.5 s after a renewal, and a gap costs 3 s more.

--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -42,36 +42,45 @@
 """Lower bound of a VM's rate; the assignment of shards requires positive rates."""
 
 
-LEASE_MARGIN_S = 2.0
-"""Time before the end of its lease from which a VM no longer relies on its key. Clocks
-of VMs may run differently, and tokens of allowances outlive the lease of a grantor."""
+TRUSTED_RENEWAL_S = 5.5
+"""Time after a renewal for which a VM relies on its list of VMs. One renewal may fail.
+A VM that joins waits for longer (`grantroles.HANDOVER_S`), so that one that is cut off
+from the store has stopped by then; the whole lease of the key would be too long."""
 
 
 class KeyLease:
-    """How long other VMs have certainly listed this VM.
+    """Since when and for how long other VMs have listed this VM.
 
     Attributes
     ----------
-    valid_until : float
-        Monotonic time until which the key is certainly in the store.
     since : float
-        Monotonic time since which it certainly has been there; minus infinity if it
-        was there when this process started.
+        Time since which the key has been in the store without a gap, in seconds since
+        the boot of the VM. A restarted process reads it from the key.
+    valid_since, valid_until : float
+        Interval in which this VM has been in contact with the store without a gap;
+        `valid_since` is minus infinity if there has been none since the start.
     is_missing : bool
         Whether the key was reported as removed.
     """
 
-    __slots__ = ("valid_until", "since", "is_missing")
+    __slots__ = ("since", "valid_since", "valid_until", "is_missing")
 
     def __init__(self, valid_until=-math.inf, since=math.inf):
-        self.valid_until = valid_until
         self.since = since
+        self.valid_since = -math.inf
+        self.valid_until = valid_until
         self.is_missing = False
 
     def is_valid(self, now):
-        """Whether other VMs certainly list this one."""
+        """Whether this VM is in contact with the store, and its key is in it."""
         return now < self.valid_until and not self.is_missing
 
+    def renew(self, started_at, now):
+        """Record a successful renewal that began at `started_at`."""
+        if -math.inf < self.valid_until <= now:
+            self.valid_since = now
+        self.valid_until = started_at + TRUSTED_RENEWAL_S
+
 
 class VmInfo:
     """Properties that a VM publishes to the others.
@@ -98,9 +107,16 @@
         self.search_address = search_address
         self.rate = rate
 
-    def encode(self):
-        """Return the value of the VM's key."""
+    def encode(self, listed_since=0.0):
+        """Return the value of the VM's key.
+
+        Parameters
+        ----------
+        listed_since : float
+            See `KeyLease.since`.
+        """
         body = {
+            "listed_since": listed_since,
             "domain": self.domain,
             "address": self.address,
             "search_address": self.search_address,
@@ -249,11 +265,8 @@
         self._store = store
         self._fleet = fleet
         self._key = VM_PREFIX + fleet.own_vm.vm_id
-        self._value = fleet.own_vm.encode()
         self._lease = None
         self._revision = 0
-        # Whether this process may have written the key.
-        self._may_have_written = False
 
     async def run(self):
         """Register and renew until cancelled."""
@@ -264,48 +277,55 @@
             except LeaseNotFoundError:
                 logger.info("the lease of this VM's key has expired")
                 self._lease = None
-                self._fleet.key_lease.valid_until = -math.inf
             except TarragonchuteError as error:
                 logger.info("cannot register this VM or renew its lease: %s", error)
                 await trio.sleep(RETRY_DELAY_S)
 
     async def _renew_or_register(self):
         started_at = trio.current_time()
+        key_lease = self._fleet.key_lease
         if self._lease is not None and not self._fleet.is_own_key_missing:
             await self._store.renew_lease(self._lease)
         else:
-            self._fleet.is_own_key_missing = False
-            key_lease = self._fleet.key_lease
-            key_lease.valid_until = -math.inf
-            key_lease.is_missing = False
+            self._fleet.is_own_key_missing = key_lease.is_missing = False
             lease = await self._store.grant_lease(KEY_LEASE_S)
-            was_there = await self._write_key(lease)
-            self._may_have_written = True
-            key_lease.since = -math.inf if was_there else trio.current_time()
+            await self._write_key(lease)
             self._lease = lease
-        valid_until = started_at + KEY_LEASE_S - LEASE_MARGIN_S
-        self._fleet.key_lease.valid_until = valid_until
+        key_lease.renew(started_at, trio.current_time())
 
     async def _write_key(self, lease):
-        """Write the key; return whether it was there since before this process."""
+        key_lease = self._fleet.key_lease
+        # Until the key is written, it is not known to be in the store.
+        key_lease.since = math.inf
+        now = trio.current_time()
+        value = self._fleet.own_vm.encode(now)
         try:
             self._revision = await self._store.put(
-                self._key, self._value, self._revision, lease
+                self._key, value, self._revision, lease
             )
         except StoreConflictError as error:
             # The key is from an earlier run, or from a write whose answer was lost.
             expect = 0 if error.entry is None else error.entry.revision
-            self._revision = await self._store.put(
-                self._key, self._value, expect, lease
-            )
-            # An entry of an earlier run with other properties had another rank.
-            is_same = error.entry is not None and error.entry.value == self._value
-            return is_same and not self._may_have_written
+            if error.entry is not None:
+                now = self._read_listed_since(error.entry.value, now)
+                value = self._fleet.own_vm.encode(now)
+            self._revision = await self._store.put(self._key, value, expect, lease)
         except StoreOutcomeUnknownError:
             self._revision = 0
-            self._may_have_written = True
             raise
-        return False
+        key_lease.since = now
+
+    def _read_listed_since(self, value, now):
+        """Return since when a key of this VM has been in the store; `now` if unknown.
+
+        A key with other properties had another rank. After a boot of the VM itself, the
+        time is in the future, or later than it was.
+        """
+        try:
+            since = min(float(orjson.loads(value)["listed_since"]), now)
+        except (ValueError, KeyError, TypeError):
+            return now
+        return since if value == self._fleet.own_vm.encode(since) else now
 
 
 def decode_vm_key(key):
--- a/tarragonchute/grantroles.py
+++ b/tarragonchute/grantroles.py
@@ -17,6 +17,10 @@
 CONTINUE_S = 3.0
 """Time for which a VM continues to grant after it has seen that another is first."""
 
+RELIST_S = 3.0
+"""Time that a grantor waits after it was out of contact with the store or paused, until
+its list of VMs is certainly current again."""
+
 MIN_DEPUTY_PART = 2.0
 """Smallest part of a deputy per window. Tokens are whole, so a deputy with a smaller
 part could grant almost none; there are then fewer deputies than failure domains."""
@@ -132,8 +136,8 @@
                 return False
             self._leaders_changed_at = now
         else:
-            # The first list says nothing about the time before the start; what happened
-            # then follows from `fleet.KeyLease.since`.
+            # The first list says nothing about the time before the start; that follows
+            # from `fleet.KeyLease.since`.
             self._started_at = now
         self._leaders = leaders
         for name, roles in self._roles.items():
@@ -177,8 +181,7 @@
         if not self._key_lease.is_valid(now):
             return math.inf
         if roles.grantor_id == self._own_id:
-            begins_at = max(roles.changed_at, self._key_lease.since) + HANDOVER_S
-            return max(begins_at - now, 0.0)
+            return max(self._compute_begin(roles) - now, 0.0)
         is_continuing = (
             roles.previous_id == self._own_id and now < roles.changed_at + CONTINUE_S
         )
@@ -187,21 +190,29 @@
     def get_granting_since(self, customer_name, now):
         """Return the time since which this VM, which has authority, has had it.
 
-        A process whose key was in the store when it started has had it since then.
+        A process whose key was in the store before has had it since its start.
         """
         roles = self.get(customer_name, now)
         if roles.grantor_id is None:
             return self._started_at
         if roles.grantor_id != self._own_id:
             return roles.continued_since
-        begins_at = max(roles.changed_at, self._key_lease.since) + HANDOVER_S
-        return max(begins_at, self._started_at)
+        return max(self._compute_begin(roles), self._started_at)
 
     def count_held(self, now):
         """Return the number of customers that have this VM as grantor."""
         names = list(self._roles)
         return sum(self.compute_wait_s(name, now) == 0.0 for name in names)
 
+    def _compute_begin(self, roles):
+        """Return the time from which this VM, which is first, has authority."""
+        key_lease = self._key_lease
+        return max(
+            roles.changed_at + HANDOVER_S,
+            key_lease.since + HANDOVER_S,
+            key_lease.valid_since + RELIST_S,
+        )
+
     def _update(self, customer_name, roles, now):
         ranked = rank_candidates(customer_name, (self._leaders or {}).values())
         grantor_id = ranked[0].vm_id if ranked else None
--- a/tests/allowancefleet.py
+++ b/tests/allowancefleet.py
@@ -130,7 +130,7 @@
         if self.vms.get(vm.info.vm_id) is not vm:
             return
         if vm.info.vm_id not in self.out_of_touch and self.now >= vm.paused_until:
-            vm.key_lease.valid_until = self.now + 10.0
+            vm.key_lease.renew(self.now, self.now)
         vm.allowances.sweep(self.now)
         self.call_later(SWEEP_S, lambda: self.sweep(vm))
 
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -270,7 +270,7 @@
             self.fleet.out_of_touch.clear()
             if pause_s < KEY_LEASE_S:
                 self.check_recovered(5)
-        self.assertFalse(self.fleet.now < old.key_lease.valid_until)
+        self.assertFalse(old.key_lease.is_valid(self.fleet.now))
 
     def test_grantor_cut_off_from_the_store(self):
         """Guards against two grantors when one can be reached but not renew."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,10 +7,10 @@
 
 from tarragonchute.fleet import (
     KEY_LEASE_S,
-    LEASE_MARGIN_S,
     MISSING_VM_GRACE_S,
     RENEW_INTERVAL_S,
     RETRY_DELAY_S,
+    TRUSTED_RENEWAL_S,
     VM_PREFIX,
     Fleet,
     VmInfo,
@@ -132,30 +132,53 @@
             now = trio.current_time()
             self.assertTrue(now - 0.2 < lease.since <= now)
             store.is_unavailable = True
-            await trio.sleep(KEY_LEASE_S - LEASE_MARGIN_S - 0.3)
+            await trio.sleep(TRUSTED_RENEWAL_S - 0.3)
             self.assertTrue(lease.is_valid(trio.current_time()))
             await trio.sleep(0.3)
             self.assertFalse(lease.is_valid(trio.current_time()))
+            self.assertEqual(-math.inf, lease.valid_since)
             store.is_unavailable = False
             await trio.sleep(RETRY_DELAY_S + 0.1)
             self.assertTrue(lease.is_valid(trio.current_time()))
+            self.assertGreater(lease.valid_since, now + TRUSTED_RENEWAL_S - 0.2)
             fleet.apply("a", None, trio.current_time())
             self.assertFalse(lease.is_valid(trio.current_time()))
             nursery.cancel_scope.cancel()
 
     @run_in_virtual_time
-    async def test_key_of_an_earlier_run_is_told_from_a_lost_answer(self):
-        """Guards against a new VM that believes others have listed it before."""
+    async def test_time_since_which_the_key_exists_is_known(self):
+        """Guards against a VM that believes others have listed it for longer.
+
+        A VM that had joined and was restarted within seconds was a second grantor.
+        """
         for has_key, lost_answers in ((True, 0), (False, 0), (False, 1), (True, 1)):
             store = MemoryStore()
             fleet = build_fleet()
+            since = trio.current_time()
             if has_key:
-                value = fleet.own_vm.encode()
+                since -= 5.0
+                value = fleet.own_vm.encode(since)
                 await store.put(VM_PREFIX + "a", value, 0)
             store.lose_answers = lost_answers
             async with trio.open_nursery() as nursery:
                 await self.start(nursery, store, fleet)
                 await trio.sleep(3 * RETRY_DELAY_S)
-                is_known = fleet.key_lease.since == -math.inf
-                self.assertEqual(has_key, is_known)
+                self.assertAlmostEqual(since, fleet.key_lease.since, delta=0.2)
+                nursery.cancel_scope.cancel()
+
+    @run_in_virtual_time
+    async def test_earlier_key_that_tells_nothing(self):
+        """Guards against a restarted VM that trusts a key of other properties."""
+        now = trio.current_time()
+        other = VmInfo("a", "other", "10.0.0.1:80").encode(now - 5.0)
+        future = build_fleet().own_vm.encode(now + 1000.0)
+        for value in (other, future, "{}", '{"listed_since": "x"}', "[]", "old"):
+            store = MemoryStore()
+            fleet = build_fleet()
+            await store.put(VM_PREFIX + "a", value, 0)
+            async with trio.open_nursery() as nursery:
+                started_at = trio.current_time()
+                await self.start(nursery, store, fleet)
+                self.assertGreaterEqual(fleet.key_lease.since, started_at)
+                self.assertLess(fleet.key_lease.since, started_at + 0.2)
                 nursery.cancel_scope.cancel()
