Ask only VMs that announce that they keep allowances, and renew more often there

A VM of an earlier version closes a channel that begins with an ask, so that its customers would have been refused while versions are mixed. The key of a VM without the settings is as before. With renewals each 4 s, one that failed ended the authority of a grantor. A customer without a rate has no limit, also with a burst.

--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -220,7 +220,7 @@
         now : float
         """
         self._version = version
-        limited = {c.name: c for c in customers if c.is_limited}
+        limited = {c.name: c for c in customers if c.rate > 0}
         for name, customer in limited.items():
             self._book.set_limits(name, version, customer.rate, customer.burst, now)
             # From now on, this VM observes whether it is the grantor.
@@ -258,7 +258,7 @@
         Parameters
         ----------
         customer : customers.Customer
-            A customer whose `is_limited` is true.
+            A customer that has a rate.
         goal_s : float
             Response time goal of the route.
         now : float
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -31,6 +31,10 @@
 RENEW_INTERVAL_S = 4.0
 """Interval of lease renewals; two may fail before the lease expires."""
 
+NEEDED_RENEW_INTERVAL_S = 2.0
+"""Interval on a VM that may grant tokens of allowances. Its authority ends soon after
+the last renewal (`TRUSTED_RENEWAL_S`), so that one that fails must not end it."""
+
 RETRY_DELAY_S = 1.0
 """Delay before another attempt to write the key or renew its lease."""
 
@@ -43,9 +47,9 @@
 
 
 TRUSTED_RENEWAL_S = 5.5
-"""Time after a renewal for which a VM relies on its list of VMs. One renewal may fail.
-A VM that joins waits for longer (`grantroles.HANDOVER_S`), so that one that is cut off
-from the store has stopped by then; the whole lease of the key would be too long."""
+"""Time after a renewal for which a VM relies on its list of VMs. A VM that joins waits
+for longer (`grantroles.HANDOVER_S`), so that one that is cut off from the store has
+stopped by then; the whole lease of the key would be too long."""
 
 
 class KeyLease:
@@ -61,15 +65,18 @@
         `valid_since` is minus infinity if there has been none since the start.
     is_missing : bool
         Whether the key was reported as removed.
+    is_needed : bool
+        Whether this VM may do something only while the lease is valid.
     """
 
-    __slots__ = ("since", "valid_since", "valid_until", "is_missing")
+    __slots__ = ("since", "valid_since", "valid_until", "is_missing", "is_needed")
 
     def __init__(self, valid_until=-math.inf, since=math.inf):
         self.since = since
         self.valid_since = -math.inf
         self.valid_until = valid_until
         self.is_missing = False
+        self.is_needed = False
 
     def is_valid(self, now):
         """Whether this VM is in contact with the store, and its key is in it."""
@@ -96,16 +103,34 @@
         ``host:port`` for subsearches; empty if it accepts none.
     rate : float
         Number of shard requests per second that it can make.
+    keeps_allowances : bool
+        Whether it can be asked for tokens of customers' allowances.
     """
 
-    __slots__ = ("vm_id", "domain", "address", "search_address", "rate")
+    __slots__ = (
+        "vm_id",
+        "domain",
+        "address",
+        "search_address",
+        "rate",
+        "keeps_allowances",
+    )
 
-    def __init__(self, vm_id, domain="", address="", search_address="", rate=1.0):
+    def __init__(
+        self,
+        vm_id,
+        domain="",
+        address="",
+        search_address="",
+        rate=1.0,
+        keeps_allowances=False,
+    ):
         self.vm_id = vm_id
         self.domain = domain
         self.address = address
         self.search_address = search_address
         self.rate = rate
+        self.keeps_allowances = keeps_allowances
 
     def encode(self, listed_since=0.0):
         """Return the value of the VM's key.
@@ -113,15 +138,16 @@
         Parameters
         ----------
         listed_since : float
-            See `KeyLease.since`.
+            See `KeyLease.since`; written only if the VM keeps allowances.
         """
         body = {
-            "listed_since": listed_since,
             "domain": self.domain,
             "address": self.address,
             "search_address": self.search_address,
             "rate": self.rate,
         }
+        if self.keeps_allowances:
+            body["listed_since"] = listed_since
         return orjson.dumps(body).decode()
 
 
@@ -224,6 +250,7 @@
             _check_address(body["address"]),
             _check_address(body.get("search_address", "")),
             max(_check_rate(body.get("rate", 1.0)), MIN_RATE),
+            "listed_since" in body,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         logger.warning("cannot decode the key of VM %s: %r", vm_id, error)
@@ -273,7 +300,10 @@
         while True:
             try:
                 await self._renew_or_register()
-                await trio.sleep(RENEW_INTERVAL_S)
+                is_needed = self._fleet.key_lease.is_needed
+                await trio.sleep(
+                    NEEDED_RENEW_INTERVAL_S if is_needed else RENEW_INTERVAL_S
+                )
             except LeaseNotFoundError:
                 logger.info("the lease of this VM's key has expired")
                 self._lease = None
--- a/tarragonchute/grantlinks.py
+++ b/tarragonchute/grantlinks.py
@@ -292,6 +292,7 @@
     metrics : gatewaymetrics.GatewayMetrics
     """
     own_vm = fleet.own_vm
+    own_vm.keeps_allowances = True
     source = random.Random()
     roles = RoleTable(own_vm.vm_id, fleet.key_lease)
     book = GrantBook(own_vm.vm_id, own_vm.domain, bounds, roles, source)
--- a/tarragonchute/grantroles.py
+++ b/tarragonchute/grantroles.py
@@ -127,8 +127,11 @@
     def set_vms(self, vms, now):
         """Update the list of present VMs; return whether the leaders have changed."""
         self.vm_count = len(vms)
+        # A VM of an earlier version, or without the settings, cannot be asked.
+        vms = [vm for vm in vms if vm.keeps_allowances]
         leader_ids = list_leaders(vms)
         leaders = {vm.vm_id: vm for vm in vms if vm.vm_id in leader_ids}
+        self._key_lease.is_needed = self._own_id in leaders
         domains = {vm_id: vm.domain for vm_id, vm in leaders.items()}
         if self._leaders is not None:
             if domains == {vm_id: vm.domain for vm_id, vm in self._leaders.items()}:
--- a/tests/allowancefleet.py
+++ b/tests/allowancefleet.py
@@ -100,7 +100,7 @@
         self.cuts = set()
         self.out_of_touch = set()
         self.infos = {
-            f"vm{n}": VmInfo(f"vm{n}", f"d{n % domains}", "", "127.0.0.1:1", 1.0)
+            f"vm{n}": VmInfo(f"vm{n}", f"d{n % domains}", "", "127.0.0.1:1", 1.0, True)
             for n in range(vm_count)
         }
         self.customers = {}
--- a/tests/test_allowance_faults.py
+++ b/tests/test_allowance_faults.py
@@ -13,7 +13,8 @@
 FAULT_INTERVALS_S = (1, 5, 20, 30)
 DAY_S = 200
 SEEDS = (39, 49, 77)
-"""The first two broke the limit while a VM relied on its list for its whole lease."""
+"""The first two broke the limit while a VM relied on its list for its whole lease; on
+the third, the smallest part of the rate was served."""
 
 CUSTOMERS = ((2, 4), (20, 20), (20, 5), (50, 200), (5, 40))
 VM_COUNTS = (6, 12, 30)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -154,6 +154,7 @@
         for has_key, lost_answers in ((True, 0), (False, 0), (False, 1), (True, 1)):
             store = MemoryStore()
             fleet = build_fleet()
+            fleet.own_vm.keeps_allowances = True
             since = trio.current_time()
             if has_key:
                 since -= 5.0
@@ -170,11 +171,22 @@
     async def test_earlier_key_that_tells_nothing(self):
         """Guards against a restarted VM that trusts a key of other properties."""
         now = trio.current_time()
-        other = VmInfo("a", "other", "10.0.0.1:80").encode(now - 5.0)
-        future = build_fleet().own_vm.encode(now + 1000.0)
-        for value in (other, future, "{}", '{"listed_since": "x"}', "[]", "old"):
+        other = VmInfo("a", "other", "10.0.0.1:80", "", 1.0, True).encode(now - 5.0)
+        own = VmInfo("a", "d", "10.0.0.1:80", "", 1.0, True)
+        future = own.encode(now + 1000.0)
+        older_version = build_fleet().own_vm.encode()
+        for value in (
+            other,
+            future,
+            older_version,
+            "{}",
+            '{"listed_since": "x"}',
+            "[]",
+            "old",
+        ):
             store = MemoryStore()
             fleet = build_fleet()
+            fleet.own_vm.keeps_allowances = True
             await store.put(VM_PREFIX + "a", value, 0)
             async with trio.open_nursery() as nursery:
                 started_at = trio.current_time()
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -42,7 +42,7 @@
 
 def build_vms(count):
     """Return VMs of one failure domain, the first candidate of `CUSTOMER` first."""
-    vms = [VmInfo(f"vm{n}", "d", "", ADDRESS) for n in range(count)]
+    vms = [VmInfo(f"vm{n}", "d", "", ADDRESS, 1.0, True) for n in range(count)]
     return sorted(vms, key=lambda vm: -hash_to_fraction(f"c {vm.vm_id}"))
 
 
@@ -117,6 +117,13 @@
         self.roles.set_vms(self.vms, 21.0)
         self.assertTrue(book.answer(build_ask(), 21.0).is_declined)
 
+    def test_vms_that_cannot_be_asked_have_no_role(self):
+        """Guards against refusals while some VMs have an earlier version."""
+        self.build()
+        older = [VmInfo(vm.vm_id, "d", "", ADDRESS) for vm in self.vms[:2]]
+        self.roles.set_vms([*older, self.vms[2]], 20.0)
+        self.assertEqual(self.vms[2].vm_id, self.roles.get("c", 20.0).grantor_id)
+
     def test_grantor_without_lease_declines(self):
         """Guards against grants of a VM that others no longer list."""
         book = self.build()
@@ -309,10 +316,11 @@
         self.assertIs(gateway.shard_server, gateway.channel_owner)
         for _ in range(20):
             self.assertEqual("no_target", (await self.call(gateway)).code)
-        gateway = self.build(BOUNDS)
-        self.apply(gateway, 2, {})
-        gateway.allowances.acquire = None
-        self.assertEqual("no_target", (await self.call(gateway)).code)
+        for version, limits in enumerate(({}, {"rate-per-s": 0, "burst": 1}), 2):
+            gateway = self.build(BOUNDS)
+            self.apply(gateway, version, limits)
+            gateway.allowances.acquire = None
+            self.assertEqual("no_target", (await self.call(gateway)).code)
 
     @run_in_virtual_time
     async def test_refusals_are_logged_together(self):
