--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -246,6 +246,7 @@
             return
         self._vms = vms
         if self._roles.set_vms(vms, now):
+            self._declined_until.clear()
             logger.info(
                 "grantors of allowances may have changed",
                 extra={"leaders": len(self._roles.list_vms())},
