--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -26,13 +26,18 @@
 
 VM_PREFIX = "tarragonchute/vms/"
 
-KEY_LEASE_S = 12.0
+KEY_LEASE_S = 20.0
 """Lease time of a VM's key. Renewals are billed, and a VM that is listed for some
-seconds too long only lowers the limits of the others."""
+seconds too long only lowers the limits of the others. The store may turn a VM away for
+some ten seconds, which must not end its roles."""
 
 RENEW_INTERVAL_S = 4.0
 """Interval of lease renewals; two may fail before the lease expires."""
 
+NEEDED_RENEW_INTERVAL_S = 2.0
+"""Interval on a VM that may grant tokens of allowances. Its authority ends soon after
+the last renewal (`TRUSTED_RENEWAL_S`), so that one that fails must not end it."""
+
 RETRY_DELAY_S = 1.0
 """Delay before another attempt to write the key or renew its lease."""
 
@@ -46,7 +51,7 @@
 number of VMs per second for which it is longer: a registration takes up to three
 billed writes, which then use half of what the store accepts."""
 
-MISSING_VM_GRACE_S = 30.0
+MISSING_VM_GRACE_S = 22.0
 """Time for which a VM whose key is gone is still listed. It may only be unable to reach
 the store, and still send requests."""
 
@@ -54,36 +59,67 @@
 """Lower bound of a VM's rate; the assignment of shards requires positive rates."""
 
 
-LEASE_MARGIN_S = 2.0
-"""Time before the end of its lease from which a VM no longer relies on its key. Clocks
-of VMs may run differently, and tokens of allowances outlive the lease of a grantor."""
+TRUSTED_RENEWAL_S = 5.5
+"""Time after a renewal for which a VM relies on its list of VMs. A VM that joins waits
+for longer (`grantroles.HANDOVER_S`), so that one that is cut off from the store has
+stopped by then; the whole lease of the key would be too long."""
+
+
+TRUSTED_CONTACT_S = 3.0
+"""Time for which a VM relies on its list of VMs after an answer of the store or of a
+relay. A relay may have lost the store 1.5 s before it stops answering."""
 
 
 class KeyLease:
-    """How long other VMs have certainly listed this VM.
+    """Since when and for how long other VMs have listed this VM.
 
     Attributes
     ----------
-    valid_until : float
-        Monotonic time until which the key is certainly in the store.
     since : float
-        Monotonic time since which it certainly has been there; minus infinity if it
-        was there when this process started.
+        Time since which the key has been in the store without a gap, in seconds since
+        the boot of the VM. A restarted process reads it from the key.
+    valid_since, valid_until : float
+        Interval in which this VM has been in contact with the store without a gap;
+        `valid_since` is minus infinity if there has been none since the start.
     is_missing : bool
         Whether the key was reported as removed.
+    is_needed : bool
+        Whether this VM may do something only while the lease is valid.
     """
 
-    __slots__ = ("valid_until", "since", "is_missing")
+    __slots__ = ("since", "valid_since", "valid_until", "is_missing", "is_needed")
 
     def __init__(self, valid_until=-math.inf, since=math.inf):
-        self.valid_until = valid_until
         self.since = since
+        self.valid_since = -math.inf
+        self.valid_until = valid_until
         self.is_missing = False
+        self.is_needed = False
 
     def is_valid(self, now):
-        """Whether other VMs certainly list this one."""
+        """Whether this VM is in contact with the store, and its key is in it."""
         return now < self.valid_until and not self.is_missing
 
+    def renew(self, started_at, now):
+        """Record a successful renewal that began at `started_at`."""
+        self._extend(started_at + TRUSTED_RENEWAL_S, now)
+
+    def confirm(self, contact_at, now):
+        """Record that the list of VMs was current at a time.
+
+        The store may turn this VM away while other VMs relay its changes, among them
+        the removal of this VM's key.
+        """
+        if self.since < math.inf:
+            self._extend(contact_at + TRUSTED_CONTACT_S, now)
+
+    def _extend(self, until, now):
+        if until <= max(self.valid_until, now):
+            return
+        if -math.inf < self.valid_until <= now:
+            self.valid_since = now
+        self.valid_until = until
+
 
 class VmInfo:
     """Properties that a VM publishes to the others.
@@ -99,25 +135,51 @@
         ``host:port`` for subsearches; empty if it accepts none.
     rate : float
         Number of shard requests per second that it can make.
+    keeps_allowances : bool
+        Whether it can be asked for tokens of customers' allowances.
     """
 
-    __slots__ = ("vm_id", "domain", "address", "search_address", "rate")
+    __slots__ = (
+        "vm_id",
+        "domain",
+        "address",
+        "search_address",
+        "rate",
+        "keeps_allowances",
+    )
 
-    def __init__(self, vm_id, domain="", address="", search_address="", rate=1.0):
+    def __init__(
+        self,
+        vm_id,
+        domain="",
+        address="",
+        search_address="",
+        rate=1.0,
+        keeps_allowances=False,
+    ):
         self.vm_id = vm_id
         self.domain = domain
         self.address = address
         self.search_address = search_address
         self.rate = rate
+        self.keeps_allowances = keeps_allowances
+
+    def encode(self, listed_since=0.0):
+        """Return the value of the VM's key.
 
-    def encode(self):
-        """Return the value of the VM's key."""
+        Parameters
+        ----------
+        listed_since : float
+            See `KeyLease.since`; written only if the VM keeps allowances.
+        """
         body = {
             "domain": self.domain,
             "address": self.address,
             "search_address": self.search_address,
             "rate": self.rate,
         }
+        if self.keeps_allowances:
+            body["listed_since"] = listed_since
         return orjson.dumps(body).decode()
 
 
@@ -220,6 +282,7 @@
             _check_address(body["address"]),
             _check_address(body.get("search_address", "")),
             max(_check_rate(body.get("rate", 1.0)), MIN_RATE),
+            "listed_since" in body,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         logger.warning("cannot decode the key of VM %s: %r", vm_id, error)
@@ -268,12 +331,9 @@
         self._store = store
         self._fleet = fleet
         self._key = VM_PREFIX + fleet.own_vm.vm_id
-        self._value = fleet.own_vm.encode()
         self._lease = None
         self._revision = 0
         self._restored_at = -math.inf
-        # Whether this process may have written the key.
-        self._may_have_written = False
 
     async def run(self):
         """Register and renew until cancelled."""
@@ -281,10 +341,11 @@
             try:
                 await self._discard_lease_of_earlier_era()
                 await self._renew_or_register()
-                with trio.move_on_after(RENEW_INTERVAL_S):
+                is_needed = self._fleet.key_lease.is_needed
+                wait_s = NEEDED_RENEW_INTERVAL_S if is_needed else RENEW_INTERVAL_S
+                with trio.move_on_after(wait_s):
                     await self._eras.wait_for_newer(self._era)
             except LeaseNotFoundError:
-                self._fleet.key_lease.valid_until = -math.inf
                 if self._eras.current == self._era:
                     logger.info("the lease of this VM's key has expired")
                     self._lease = None
@@ -297,8 +358,6 @@
         if self._lease is None or self._eras.current == self._era:
             return
         self._restored_at = trio.current_time()
-        # The restored store has no lease of this VM any more.
-        self._fleet.key_lease.valid_until = -math.inf
         vm_count = len(self._fleet.list_vms(self._restored_at))
         spread_s = max(REGISTRATION_SPREAD_S, vm_count / MAX_REGISTRATIONS_PER_S)
         await trio.sleep(spread_s * self._random.random())
@@ -308,49 +367,59 @@
 
     async def _renew_or_register(self):
         started_at = trio.current_time()
+        key_lease = self._fleet.key_lease
         if self._lease is not None and not self._fleet.is_own_key_missing:
             await self._store.renew_lease(self._lease)
         else:
-            self._fleet.is_own_key_missing = False
-            key_lease = self._fleet.key_lease
-            key_lease.valid_until = -math.inf
-            key_lease.is_missing = False
+            self._fleet.is_own_key_missing = key_lease.is_missing = False
             lease = await self._store.grant_lease(KEY_LEASE_S)
             era = self._eras.current
-            was_there = await self._write_key(lease)
-            self._may_have_written = True
-            if not self._is_lost_by_restore(started_at):
-                key_lease.since = -math.inf if was_there else trio.current_time()
+            await self._write_key(lease)
             self._lease = lease
             self._era = era
-        valid_until = started_at + KEY_LEASE_S - LEASE_MARGIN_S
-        self._fleet.key_lease.valid_until = valid_until
+        key_lease.renew(started_at, trio.current_time())
 
     def _is_lost_by_restore(self, now):
         """Whether the key was lost by a restore so lately that no VM has its role."""
         return now - self._restored_at < MAX_RESTORE_GAP_S
 
     async def _write_key(self, lease):
-        """Write the key; return whether it was there since before this process."""
+        key_lease = self._fleet.key_lease
+        now = trio.current_time()
+        if self._is_lost_by_restore(now):
+            # The other VMs have kept the key in their lists.
+            now = min(key_lease.since, now)
+        # Until the key is written, it is not known to be in the store.
+        key_lease.since = math.inf
+        value = self._fleet.own_vm.encode(now)
         try:
             self._revision = await self._store.put(
-                self._key, self._value, self._revision, lease
+                self._key, value, self._revision, lease
             )
         except StoreConflictError as error:
             # The key is from an earlier run, or from a write whose answer was lost.
             self._revision = 0
             expect = 0 if error.entry is None else error.entry.revision
-            self._revision = await self._store.put(
-                self._key, self._value, expect, lease
-            )
-            # An entry of an earlier run with other properties had another rank.
-            is_same = error.entry is not None and error.entry.value == self._value
-            return is_same and not self._may_have_written
+            if error.entry is not None:
+                now = self._read_listed_since(error.entry.value, now)
+                value = self._fleet.own_vm.encode(now)
+            self._revision = await self._store.put(self._key, value, expect, lease)
         except StoreOutcomeUnknownError:
             self._revision = 0
-            self._may_have_written = True
             raise
-        return False
+        key_lease.since = now
+
+    def _read_listed_since(self, value, now):
+        """Return since when a key of this VM has been in the store; `now` if unknown.
+
+        A key with other properties had another rank. After a boot of the VM itself, the
+        time is in the future, or later than it was.
+        """
+        try:
+            since = min(float(orjson.loads(value)["listed_since"]), now)
+        except (ValueError, KeyError, TypeError):
+            return now
+        return since if value == self._fleet.own_vm.encode(since) else now
 
 
 def decode_vm_key(key):
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -195,6 +195,7 @@
         self.is_draining = False
         self._stop_at = math.inf
         self._queries = set()
+        self.get_last_contact = lambda: -math.inf
         self.count_dropped_lines = self.count_retained = int  # `int()` returns 0.
         self.store_eras = StoreEras()
         self._header_names = header_names
@@ -318,6 +319,7 @@
         self._update_delegates(now)
         self._delegates.maintain_channels(now)
         if self.allowances is not None:
+            self.fleet.key_lease.confirm(self.get_last_contact(), now)
             self.allowances.set_vms(self.fleet.list_present(), now)
             self.allowances.sweep(now)
         if now - self._started_at > PRECONNECT_DELAY_S:
@@ -335,7 +337,7 @@
         try:
             route, identity = self._identify(request, request_id, started_at)
             customer = identity and identity.customer
-            if self.allowances is not None and customer and customer.is_limited:
+            if self.allowances is not None and customer and customer.rate > 0:
                 table = self.table
                 await self.allowances.acquire(customer, route.goal_s, started_at)
                 charged = customer
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -9,7 +9,7 @@
 
 from ..clocks import BootTimeClock
 from ..errors import FindingsError
-from ..fleet import VmRegistration, decode_vm_key
+from ..fleet import VM_PREFIX, VmRegistration, decode_vm_key
 from ..gateway import Gateway
 from ..logs import NonBlockingStream, configure_logging
 from ..otherwatchers import OtherWatchers
@@ -42,9 +42,9 @@
 
 logger = logging.getLogger(__name__)
 
-RETAINED_PREFIXES = (EVACUATION_PREFIX,)
-"""Keys of operators that neither appear nor disappear because the store came back from
-an older copy; see `revisions`."""
+RETAINED_PREFIXES = (EVACUATION_PREFIX, VM_PREFIX)
+"""Keys of operators, and of VMs, which write theirs again. They neither appear nor
+disappear because the store came back from an older copy; see `revisions`."""
 
 
 class GatewayUpdater(StoreUpdateHandler):
@@ -229,6 +229,7 @@
         OtherWatchers(gateway.fleet),
         eras=eras,
     )
+    gateway.get_last_contact = lambda: watcher.last_contact_at
     gateway.count_retained = lambda: len(watcher.list_retained())
     vm_registration = VmRegistration(store, gateway.fleet, eras)
     process = GatewayProcess(
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import random
 
 import trio
@@ -158,6 +159,11 @@
         self.is_watching_store = False
         self.is_loaded = False
 
+    @property
+    def last_contact_at(self):
+        """When the store or a relay last answered; minus infinity if never."""
+        return -math.inf if self._last_success_at is None else self._last_success_at
+
     async def run(self):
         """Track the store until cancelled."""
         async with trio.open_nursery() as nursery:
