--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -56,6 +56,35 @@
         self.registry.apply("i-1", build_registration(is_draining=True), 1.0)
         self.assertEqual([], self.list_ids())
 
+    def test_older_entry_of_the_same_process_changes_nothing(self):
+        """Guards against requests to a draining target because of an old entry.
+
+        The store may come back from an older copy, or another VM may be behind.
+        """
+        draining = build_registration(is_draining=True, sequence=5)
+        self.registry.apply("i-1", draining, 0.0)
+        self.registry.apply("i-1", build_registration(sequence=4), 1.0)
+        self.registry.replace_all({"i-1": build_registration(sequence=4)}, 2.0, False)
+        self.assertEqual([], self.list_ids())
+        self.registry.apply("i-1", None, 3.0)
+        self.registry.apply("i-1", build_registration(sequence=4), 4.0)
+        self.assertEqual([], self.list_ids())
+        self.registry.apply("i-1", build_registration(sequence=6), 5.0)
+        self.assertEqual(["i-1"], self.list_ids())
+
+    def test_entries_that_are_not_ordered_replace_each_other(self):
+        """Guards against a target that stays draining without sequence numbers.
+
+        Entries of another process are not ordered either.
+        """
+        later = ({}, {"sequence": 5}, {"sequence": 1, "started_ms": 2})
+        for values in later:
+            draining = build_registration(is_draining=True, sequence=5)
+            self.registry.apply("i-1", draining, 0.0)
+            self.registry.apply("i-1", build_registration(**values), 1.0)
+            self.assertEqual(["i-1"], self.list_ids(), values)
+            self.registry.apply("i-1", None, 2.0)
+
     def test_removed_target_gets_no_requests(self):
         """Guards against requests to a target that is gone."""
         self.registry.apply("i-1", build_registration(), 0.0)
