Soak: restore the store to a copy some seconds old

Operator and targets write again what was lost within 2 s. Without an outage no VM counts as disturbed. VMs that watch spread their listings in a new era over longer if they are many, as each listing takes 25 pages at the target size.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -38,6 +38,23 @@
 """Interval at which a watch that waits across a restore looks for changes."""
 
 
+class StoreCopy:
+    """A copy of a store's content.
+
+    Parameters
+    ----------
+    content : object
+    revision : int
+        Newest revision in the copy.
+    """
+
+    __slots__ = ("content", "revision")
+
+    def __init__(self, content, revision):
+        self.content = content
+        self.revision = revision
+
+
 class PlatformStoreServer:
     """Serves the HTTP routes of the platform's store from a `MemoryStore`.
 
@@ -74,8 +91,8 @@
         self.compacted_revision = self.store.revision
 
     def copy(self):
-        """Return a copy of the content for `restore`."""
-        return self.store.save_backup()
+        """Return a `StoreCopy` of the content."""
+        return StoreCopy(self.store.save_backup(), self.store.revision)
 
     async def restore(self, copy, away_s=0.0):
         """Return to an earlier copy, after an outage of some seconds.
@@ -87,7 +104,7 @@
         await trio.sleep(away_s)
         if self.era is not None:
             self.era += 1
-        self.store.restore_backup(copy, restarts_leases=True)
+        self.store.restore_backup(copy.content, restarts_leases=True)
         self.compacted_revision = min(self.compacted_revision, self.store.revision)
         self.refuses = False
 
--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -105,12 +105,14 @@
             return HttpResponse(503)
         if COMPRESSION not in request.headers.get("accept-encoding", ""):
             return HttpResponse.from_json(self._build_snapshot())
-        key = (watcher.last_applied_revision, self._is_current())
-        # What is retained expires without a new revision.
-        if key != self._compressed_key or watcher.list_retained():
+        retained = watcher.list_retained()
+        key = (watcher.last_applied_revision, self._is_current(), len(retained))
+        is_expiring = any(entry.until < math.inf for entry in retained)
+        if key != self._compressed_key or is_expiring:
             data = orjson.dumps(self._build_snapshot())
             self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
-            self._compressed_key = key
+            # The time that is left changes without a new revision.
+            self._compressed_key = None if is_expiring else key
         return HttpResponse(200, self._compressed, {"Content-Encoding": COMPRESSION})
 
     def _build_snapshot(self):
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -74,7 +74,10 @@
 the store again by then. Jitter keeps its followers from all switching at once."""
 
 ERA_LISTING_SPREAD_S = 0.5
-"""Time over which the VMs that watch the store list it again in a new era."""
+MAX_ERA_LISTINGS_PER_S = 200
+"""Time over which the VMs that watch the store list it again in a new era, and the
+number of VMs per second for which it is longer. A listing takes some 25 pages at the
+target size, so that the listings make at most 5,000 billed reads a second."""
 
 BURST_WINDOW_S = 0.2
 """A watch that returns changes within this time counts as part of a burst."""
@@ -243,7 +246,9 @@
 
     async def _load_listing(self):
         if self.is_loaded and self._content.era < self._eras.current:
-            await trio.sleep(ERA_LISTING_SPREAD_S * self._random.random())
+            least_s = self._count_watching_vms() / MAX_ERA_LISTINGS_PER_S
+            spread_s = max(ERA_LISTING_SPREAD_S, least_s)
+            await trio.sleep(spread_s * self._random.random())
         entries, revision = await self._store.list(ALL_KEYS)
         if not self.is_loaded and self._peers is not None and get_era(revision):
             # The store may lack what other VMs have accepted.
@@ -353,13 +358,15 @@
 
     async def _pause_for_batch(self, is_burst, is_urgent):
         """Pause, so that the next watch returns several changes at once."""
-        watching_vms = 1
-        if self._other_watchers is not None:
-            watching_vms += self._other_watchers.count()
+        watching_vms = self._count_watching_vms()
         await trio.sleep(
             self._pacer.choose_pause_s(self._clock(), is_burst, is_urgent, watching_vms)
         )
 
+    def _count_watching_vms(self):
+        others = self._other_watchers
+        return 1 if others is None else 1 + others.count()
+
     def _apply_changes(self, entries, revision):
         """Apply the changes of a watch; return whether one of them is urgent."""
         is_urgent = self._content.apply_changes(entries, revision)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -33,6 +33,8 @@
         self._nursery = nursery
         self._started_at = trio.current_time()
         self._busy_vms = set()
+        self._is_evacuating = False
+        self._is_restoring = False
         self._kinds = (
             self._kill_vm,
             self._stop_vm,
@@ -45,6 +47,7 @@
             self._reset_store,
             self._drop_history,
             self._lose_watch_answer,
+            self._restore_store,
             self._slow_targets,
             self._refuse_targets,
             self._fail_targets,
@@ -172,7 +175,7 @@
         all the same.
         """
         server = self._world.server
-        if server.stale_revision is not None:
+        if server.stale_revision is not None or self._is_restoring:
             return
         server.stale_revision = server.store.revision
         server.lost_watch_answers = 1
@@ -183,6 +186,24 @@
         server.lost_watch_answers = 0
         server.stale_revision = None
 
+    async def _restore_store(self):
+        """Return the store to a copy some seconds old, at times after an outage.
+
+        Without an outage no VM counts as disturbed: what the VMs have accepted must
+        hold all the same.
+        """
+        world = self._world
+        if self._is_restoring or world.server.stale_revision is not None:
+            return
+        self._is_restoring = True
+        copy = world.server.copy()
+        await trio.sleep(self._random.uniform(0.5, 4.0))
+        away_s = self._random.choice((0.0, self._random.uniform(0.2, 1.5)))
+        if away_s:
+            self._mark_disturbed(world.vms, 3.0)
+        await world.restore_store(copy, away_s, self._random.uniform(0.0, 2.0))
+        self._is_restoring = False
+
     async def _run_proxy_fault(self, proxy):
         proxy.mode = self._random.choice(list(ProxyMode)[1:])
         proxy.delay_s = self._random.uniform(0.02, 0.4)
@@ -290,11 +311,11 @@
             await self._remove(target, is_announced=True)
 
     async def _evacuate(self):
-        domain = self._random.choice(("a", "b"))
-        store = self._world.server.store
-        key = f"op/evacuate/{domain}"
-        if await store.get("op/evacuate/a") or await store.get("op/evacuate/b"):
+        if self._is_evacuating:
             return
-        revision = await store.put(key, "{}", 0)
+        self._is_evacuating = True
+        key = f"op/evacuate/{self._random.choice(('a', 'b'))}"
+        await self._world.operator.write(key, "{}")
         await trio.sleep(self._draw_duration_s())
-        await store.delete(key, revision)
+        await self._world.operator.write(key, None)
+        self._is_evacuating = False
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -139,6 +139,11 @@
         """Record the time from which a removed target must receive no new requests."""
         self._removal_deadlines[target_id] = deadline
 
+    def delay_target_removal(self, target_id, deadline):
+        """Delay the time of `record_target_removal`, if it was recorded."""
+        if target_id in self._removal_deadlines:
+            self._removal_deadlines[target_id] = deadline
+
     def find_process_of_order(self, request_id):
         """Return the process that passes an order on; None for searches.
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -14,6 +14,7 @@
 from standins.platform import (
     LEASE_RENEWAL_PERIOD_S,
     RENEWALS_PER_LEASE_TTL,
+    PlatformOperator,
     PlatformStoreServer,
     PlatformTarget,
     build_configuration,
@@ -42,6 +43,9 @@
 
 START_TIMEOUT_S = 20.0
 
+UNSEEN_CHANGE_S = 1.5
+"""Time that VMs may take to see a change, which a restored store may have lost then."""
+
 NOTICE_GRACE_S = 0.5
 """Time after a target's notice in which requests may still be on their way."""
 
@@ -242,7 +246,11 @@
     def __init__(self, nursery, folder, oracle, vm_count):
         self.oracle = oracle
         self.server = PlatformStoreServer()
+        self.server.era = 1
+        self.operator = PlatformOperator(self.server.store)
         self.targets = []
+        # When each target left, and whether it announced that it drains.
+        self.removed = {}
         self.proxies = {}
         self.vms = []
         self.version = 0
@@ -319,11 +327,40 @@
         target.is_leaving = True
         if entry is None:
             return None
+        target.state = "draining"
+        self.removed[target] = trio.current_time(), is_announced
+        await self._write_removal(target, is_announced)
+        return trio.current_time()
+
+    async def _write_removal(self, target, is_announced):
+        store = self.server.store
+        key = f"servers/{target.target_id}"
+        entry = await store.get(key)
+        if entry is None:
+            return
+        target.sequence += 1
         if is_announced:
-            await store.put(key, target.describe("draining"), entry.revision)
+            await store.put(key, target.describe(target.state), entry.revision)
         else:
             await store.delete(key, entry.revision)
-        return trio.current_time()
+
+    async def restore_store(self, copy, away_s, rewrite_delay_s):
+        """Return the store to a copy; operator and targets write again what is lost.
+
+        Targets that are in use register again by themselves.
+        """
+        restored_revision = copy.revision
+        await self.server.restore(copy, away_s)
+        restored_at = trio.current_time()
+        await trio.sleep(rewrite_delay_s)
+        await self.operator.write_again(restored_revision)
+        for target, (left_at, is_announced) in self.removed.items():
+            await self._write_removal(target, is_announced)
+            if left_at > restored_at - away_s - UNSEEN_CHANGE_S:
+                # VMs may not have seen that it left before the store lost it.
+                self.oracle.delay_target_removal(
+                    target.target_id, trio.current_time() + DRAIN_TIMEOUT_S
+                )
 
     async def watch_lag(self):
         """Report to the oracle when this process itself runs late."""
@@ -339,9 +376,7 @@
         self.version += 1
         self.oracle.record_version(self.version, self.shards)
         text = build_configuration(self.version, self.shards, "desk")
-        entry = await self.server.store.get("op/config")
-        revision = 0 if entry is None else entry.revision
-        await self.server.store.put("op/config", text, revision)
+        await self.operator.write("op/config", text)
 
     async def repartition(self):
         """Replace one shard by a new one, and return the targets of the old one."""
@@ -364,17 +399,22 @@
     async def _register(self, target):
         """Register a target and renew that, as a target on the platform does."""
         store = self.server.store
+        key = f"servers/{target.target_id}"
         while not target.is_leaving:
             try:
+                era = self.server.era
                 lease = await store.grant_lease(
                     RENEWALS_PER_LEASE_TTL * LEASE_RENEWAL_PERIOD_S
                 )
-                await store.put(
-                    f"servers/{target.target_id}", target.describe(), 0, lease
-                )
-                while not target.is_leaving:
+                entry = await store.get(key)
+                revision = 0 if entry is None else entry.revision
+                await store.put(key, target.describe(), revision, lease)
+                target.sequence += 1
+                # The store may give the id of a lease from before a restore to others.
+                while not target.is_leaving and era == self.server.era:
                     await trio.sleep(LEASE_RENEWAL_PERIOD_S)
-                    await store.renew_lease(lease)
+                    if era == self.server.era:
+                        await store.renew_lease(lease)
             except TarragonchuteError:
                 # The stand-in store is unavailable; the next iteration retries.
                 await trio.sleep(LEASE_RENEWAL_PERIOD_S / 4)
