--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -23,7 +23,7 @@
 )
 from .httpio import HttpConnection, HttpResponse
 from .leaders import hash_to_fraction
-from .revisions import RESTORED_KEY_RETENTION_S, RetainedEntry
+from .revisions import MAX_REVISION, RESTORED_KEY_RETENTION_S, RetainedEntry
 from .store import Entry
 
 logger = logging.getLogger(__name__)
@@ -574,4 +574,7 @@
 def _check_revision(revision):
     if not isinstance(revision, int):
         raise TypeError(f"the revision {revision!r} is not an integer")
+    if not 0 <= revision <= MAX_REVISION:
+        # An era that no store states would make all its answers seem old.
+        raise ValueError(f"the revision {revision!r} is out of range")
     return revision
--- a/tarragonchute/revisions.py
+++ b/tarragonchute/revisions.py
@@ -23,6 +23,9 @@
 """Larger eras are malformed: their revisions would not fit into 63 bits, and JSON
 decoders return larger integers as floats."""
 
+MAX_REVISION = (MAX_ERA + 1) * REVISIONS_PER_ERA - 1
+"""Largest composed revision."""
+
 RESTORED_KEY_RETENTION_S = 10.0
 """Time for which what operators had set stays in force although the restored copy
 differs. They write it again within this time."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -68,6 +68,8 @@
             {"rows": [["k", 7, 2]], "revision": 3, "all": False},
             {"rows": [["k"]], "revision": 3, "all": False},
             {"rows": [], "revision": "3", "all": False},
+            {"rows": [], "revision": 2**63, "all": False},
+            {"rows": [], "revision": -1, "all": False},
             [],
         ):
 
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -530,6 +530,18 @@
             self.assertEqual((2, set()), (vm.version, vm.evacuated))
             nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_first_header_comes_with_the_restore(self):
+        """Guards against a store that states its era only once it has one."""
+        async with trio.open_nursery() as nursery:
+            vm, copy = await self.start(nursery, era=None)
+            self.server.era = 0
+            await self.server.restore(copy)
+            await trio.sleep(NOTICE_S)
+            self.assertEqual(1, get_era(vm.watcher.revision))
+            self.check(vm)
+            nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_era_rises_by_more_than_one(self):
         """Guards against a VM that expects to see each era."""
@@ -792,6 +804,22 @@
         response.body = orjson.dumps({"rows": [], "revision": 1})
         self.assertEqual([], peers._decode_snapshot(response).retained)
 
+    @run_in_virtual_time
+    async def test_compressed_snapshot_is_current(self):
+        """Guards against a cached snapshot with entries that have expired."""
+        watcher = StoreWatcher(None, TimedRules())
+        watcher.is_loaded = True
+        server = peers.PeerServer(watcher)
+        headers = {"accept-encoding": peers.COMPRESSION}
+        request = HttpRequest("GET", peers.SNAPSHOT_PATH, headers=headers)
+        counts = []
+        for kept in ([RetainedEntry("k", None, 0, 10.0)], [], []):
+            watcher.list_retained = lambda kept=kept: kept
+            response = await server.handle(request)
+            response.headers = {"content-encoding": peers.COMPRESSION}
+            counts.append(len(peers._decode_snapshot(response).retained))
+        self.assertEqual([1, 0, 0], counts)
+
     def test_snapshot_replaces_what_was_written_since(self):
         """Guards against a retained entry that outlives a later write."""
         retained = RetainedEntries(TimedRules())
