--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -23,7 +23,7 @@
 )
 from .httpio import HttpConnection, HttpResponse
 from .leaders import hash_to_fraction
-from .revisions import RESTORED_KEY_RETENTION_S, RetainedEntry
+from .revisions import MAX_REVISION, RESTORED_KEY_RETENTION_S, RetainedEntry
 from .store import Entry
 
 logger = logging.getLogger(__name__)
@@ -105,12 +105,14 @@
             return HttpResponse(503)
         if COMPRESSION not in request.headers.get("accept-encoding", ""):
             return HttpResponse.from_json(self._build_snapshot())
-        key = (watcher.last_applied_revision, self._is_current())
-        # What is retained expires without a new revision.
-        if key != self._compressed_key or watcher.list_retained():
+        retained = watcher.list_retained()
+        key = (watcher.last_applied_revision, self._is_current(), len(retained))
+        is_expiring = any(entry.until < math.inf for entry in retained)
+        if key != self._compressed_key or is_expiring:
             data = orjson.dumps(self._build_snapshot())
             self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
-            self._compressed_key = key
+            # The time that is left changes without a new revision.
+            self._compressed_key = None if is_expiring else key
         return HttpResponse(200, self._compressed, {"Content-Encoding": COMPRESSION})
 
     def _build_snapshot(self):
@@ -231,7 +233,9 @@
         """
         if self._is_seed or not self._addresses:
             return None
-        found = await self._fetch_first(lambda snapshot: snapshot.is_current)
+        found = await self._fetch_first(
+            lambda snapshot: snapshot.is_current, self._start_timeout_s
+        )
         if found is None:
             logger.info("no other VM has a current snapshot; listing the store")
         return found
@@ -239,12 +243,13 @@
     async def fetch_any(self):
         """Return the first `PeerSnapshot` that a VM has, current or not, or None.
 
-        Waits as long as `fetch_at_start`. Used by a VM that starts after a restore of
-        the store, for what the others have accepted before.
+        Used by a VM that starts after a restore of the store, for what the others have
+        accepted before. So busy VMs are waited for, too, up to `PEER_TIMEOUT_S`; those
+        that have no snapshot say so at once.
         """
-        return await self._fetch_first(lambda snapshot: True)
+        return await self._fetch_first(lambda snapshot: True, PEER_TIMEOUT_S)
 
-    async def _fetch_first(self, is_acceptable):
+    async def _fetch_first(self, is_acceptable, timeout_s):
         found = None
 
         async def ask(address, delay_s):
@@ -260,7 +265,7 @@
                 _log_start(address, snapshot)
                 nursery.cancel_scope.cancel()
 
-        with trio.move_on_after(self._start_timeout_s):
+        with trio.move_on_after(timeout_s):
             async with trio.open_nursery() as nursery:
                 for index, address in enumerate(self._addresses):
                     nursery.start_soon(ask, address, index * START_STAGGER_S)
@@ -572,4 +577,7 @@
 def _check_revision(revision):
     if not isinstance(revision, int):
         raise TypeError(f"the revision {revision!r} is not an integer")
+    if not 0 <= revision <= MAX_REVISION:
+        # An era that no store states would make all its answers seem old.
+        raise ValueError(f"the revision {revision!r} is out of range")
     return revision
