--- a/tarragonchute/node.py
+++ b/tarragonchute/node.py
@@ -30,6 +30,7 @@
 from .links import TcpLinks
 from .logs import TraceBuffer, bind_request
 from .membership import HEARTBEAT_PERIOD_S, SKEW_S, Membership, normalize_groups
+from .memory import MemoryAccount, MemoryLimits, Source
 from .messages import Heartbeat, ShardAnswers, ShardCancel, ShardGroup
 from .metrics import FIRST, HEDGE, RETRY, Metrics
 from .orders import BookingSender
@@ -532,6 +533,8 @@
         self._settings = settings
         self._components = None
         self._shutdown = None
+        # Shared by the servers for callers and for operators.
+        self._memory = MemoryAccount(MemoryLimits.from_process())
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then drain and finish requests in flight.
@@ -559,7 +562,7 @@
             background.start_soon(self._drain_on_signal)
             logger.info("serving callers on %s", settings.caller_address)
             routes = CallerRoutes(components)
-            options = ServerOptions(cancel_on_disconnect=True)
+            options = ServerOptions(cancel_on_disconnect=True, memory=self._memory)
             await serve_http(routes.handle, caller_listeners, options, self._shutdown)
             await self._wait_until_idle()
             background.cancel_scope.cancel()
@@ -571,7 +574,8 @@
             HttpResponse.from_json,
             self._settings.bootstrap_token_sha256,
         )
-        await serve_http(routes.handle, listeners)
+        options = ServerOptions(memory=self._memory, source=Source.INTERNAL)
+        await serve_http(routes.handle, listeners, options)
 
     async def _drain_on_signal(self):
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -12,7 +12,7 @@
 import testtools
 import trio
 
-from tarragonchute.httpio import split_address
+from tarragonchute.httpio import HttpConnection, split_address
 
 from .test_platform import open_deployment
 from .trial import run_async
@@ -218,6 +218,19 @@
 
         await self.check_crowd(behave, FEW_CONNECTIONS)
 
+    @run_async
+    async def test_largest_request_is_served_by_the_smallest_vm(self):
+        """Guards against limits that refuse a single request inside the limits."""
+        limits = {"memory-mb": 160, "max-fds": 256}
+        async with open_deployment(limits=limits) as deployment:
+            connection = await HttpConnection.open(deployment.callers, 1.0)
+            connection._host = b"h.example"
+            headers = [("Request-Id", "large"), ("X-Large", "x" * 16_000)]
+            body = b"x" * 262_144
+            response = await connection.exchange("POST", "/order/1", headers, body)
+            connection.close()
+        self.assertEqual((200, body), (response.status, response.body))
+
     @run_async
     async def test_silent_connections(self):
         """Guards against connections without a request that use all descriptors."""
