Treat statuses above 599 as malformed replies

A target in trouble may send 600 or 999; they were passed on to callers (the test saw 600). Status 000 and 099 never reached a caller, before or after: h11 rejects them.

A small answer is sent as bytes again: a memoryview broke the duplicated answers of the stand-in target (test_duplicate_answer).

--- a/tarragonchute/httpio.py
+++ b/tarragonchute/httpio.py
@@ -25,6 +25,7 @@
     split_address,
 )
 from .httpserver import ServerOptions, serve_http
+from .replies import check_status
 
 __all__ = [
     "ConnectionPool",
@@ -225,6 +226,7 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if type(event) is h11.Response:
+                check_status(event.status_code)
                 return event
         raise ProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -526,10 +526,11 @@
             await self._send_bytes(part)
 
     async def _send_bytes(self, data):
-        view = memoryview(data)
-        for start in range(0, len(view), SEND_BYTES):
+        if len(data) > SEND_BYTES:
+            data = memoryview(data)
+        for start in range(0, len(data), SEND_BYTES):
             with trio.move_on_after(self._server.options.send_timeout_s) as scope:
-                await self._stream.send_all(view[start : start + SEND_BYTES])
+                await self._stream.send_all(data[start : start + SEND_BYTES])
             if scope.cancelled_caught:
                 raise _StalledError
             if self._holding:
--- a/tarragonchute/replies.py
+++ b/tarragonchute/replies.py
@@ -23,6 +23,9 @@
 MAX_INTERIM_RESPONSES = 16
 """Maximum number of interim responses (1xx) before a reply."""
 
+MAX_STATUS = 599
+"""A target in trouble may send a greater one. Callers would not understand it."""
+
 _REASON = rb"(?: [\t \x21-\x7e\x80-\xff]*)?"
 _FIELD = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+:[\t \x21-\x7e\x80-\xff]*\r\n"
 _HEAD = re.compile(
@@ -362,6 +365,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return None
             if kind is h11.Response:
+                check_status(event.status_code)
                 self._response = event
                 if self._is_chunked():
                     self.chunked_head = self._build_chunked_head()
@@ -410,6 +414,20 @@
         return b"".join(lines) + b"\r\n"
 
 
+def check_status(status):
+    """Check the status of a reply.
+
+    Statuses below 100 are rejected by h11, which accepts those up to 999.
+
+    Raises
+    ------
+    ProtocolError
+        If the status is above `MAX_STATUS`.
+    """
+    if status > MAX_STATUS:
+        raise ProtocolError(f"the reply has status {status}")
+
+
 def _find_head_end(buffer):
     """Return the offset of the empty line that ends a head, or -1."""
     end = buffer.find(b"\r\n\r\n")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -539,11 +539,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_deployment(services=("s0", "s1", "s2", "desk"), limits=None):
+async def open_deployment(
+    services=("s0", "s1", "s2", "desk"), limits=None, deployment_type=Deployment
+):
     """Yield a `Deployment` that is ready, and kill its process at the end."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            deployment = Deployment(nursery, pathlib.Path(folder), limits)
+            deployment = deployment_type(nursery, pathlib.Path(folder), limits)
             try:
                 await deployment.start(services)
                 yield deployment
