--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -619,6 +619,7 @@
     def _finish(self, exchange, now):
         exchange.finished_at = now
         exchange.connection = None
+        exchange.request = b""  # Frees the body; the exchange is kept for longer.
         self.in_flight.pop(exchange, None)
         if exchange.abandoned_at is None:
             self._reactor.record_end()
--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -358,8 +358,9 @@
         size = len(request.body) * BODY_COPIES + self._count_buffered_bytes()
         self._enter(Phase.RUNNING, size)
         response = await self._run_handler(request)
-        # The body is not needed any more, and sending may take long.
-        del request
+        # The body is not needed any more: sending may take long, and other objects that
+        # hold the request may be garbage that is collected only much later.
+        request.body = b""
         if response is None:
             return False
         await self._send(response, is_head)
@@ -500,6 +501,9 @@
         try:
             return await self._server.handler(request)
         except TarragonchuteError as error:
+            # The frames of the traceback hold the request and, through the record of
+            # its outcome, this error: a cycle that is freed only much later.
+            error.__traceback__ = None
             return build_error_response(error)
         except Exception:
             logger.exception("handler of %s %s failed", request.method, request.path)
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -303,6 +303,9 @@
         self._closed_at = now
         for subrequest in self.subrequests:
             subrequest.cancel(now)
+        # The query and its subrequests refer to each other, so that they are freed only
+        # when garbage is collected.
+        self.outgoing.body = b""
 
     def wake(self):
         """Wake up `run`, because the next due time is now earlier."""
@@ -414,7 +417,9 @@
 
     def _forward(self, reply):
         lines = list_end_to_end_headers(reply.list_header_lines())
-        return ForwardedResponse(reply.status, lines, reply.body)
+        response = ForwardedResponse(reply.status, lines, reply.body)
+        reply.discard_body()
+        return response
 
     def _is_misleading_status(self, reply):
         """Return whether the caller would draw a wrong conclusion from the status.
