--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -222,9 +222,8 @@
 
         The kernel would let a receive buffer grow to megabytes.
         """
-        if self.options.source is Source.CALLER and isinstance(
-            listener, trio.SocketListener
-        ):
+        is_limited = self.options.memory and self.options.source is Source.CALLER
+        if is_limited and isinstance(listener, trio.SocketListener):
             size = self.memory.limits.kernel_buffer_bytes
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 listener.socket.setsockopt(socket.SOL_SOCKET, option, size)
--- a/tarragonchute/memory.py
+++ b/tarragonchute/memory.py
@@ -18,7 +18,7 @@
 registrations, and a margin for the garbage of requests."""
 
 MAX_ASSUMED_DESCRIPTORS = 65_536
-"""Assumed for a process without a limit; its memory is used up before."""
+"""Assumed for a process with a greater limit or none; its memory is used up before."""
 
 MIN_AVAILABLE_BYTES = 32 * MEGABYTE
 """Assumed if the settings state less than `BASE_BYTES` and this. With less, a single
@@ -51,8 +51,9 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that callers never use: targets, other VMs, the store, log and files."""
 
-DESCRIPTOR_MARGIN = 64
-"""Descriptors kept free when those of targets and other VMs exceed the reserve; they
+DESCRIPTOR_MARGIN = 160
+"""Descriptors kept free when those of targets and accepted channels exceed the reserve:
+120 channels to leaders at the target size, the store, log and files. Those of targets
 are counted only every second."""
 
 MIN_CALLER_CONNECTIONS = 32
@@ -89,6 +90,17 @@
 are answered, refused or closed in about this time."""
 
 
+def read_descriptor_limit():
+    """Return the greatest number of descriptors that this process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    is_limited = soft_limit != resource.RLIM_INFINITY
+    return (
+        min(soft_limit, MAX_ASSUMED_DESCRIPTORS)
+        if is_limited
+        else (MAX_ASSUMED_DESCRIPTORS)
+    )
+
+
 class MemoryLimits:
     """Limits that follow from the memory and the descriptors of the machine.
 
@@ -145,10 +157,7 @@
     @classmethod
     def from_process(cls):
         """Return the limits of a process whose settings state none."""
-        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if soft_limit == resource.RLIM_INFINITY:
-            soft_limit = MAX_ASSUMED_DESCRIPTORS
-        return cls(DEFAULT_MEMORY_MB, soft_limit)
+        return cls(DEFAULT_MEMORY_MB, read_descriptor_limit())
 
 
 class Source(enum.Enum):
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -4,7 +4,7 @@
 
 from ..errors import Finding, FindingsError
 from ..gateway import GatewaySettings
-from ..memory import DEFAULT_MEMORY_MB
+from ..memory import DEFAULT_MEMORY_MB, read_descriptor_limit
 
 
 def load_settings(path):
@@ -56,7 +56,7 @@
         cores=read("limits", "cpu-share", number, 1.0)
         * read("limits", "cpu-cores", number, 1),
         link_mbps=read("limits", "link-mbps", number, 1000.0),
-        max_descriptors=read("limits", "max-fds", int, 1024),
+        max_descriptors=read("limits", "max-fds", int, read_descriptor_limit()),
         # Memory of this VM in units of 1,000,000 bytes; callers get a part of it.
         memory_mb=read("limits", "memory-mb", number, DEFAULT_MEMORY_MB),
         # Time from SIGTERM to SIGKILL.
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,6 +5,7 @@
 
 from tarragonchute import process
 from tarragonchute.gateway import Gateway
+from tarragonchute.memory import Source
 from tarragonchute.process import (
     GatewayProcess,
     build_server_options,
@@ -50,6 +51,31 @@
         self.assertEqual([settings.caller_address], bound)
 
 
+class MemoryReportTests(testtools.TestCase):
+    """Log line and metrics of refused and closed callers."""
+
+    @run_in_virtual_time
+    async def test_events_are_logged_once_and_counted(self):
+        """Guards against a log line for each refused caller, and against none."""
+        settings = build_settings()
+        options = build_server_options(settings)
+        gateway = Gateway(settings, HEADER_NAMES, options)
+        self.addCleanup(gateway.reactor.close)
+        gateway_process = GatewayProcess(gateway, options, [], None, "", None)
+        memory = options.memory
+        memory.open(Source.CALLER, None, 0.0)
+        for _ in range(1000):
+            memory.record_stall()
+        with self.assertLogs(process.logger, "WARNING") as logs:
+            for now in (1.0, 2.0):
+                gateway_process._check_memory(now)
+        (record,) = logs.records
+        self.assertEqual(1000, record.answer_not_taken)
+        text = gateway.metrics.render_metrics()[0].decode()
+        self.assertIn('events_total{kind="answer_not_taken"} 1000', text)
+        self.assertIn('opened_connections{source="caller"} 1', text)
+
+
 class SupervisionTests(testtools.TestCase):
     """Background tasks that raise unexpected errors."""
 
