--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -7,7 +7,6 @@
 
 import errno
 import logging
-import random
 import socket
 import struct
 
@@ -17,7 +16,6 @@
 from .disconnects import DisconnectWatcher
 from .errors import (
     BadRequestError,
-    OverloadedError,
     ProtocolError,
     TarragonchuteError,
 )
@@ -26,11 +24,19 @@
     RECEIVE_BYTES,
     BodyCollector,
     build_error_response,
+    build_no_room_error,
     build_request,
     build_request_error,
     close_listener,
+    get_stated_length,
+)
+from .memory import (
+    SMALL_BYTES,
+    MemoryAccount,
+    MemoryLimits,
+    Phase,
+    Source,
 )
-from .memory import RETRY_AFTER_S, MemoryAccount, MemoryLimits, Phase, Source
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +58,10 @@
 """Bytes read at once of a request whose size is not known yet. Bounds the pipelined
 requests that a connection holds."""
 
+CALLER_BACKLOG = 512
+"""Connections that wait to be accepted, with the bytes that their callers have sent.
+Enough for a pause of 3 s with 162 requests/s on new connections (target size)."""
+
 SEND_BYTES = 64 * 1024
 """Bytes of an answer that a caller has to take within `SEND_TIMEOUT_S`; answers up to
 this size are sent in one piece."""
@@ -210,16 +220,17 @@
         self._accept_scopes = []
 
     def limit_kernel_buffers(self, listener):
-        """Bound the buffers of the connections that a listener will accept.
+        """Bound the number of waiting connections and the buffers of all connections.
 
-        The kernel would let a receive buffer grow to megabytes.
+        The kernel would let thousands wait, and a receive buffer grow to megabytes.
         """
-        if self.options.source is Source.CALLER and isinstance(
-            listener, trio.SocketListener
-        ):
+        is_limited = self.options.memory and self.options.source is Source.CALLER
+        if is_limited and isinstance(listener, trio.SocketListener):
             size = self.memory.limits.kernel_buffer_bytes
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 listener.socket.setsockopt(socket.SOL_SOCKET, option, size)
+            # Replaces the backlog with which the socket began to listen.
+            listener.socket.listen(CALLER_BACKLOG)
 
     async def accept(self, listener, nursery):
         async with listener:
@@ -318,13 +329,13 @@
     async def run(self):
         if self._holding is None:
             with trio.move_on_after(REFUSAL_TIMEOUT_S):
-                await self._send_error(_build_no_room_error(), lingers=False)
+                await self._send_error(build_no_room_error(), lingers=False)
             return
         with self._scope:
             await self._serve_requests()
         if self._holding.is_refused:
             with trio.move_on_after(LINGER_TIMEOUT_S):
-                await self._send_error(_build_no_room_error())
+                await self._send_error(build_no_room_error())
         elif self._holding.is_closing:
             self._reset_on_close()
 
@@ -358,8 +369,9 @@
         size = len(request.body) * BODY_COPIES + self._count_buffered_bytes()
         self._enter(Phase.RUNNING, size)
         response = await self._run_handler(request)
-        # The body is not needed any more, and sending may take long.
-        del request
+        # The body is not needed any more: sending may take long, and other objects that
+        # hold the request may be garbage that is collected only much later.
+        request.body = b""
         if response is None:
             return False
         await self._send(response, is_head)
@@ -414,14 +426,29 @@
 
     async def _receive(self, max_bytes):
         """Read bytes of a request, once there is room for them."""
-        holding = self._holding
-        while self._pauses_left and self._memory.must_pause(holding):
-            self._pauses_left -= 1
-            await trio.sleep(PAUSE_S)
+        if self._read_bytes + max_bytes > SMALL_BYTES:
+            await self._wait_for_room(max_bytes)
         data = await self._stream.receive_some(max_bytes)
         self._h11.receive_data(data)
         self._read_bytes += len(data)
-        if not self._memory.resize(holding, self._read_bytes, trio.current_time()):
+        self._resize(self._read_bytes)
+
+    async def _wait_for_room(self, max_bytes):
+        """Wait until bytes have arrived and there is room, and hold that many.
+
+        Many connections may become readable at once. Each has to see what the others
+        are about to read.
+        """
+        if isinstance(self._stream, trio.SocketStream):
+            await trio.lowlevel.wait_readable(self._stream.socket)
+        while self._pauses_left and self._memory.must_pause(self._holding):
+            self._pauses_left -= 1
+            await trio.sleep(PAUSE_S)
+        self._resize(self._read_bytes + max_bytes)
+
+    def _resize(self, size):
+        """Change the held bytes; raises `_ClosingError` if there is no room."""
+        if not self._memory.resize(self._holding, size, trio.current_time()):
             raise _ClosingError
 
     async def _read_message(self, event):
@@ -432,7 +459,7 @@
         if self._h11.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
             await self._send_bytes(self._h11.send(reply))
-        return build_request(event, await self._read_body(_get_length(event)))
+        return build_request(event, await self._read_body(get_stated_length(event)))
 
     async def _read_body(self, length):
         body = BodyCollector()
@@ -500,6 +527,9 @@
         try:
             return await self._server.handler(request)
         except TarragonchuteError as error:
+            # The frames of the traceback hold the request and, through the record of
+            # its outcome, this error: a cycle that is freed only much later.
+            error.__traceback__ = None
             return build_error_response(error)
         except Exception:
             logger.exception("handler of %s %s failed", request.method, request.path)
@@ -526,10 +556,11 @@
             await self._send_bytes(part)
 
     async def _send_bytes(self, data):
-        view = memoryview(data)
-        for start in range(0, len(view), SEND_BYTES):
+        if len(data) > SEND_BYTES:
+            data = memoryview(data)
+        for start in range(0, len(data), SEND_BYTES):
             with trio.move_on_after(self._server.options.send_timeout_s) as scope:
-                await self._stream.send_all(view[start : start + SEND_BYTES])
+                await self._stream.send_all(data[start : start + SEND_BYTES])
             if scope.cancelled_caught:
                 raise _StalledError
             if self._holding:
@@ -561,17 +592,3 @@
         with trio.move_on_after(LINGER_TIMEOUT_S):
             while await self._stream.receive_some(RECEIVE_BYTES):
                 pass
-
-
-def _build_no_room_error():
-    error = OverloadedError("no room for the request, which has not run")
-    error.retry_after_s = RETRY_AFTER_S * random.uniform(0.5, 1.5)
-    return error
-
-
-def _get_length(event):
-    """Return the stated length of a request's body, or None if it is chunked."""
-    headers = dict(event.headers)
-    if b"transfer-encoding" in headers:
-        return None
-    return int(headers.get(b"content-length", 0))
--- a/tarragonchute/memory.py
+++ b/tarragonchute/memory.py
@@ -18,7 +18,7 @@
 registrations, and a margin for the garbage of requests."""
 
 MAX_ASSUMED_DESCRIPTORS = 65_536
-"""Assumed for a process without a limit; its memory is used up before."""
+"""Assumed for a process with a greater limit or none; its memory is used up before."""
 
 MIN_AVAILABLE_BYTES = 32 * MEGABYTE
 """Assumed if the settings state less than `BASE_BYTES` and this. With less, a single
@@ -40,6 +40,10 @@
 """Bounds of the receive and send buffers of one caller's connection. With less, a body
 of 256 KB takes more than 16 round trips; more is not needed within a region."""
 
+KERNEL_BUFFER_FACTOR = 2
+"""The kernel doubles the size of a receive buffer that is set. Measured: 24 KB of
+unread bytes with a size of 16 KB."""
+
 MAX_REPLY_BYTES = 32 * MEGABYTE
 MIN_REPLY_BYTES = 8 * 1024 * 1024
 """Bounds of the memory for incomplete replies. One reply has at most 8 MB."""
@@ -47,8 +51,9 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that callers never use: targets, other VMs, the store, log and files."""
 
-DESCRIPTOR_MARGIN = 64
-"""Descriptors kept free when those of targets and other VMs exceed the reserve; they
+DESCRIPTOR_MARGIN = 160
+"""Descriptors kept free when those of targets and accepted channels exceed the reserve:
+120 channels to leaders at the target size, the store, log and files. Those of targets
 are counted only every second."""
 
 MIN_CALLER_CONNECTIONS = 32
@@ -85,6 +90,17 @@
 are answered, refused or closed in about this time."""
 
 
+def read_descriptor_limit():
+    """Return the greatest number of descriptors that this process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    is_limited = soft_limit != resource.RLIM_INFINITY
+    return (
+        min(soft_limit, MAX_ASSUMED_DESCRIPTORS)
+        if is_limited
+        else (MAX_ASSUMED_DESCRIPTORS)
+    )
+
+
 class MemoryLimits:
     """Limits that follow from the memory and the descriptors of the machine.
 
@@ -127,11 +143,11 @@
         )
         callers = max(max_descriptors - RESERVED_DESCRIPTORS, MIN_CALLER_CONNECTIONS)
         share = available * CONNECTION_SHARE
-        buffer_bytes = int(share / callers) - CONNECTION_BYTES
+        buffer_bytes = (int(share / callers) - CONNECTION_BYTES) // KERNEL_BUFFER_FACTOR
         self.kernel_buffer_bytes = min(
             max(buffer_bytes, MIN_KERNEL_BUFFER_BYTES), MAX_KERNEL_BUFFER_BYTES
         )
-        each = CONNECTION_BYTES + self.kernel_buffer_bytes
+        each = CONNECTION_BYTES + self.kernel_buffer_bytes * KERNEL_BUFFER_FACTOR
         self.caller_connections = min(callers, int(share / each))
         self.internal_connections = max(
             int(max_descriptors * INTERNAL_SHARE), MIN_CALLER_CONNECTIONS
@@ -141,10 +157,7 @@
     @classmethod
     def from_process(cls):
         """Return the limits of a process whose settings state none."""
-        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if soft_limit == resource.RLIM_INFINITY:
-            soft_limit = MAX_ASSUMED_DESCRIPTORS
-        return cls(DEFAULT_MEMORY_MB, soft_limit)
+        return cls(DEFAULT_MEMORY_MB, read_descriptor_limit())
 
 
 class Source(enum.Enum):
@@ -239,6 +252,8 @@
     Attributes
     ----------
     held_bytes : int
+    closing_bytes : int
+        Bytes of connections that are about to be closed; they are not in `held_bytes`.
     other_descriptors : int
         Descriptors in use by connections that this process opened.
     events : dict of str to int
@@ -249,6 +264,7 @@
     __slots__ = (
         "limits",
         "held_bytes",
+        "closing_bytes",
         "other_descriptors",
         "events",
         "_by_phase",
@@ -259,6 +275,7 @@
     def __init__(self, limits):
         self.limits = limits
         self.held_bytes = 0
+        self.closing_bytes = 0
         self.other_descriptors = 0
         self.events = dict.fromkeys(EVENTS, 0)
         self._reported = dict(self.events)
@@ -291,8 +308,10 @@
 
     def release(self, holding):
         """Remove a connection that is closed."""
-        self.held_bytes -= holding.size
-        holding.size = 0
+        if holding.is_closing:
+            self.closing_bytes -= holding.size
+        else:
+            self.held_bytes -= holding.size
         self._counts[holding.source] -= 1
         del self._by_phase[holding.source][holding.phase][holding]
 
@@ -379,9 +398,14 @@
         self.events[ANSWER_NOT_TAKEN] += 1
 
     def must_pause(self, holding):
-        """Return whether a connection is to wait before more of a request is read."""
+        """Return whether a connection is to wait before more of a request is read.
+
+        The bytes of connections that are about to be closed count, because their memory
+        is free only then.
+        """
+        used = self.held_bytes + self.closing_bytes
         is_large = holding.size > SMALL_BYTES
-        return is_large and self.held_bytes > self.limits.held_bytes * PAUSE_FRACTION
+        return is_large and used > self.limits.held_bytes * PAUSE_FRACTION
 
     def list_new_events(self):
         """Return the number of events since the last call, by kind, without zeros.
@@ -433,9 +457,8 @@
         return holding if holding and since <= before else None
 
     def _evict(self, holding):
-        """Stop counting the bytes of a connection, which is about to be closed."""
         self.held_bytes -= holding.size
-        holding.size = 0
+        self.closing_bytes += holding.size
         self._move(holding, Phase.CLOSING)
 
     def _move(self, holding, phase):
