--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -386,7 +386,9 @@
         self.wait_s = max(self.wait_s, now - exchange.started_at)
         self.drain_s = min(self.drain_s or exchange.drain_s, exchange.drain_s)
         is_allowed = self.no_room < MAX_UNSENT_ATTEMPTS
-        self._send_next_attempt(reason, now, is_allowed, needs_budget=False)
+        self._send_next_attempt(
+            reason, now, is_allowed, needs_budget=False, is_retry=False
+        )
 
     def _handle_refusal(self, exchange, reply, now):
         self.possible_runs -= 1
@@ -410,7 +412,7 @@
         may_retry = route.is_idempotent and self.possible_runs < self._max_attempts
         self._send_next_attempt(reason, now, may_retry, needs_budget=True)
 
-    def _send_next_attempt(self, reason, now, is_allowed, needs_budget):
+    def _send_next_attempt(self, reason, now, is_allowed, needs_budget, is_retry=True):
         """Send another attempt, or fail if that is not possible.
 
         Nothing happens while another attempt is still in flight.
@@ -426,7 +428,7 @@
         elif needs_budget and not self._budget.try_spend(now):
             self._fail(f"{reason}; the retry budget is exhausted", now)
         else:
-            self.retries += 1
+            self.retries += is_retry
             self._send(target, now)
 
     def _choose_target(self, now, excluded=()):
