--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -16,15 +16,8 @@
 from .errors import ProtocolError
 from .reactor import Reactor
 from .replies import ReplyReader
-from .targetqueues import (
-    QueuePolicy,
-    RefusalReason,
-    TargetLoad,
-    TargetQueue,
-    WaitTerms,
-    estimate_least_s,
-    find_refusal,
-)
+from .targetadmission import QueuePolicy, RefusalReason, TargetAdmission
+from .targetqueues import WaitTerms
 
 logger = logging.getLogger(__name__)
 
@@ -72,9 +65,6 @@
 """Interval between calls of `Gateway.sweep`, and so between the checks for connect
 timeouts and overdue abandoned exchanges."""
 
-BACKPRESSURE_STATUSES = frozenset((429, 503))
-"""Statuses with which a target states that it has no room."""
-
 UNKNOWN_TERMS = WaitTerms(0, "", 1.0, math.inf)
 """Terms of exchanges whose owner states none."""
 
@@ -275,13 +265,13 @@
     address : tuple of (str, int)
     max_connections : int
         Maximum number of open connections.
-    policy : targetqueues.QueuePolicy or None
+    policy : targetadmission.QueuePolicy or None
         Without customers, exchanges wait first-in-first-out for a connection.
     service : str
 
     Attributes
     ----------
-    load : targetqueues.TargetLoad
+    load : targetloads.TargetLoad
         Bounds the exchanges in flight where the configuration has customers.
     in_flight : collections.OrderedDict
         Exchanges that were started and have not ended, oldest first, as keys. Unlike in
@@ -305,7 +295,7 @@
         "_idle",
         "_connections",
         "_queue",
-        "_policy",
+        "_admission",
         "load",
         "_is_closed",
     )
@@ -320,9 +310,9 @@
         self.is_kept_connected = False
         self._idle = []
         self._connections = {}
-        self._policy = policy or QueuePolicy()
-        self._queue = TargetQueue(self._policy.get_shares(service))
-        self.load = TargetLoad()
+        self._admission = TargetAdmission(policy or QueuePolicy(), service)
+        self._queue = self._admission.queue
+        self.load = self._admission.load
         self._is_closed = False
 
     def start(self, exchange, now):
@@ -336,8 +326,8 @@
         exchange.pool = self
         self.in_flight[exchange] = None
         self._reactor.record_start(self)
-        if self._policy.is_active:
-            self._queue.record_asked(exchange.terms, now)
+        if self._admission.is_active:
+            self._admission.record_start(exchange, now)
             if not self.has_room(now):
                 self._wait_for_room(exchange, now)
                 return
@@ -345,7 +335,7 @@
         if connection is not None:
             self._send(connection, exchange, now)
             return
-        self._enqueue(exchange, now)
+        self._admission.offer(exchange, now)
         self._open_connections_for_queue(now)
 
     def has_room(self, now):
@@ -418,7 +408,7 @@
         A connection is overdue if it was not established within `CONNECT_TIMEOUT_S`, or
         if its exchange was abandoned more than `ABANDON_GRACE_S` ago.
         """
-        if self._policy.is_active and self._queue:
+        if self._admission.is_active and self._queue:
             self._open_connections_for_queue(now)
         needs_sweep = bool(self.in_flight)
         for connection in list(self._connections.values()):
@@ -488,44 +478,23 @@
         return sum(c.exchange is not None for c in self._connections.values())
 
     def _compute_bound(self, now):
-        return min(self.load.compute_bound(now), self.max_connections)
+        return self._admission.compute_bound(self.max_connections, now)
 
     def _wait_for_room(self, exchange, now):
         """Queue an exchange, or refuse it if it could not be answered in time."""
         exchange.has_waited_for_room = True
-        reason = find_refusal(
-            self._queue,
-            self.load,
-            exchange.terms,
-            self._count_busy(),
-            exchange.mean_reply_time_s,
-            now,
-            self.max_connections,
+        reason = self._admission.find_refusal(
+            exchange, self._count_busy(), self.max_connections, now
         )
         if reason is not None:
             self._refuse(exchange, reason, now)
             return
-        self._enqueue(exchange, now)
+        self._admission.offer(exchange, now)
         self._open_connections_for_queue(now)
 
-    def _enqueue(self, exchange, now):
-        terms = exchange.terms
-        self._queue.offer(
-            exchange,
-            terms.priority,
-            terms.customer_name,
-            terms.weight,
-            terms.deadline,
-            now,
-            terms.is_extra,
-        )
-
     def _refuse(self, exchange, reason, now):
         """Fail an exchange that is not queued, because there is no room."""
-        self._policy.observer.record_refusal(reason)
-        exchange.drain_s = self.load.estimate_answer_s(
-            len(self._queue), exchange.mean_reply_time_s, self.max_connections
-        )
+        self._admission.record_refusal(exchange, reason, self.max_connections)
         owner = exchange.owner
         self._finish(exchange, now)
         if owner is not None:
@@ -534,39 +503,16 @@
 
     def _take_queued(self, now):
         """Remove and return the exchange to be sent next, or None if there is none."""
-        if not self._queue:
-            return None
-        if not self._policy.is_active:
-            return self._queue.take_first()
-        busy = self._count_busy()
-        if busy >= self._compute_bound(now):
-            return None
-        # The bound leaves one attempt per slot waiting at the target, or fewer if the
-        # target is slow or refuses requests.
-        waiting = len(self._queue)
-        is_pressed = (
-            waiting > self.load.slots or busy + waiting > self.load.compute_bound(now)
-        )
-        exchange = self._queue.take(now, self._estimate_least_s(), is_pressed)
-        if exchange is None:
-            return None
-        if exchange.has_waited_for_room:
-            self._policy.observer.record_wait(now - exchange.started_at)
-        if exchange.owner is not None:
-            exchange.owner.update_request(exchange, now)
-        return exchange
-
-    def _estimate_least_s(self):
-        """See `targetqueues.estimate_least_s`; 0 without replies so far."""
-        return estimate_least_s(
-            self.load, self._count_busy(), 0.0, self.max_connections
-        )
+        return self._admission.take(self._count_busy(), self.max_connections, now)
 
     def _send_queued(self, now):
         """Refuse what cannot be answered any more, and send what there is room for."""
-        for exchange in self._queue.take_expired(now, self._estimate_least_s()):
+        expired = self._admission.take_expired(
+            self._count_busy(), self.max_connections, now
+        )
+        for exchange in expired:
             self._refuse(exchange, RefusalReason.EXPIRED, now)
-        while self._queue and self._idle and self._has_unused_bound(now):
+        while self._queue and self._idle:
             exchange = self._take_queued(now)
             if exchange is None:
                 return
@@ -576,22 +522,19 @@
                 continue
             self._send(connection, exchange, now)
 
-    def _has_unused_bound(self, now):
-        return self._count_busy() < self._compute_bound(now)
-
     def _is_stale(self, connection, now):
         idle_timeout_s = connection.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
         return now - connection.idle_since > idle_timeout_s
 
     def _open_connections_for_queue(self, now):
-        connecting = sum(
-            c.phase is _Phase.CONNECTING for c in self._connections.values()
-        )
         needed = len(self._queue)
-        if self._policy.is_active:
+        if self._admission.is_active:
             self._send_queued(now)
             unused = self._compute_bound(now) - self._count_busy()
             needed = min(len(self._queue), unused)
+        connecting = sum(
+            c.phase is _Phase.CONNECTING for c in self._connections.values()
+        )
         while needed > connecting:
             if self._is_closed or len(self._connections) >= self.max_connections:
                 break
@@ -668,8 +611,8 @@
             self._open_connections_for_queue(now)
             return
         exchange.sent_at = now
-        if self._policy.is_active:
-            self._queue.record_served(exchange.terms)
+        if self._admission.is_active:
+            self._admission.record_sent(exchange)
         if sent < len(exchange.request):
             connection.unsent_data = memoryview(exchange.request)[sent:]
             self._reactor.set_events(connection, select.EPOLLIN | select.EPOLLOUT)
@@ -730,8 +673,10 @@
         if exchange.target is not None:
             # Before the connection is used again, because the target may be leaving.
             exchange.target.handle_reply(reply, now)
-        if self._policy.is_active:
-            self._record_load(exchange, reply, now)
+        if self._admission.is_active:
+            self._admission.record_reply(
+                exchange, reply.status, self._count_busy(), now
+            )
         self._release(connection, reply, now)
         owner = exchange.owner
         self._finish(exchange, now)
@@ -739,17 +684,6 @@
             owner.handle_reply(exchange, reply)
         return True
 
-    def _record_load(self, exchange, reply, now):
-        if reply.status in BACKPRESSURE_STATUSES:
-            self.load.record_refusal(now)
-            return
-        self.load.record_reply(
-            now - exchange.sent_at,
-            exchange.mean_reply_time_s,
-            self._count_busy(),
-            now,
-        )
-
     def _drop_reply(self, connection, exchange):
         logger.info(
             "dropped a reply to another request",
@@ -775,7 +709,7 @@
         if connection.idle_timeout_s is None:
             connection.idle_timeout_s = _read_idle_timeout_s(reply)
         self._assign_connection(connection, now)
-        if self._policy.is_active and self._queue:
+        if self._admission.is_active and self._queue:
             # The reply may have raised the bound, so that there is room for more.
             self._open_connections_for_queue(now)
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -46,7 +46,7 @@
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
-from .targetqueues import QueuePolicy
+from .targetadmission import QueuePolicy
 
 logger = logging.getLogger(__name__)
 
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -162,11 +162,11 @@
         )
 
     def record_wait(self, wait_s):
-        """See `targetqueues.QueueObserver`."""
+        """See `targetadmission.QueueObserver`."""
         self.observe(QUEUE_WAIT, (), wait_s)
 
     def record_refusal(self, reason):
-        """See `targetqueues.QueueObserver`."""
+        """See `targetadmission.QueueObserver`."""
         self.count(QUEUE_REFUSALS, (reason.value,))
 
     def count_store_call(self, operation, result):
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -15,7 +15,7 @@
 from .replies import list_end_to_end_headers
 from .subrequests import ReplyClass, Subrequest, SubrequestState
 from .subsearches import OutgoingRequest
-from .targetqueues import QueuePolicy
+from .targetadmission import QueuePolicy
 
 RESPONSE_MARGIN_S = 0.012
 """Time reserved before the caller's time limit for the response to reach the caller."""
@@ -69,7 +69,7 @@
         Called with the time; processes the replies that have arrived.
     delegation : delegation.Delegation or None
         Chooses other VMs to which shards of searches are delegated.
-    queue_policy : targetqueues.QueuePolicy or None
+    queue_policy : targetadmission.QueuePolicy or None
 
     Attributes
     ----------
--- a/tarragonchute/targetqueues.py
+++ b/tarragonchute/targetqueues.py
@@ -1,20 +1,15 @@
-"""Order in which attempts wait for room at a target, and which of them are refused.
+"""Order in which attempts wait for room at a target.
 
-The decisions take effect only where the configuration has customers. Otherwise a
-`TargetQueue` is first-in-first-out, and nothing is bounded or refused here.
+The order takes effect only where the configuration has customers. Otherwise a
+`TargetQueue` is first-in-first-out.
 
 Attempts of a more urgent priority go first, customers of one priority share the room by
 start-time fair queueing (Goyal, Vin and Cheng 1996), and hedges and retries go last.
 """
 
 import collections
-import enum
 import math
 
-BOUND_FACTOR = 2.0
-"""Attempts in flight per slot of a target: one that runs and one that waits, so that
-the target does not idle for a round trip between two attempts."""
-
 LESS_URGENT_SHARE = 0.05
 """Share of the first attempts sent under pressure that less urgent ones get while they
 wait. It serves customers with too few requests to be behind their least share by a
@@ -34,51 +29,10 @@
 LEAST_COUNT = 0.1
 """Halved count below which a customer is forgotten."""
 
-WORK_WEIGHT = 0.2
-"""Weight of the newest reply in the moving average of a target's work per attempt. Slow
-phases of targets last some seconds, that is dozens of replies under pressure."""
-
-SEND_MARGIN = 1.25
-"""Factor on the estimated answer time of an attempt that is about to be sent; with less
-time left it is not sent. Reply times vary by a third. In the test of one customer at
-seven times its usual load, 97 of its 893 attempts were answered too late with a factor
-of 0.75, and 1 of 895 with 1.25."""
-
 INTERVAL_WEIGHT = 0.1
 """Weight of the newest interval in the moving average of the time between two attempts
 of one customer that waits."""
 
-SLOW_REPLY_FACTOR = 3.0
-"""Multiple of the route's average reply time above which the work of an attempt reduces
-the bound. A short search that waits behind longer ones takes up to three times its
-average, without the share of this VM's own attempts in that."""
-
-REFUSAL_FACTOR = 0.5
-SLOW_REPLY_BOUND_FACTOR = 0.8
-"""Factors on the bound after a refusal and after a slow reply. A refusal states that
-the target's queue is full; a slow reply may have been one long request."""
-
-RECOVERY_S_PER_ATTEMPT = 0.5
-"""Time after which a reduced bound rises by one attempt. Overloaded targets recover
-within seconds, and VMs with few requests get too few replies to learn of it."""
-
-USUAL_REPLY_GAIN = 1.0
-"""Increase of a reduced bound by as many replies at usual speed as it allows attempts,
-which doubles it at most once per round of replies."""
-
-
-class RefusalReason(enum.Enum):
-    """Why an attempt was not sent although its target is usable."""
-
-    TOO_LATE = "too_late"
-    """It could not have been answered in time behind those that wait."""
-
-    EXPIRED = "expired"
-    """It waited until it could no longer be answered in time."""
-
-    RESERVATION = "reservation"
-    """Its reservation at a cold target holds only for the moment it was made."""
-
 
 class WaitTerms:
     """What decides how long an attempt may wait, and before which others it goes.
@@ -241,94 +195,6 @@
         self._intervals[key] = (now, interval_s)
 
 
-class TargetLoad:
-    """What one target can take from this VM, learned from its replies.
-
-    Attributes
-    ----------
-    slots : int
-        Number of requests that the target runs concurrently.
-    is_assigned : bool
-        Whether this VM normally sends all requests of the target. Its bound then stays
-        at one attempt per slot or more; that of other VMs may fall to one attempt.
-    """
-
-    __slots__ = ("slots", "is_assigned", "_work_s", "_reduction", "_updated_at")
-
-    def __init__(self, slots=1, is_assigned=False):
-        self.slots = slots
-        self.is_assigned = is_assigned
-        self._work_s = None
-        # Attempts by which the bound is reduced, as of `_updated_at`.
-        self._reduction = 0.0
-        self._updated_at = 0.0
-
-    def compute_bound(self, now):
-        """Return the number of attempts that may be in flight at the target."""
-        # The small term is for sums of fractions such as a third.
-        return int(self._get_ceiling() - self._get_reduction(now) + 1e-9)
-
-    def record_reply(self, elapsed_s, usual_s, in_flight, now):
-        """Learn from a reply.
-
-        Parameters
-        ----------
-        elapsed_s : float
-            Time since the request was sent.
-        usual_s : float
-            Average reply time of the route; 0 if unknown.
-        in_flight : int
-            This VM's attempts in flight at the target, including this one.
-        now : float
-        """
-        # Those beyond the slots waited in the target's queue.
-        work_s = elapsed_s * min(1.0, self.slots / in_flight)
-        if self._work_s is None:
-            self._work_s = work_s
-        self._work_s += WORK_WEIGHT * (work_s - self._work_s)
-        if usual_s > 0 and work_s > SLOW_REPLY_FACTOR * usual_s:
-            self._reduce(SLOW_REPLY_BOUND_FACTOR, now)
-        elif self._reduction:
-            gain = USUAL_REPLY_GAIN / max(self.compute_bound(now), 1)
-            self._set_reduction(self._get_reduction(now) - gain, now)
-
-    def record_refusal(self, now):
-        """Learn that the target has refused a request."""
-        self._reduce(REFUSAL_FACTOR, now)
-
-    def estimate_answer_s(self, ahead, usual_s, connections=math.inf):
-        """Return the time until a new attempt is answered.
-
-        Parameters
-        ----------
-        ahead : int
-            Attempts that are in flight or go first.
-        usual_s : float
-            Assumed work if the target has not replied yet.
-        connections : float
-            Number of connections that this VM may open to the target.
-        """
-        work_s = usual_s if self._work_s is None else self._work_s
-        return max(1.0, (ahead + 1) / min(self.slots, connections)) * work_s
-
-    def _get_ceiling(self):
-        return max(int(self.slots * BOUND_FACTOR), 1)
-
-    def _get_reduction(self, now):
-        recovered = (now - self._updated_at) / RECOVERY_S_PER_ATTEMPT
-        return max(self._reduction - recovered, 0.0)
-
-    def _reduce(self, factor, now):
-        ceiling = self._get_ceiling()
-        bound = ceiling - self._get_reduction(now)
-        self._set_reduction(ceiling - factor * bound, now)
-
-    def _set_reduction(self, reduction, now):
-        least = self.slots if self.is_assigned else 1
-        self._reduction = min(max(reduction, 0.0), self._get_ceiling() - least)
-        self._updated_at = now
-
-
 class _Entry:
     """A waiting attempt."""
 
@@ -359,7 +225,7 @@
         Shared by the targets of a service; None for one of its own.
     """
 
-    __slots__ = ("_shares", "_entries", "_flows", "_credit")
+    __slots__ = ("_shares", "_entries", "_flows", "_credit", "_least_deadline")
 
     def __init__(self, shares=None):
         self._shares = shares or CustomerShares()
@@ -368,6 +234,8 @@
         # Entries by exchange, by customer, by rank: hedges and retries have the ranks
         # after all first attempts.
         self._flows = {}
+        # At most the earliest deadline of all entries.
+        self._least_deadline = math.inf
         # What less urgent first attempts are owed, in attempts.
         self._credit = 0.0
 
@@ -410,6 +278,7 @@
         rank = (is_extra, priority)
         entry = _Entry(exchange, rank, customer_name, weight, deadline, now)
         self._entries[exchange] = entry
+        self._least_deadline = min(self._least_deadline, deadline)
         self._shares.add(entry.rank, customer_name)
         flows = self._flows.setdefault(entry.rank, {})
         flows.setdefault(customer_name, {})[exchange] = entry
@@ -464,9 +333,14 @@
     def take_expired(self, now, needed_s):
         """Remove and return the attempts that have less time left than `needed_s`."""
         latest = now + needed_s
+        if latest <= self._least_deadline:
+            return []
         expired = [e.exchange for e in self._entries.values() if e.deadline < latest]
         for exchange in expired:
             self.remove(exchange)
+        self._least_deadline = min(
+            (entry.deadline for entry in self._entries.values()), default=math.inf
+        )
         return expired
 
     def take_all(self):
@@ -581,86 +455,3 @@
             if heads:
                 candidates.append((rank, min(heads)[2]))
         return candidates
-
-
-def find_refusal(queue, load, terms, in_flight, usual_s, now, connections=math.inf):
-    """Return why an attempt for which there is no room may not wait, or None.
-
-    Parameters
-    ----------
-    queue : TargetQueue
-    load : TargetLoad
-    terms : WaitTerms
-    in_flight : int
-        This VM's attempts that the target has not answered yet.
-    usual_s : float
-        Average reply time of the route.
-    now : float
-    connections : float
-        See `TargetLoad.estimate_answer_s`.
-    """
-    if terms.is_reserved:
-        return RefusalReason.RESERVATION
-    ahead = in_flight + queue.count_ahead(terms)
-    answer_s = load.estimate_answer_s(ahead, usual_s, connections)
-    answer_s = max(answer_s, queue.estimate_wait_s(terms))
-    if now + answer_s > terms.deadline:
-        return RefusalReason.TOO_LATE
-    return None
-
-
-def estimate_least_s(load, in_flight, usual_s, connections=math.inf):
-    """Return the least time in which an attempt that is sent now can be answered.
-
-    Parameters
-    ----------
-    load, in_flight, usual_s, connections
-        See `find_refusal`.
-    """
-    return SEND_MARGIN * load.estimate_answer_s(in_flight, usual_s, connections)
-
-
-class QueueObserver:
-    """Callback interface for the metrics of the queues."""
-
-    __slots__ = ()
-
-    def record_wait(self, wait_s):
-        """Record how long an attempt waited that was then sent."""
-
-    def record_refusal(self, reason):
-        """Record a refusal, with its `RefusalReason`."""
-
-
-class QueuePolicy:
-    """Whether the decisions of this module are in force, and what the queues share.
-
-    Parameters
-    ----------
-    observer : QueueObserver or None
-
-    Attributes
-    ----------
-    is_active : bool
-        Whether the configuration has customers.
-    """
-
-    __slots__ = ("is_active", "observer", "_shares_by_service")
-
-    def __init__(self, observer=None):
-        self.is_active = False
-        self.observer = observer or QueueObserver()
-        self._shares_by_service = {}
-
-    def get_shares(self, service):
-        """Return the `CustomerShares` of a service."""
-        return self._shares_by_service.setdefault(service, CustomerShares())
-
-    def has_room(self, target, now):
-        """Return whether an attempt at a target would not have to wait for others."""
-        return not self.is_active or target.pool.has_room(now)
-
-    def delete_except(self, services):
-        """Delete the state of services that no longer exist."""
-        for service in [s for s in self._shares_by_service if s not in services]:
-            del self._shares_by_service[service]
--- a/tests/test_queued_attempts.py
+++ b/tests/test_queued_attempts.py
@@ -12,7 +12,8 @@
 from tarragonchute.gatewaymetrics import QUEUE_REFUSALS, QUEUED_ATTEMPTS
 from tarragonchute.httpio import HttpRequest
 from tarragonchute.platform.decoding import decode_configuration
-from tarragonchute.targetqueues import QueuePolicy, RefusalReason, WaitTerms
+from tarragonchute.targetadmission import QueuePolicy, RefusalReason
+from tarragonchute.targetqueues import WaitTerms
 
 from .test_customers import build_configuration_with_customers
 from .test_exchanges import REQUEST, RecordingOwner, ScriptedTarget, build_reply
--- a/tests/test_targetqueues.py
+++ b/tests/test_targetqueues.py
@@ -10,22 +10,18 @@
 
 import testtools
 
-from tarragonchute.targetqueues import (
-    BOUND_FACTOR,
-    RECOVERY_S_PER_ATTEMPT,
-    CustomerShares,
+from tarragonchute.targetadmission import (
+    QueuePolicy,
     RefusalReason,
-    TargetLoad,
-    TargetQueue,
-    WaitTerms,
-    estimate_least_s,
-    find_refusal,
+    TargetAdmission,
 )
+from tarragonchute.targetloads import BOUND_FACTOR, RECOVERY_S_PER_ATTEMPT, TargetLoad
+from tarragonchute.targetqueues import CustomerShares, TargetQueue, WaitTerms
 
 URGENT_WORK_S = 0.0057
 LONG_WORK_S = 0.0165
 TIME_LIMIT_S = 0.4
-TARGET_QUEUE_LENGTH = 8
+CONNECTIONS = 16
 
 
 class FakeExchange:
@@ -33,6 +29,9 @@
 
     def __init__(self, terms, work_s, arrived_at):
         self.terms = terms
+        self.owner = None
+        self.mean_reply_time_s = LONG_WORK_S
+        self.has_waited_for_room = True
         self.work_s = work_s
         self.started_at = self.arrived_at = arrived_at
         self.sent_at = None
@@ -43,9 +42,11 @@
 class SimulatedTarget:
     """A target with slots and a queue of its own, and this VM's queue before it."""
 
-    def __init__(self, shares, slots=2, slowness=1.0):
-        self.load = TargetLoad(slots, is_assigned=True)
-        self.queue = TargetQueue(shares)
+    def __init__(self, policy, slots=2, slowness=1.0):
+        self.admission = TargetAdmission(policy, "s")
+        self.queue = self.admission.queue
+        self.admission.load.slots = slots
+        self.admission.load.is_assigned = True
         self.slowness = slowness
         self.in_flight = 0
         self.free_at = [0.0] * slots
@@ -64,9 +65,10 @@
     """One service, and the leader that sends all its requests."""
 
     def __init__(self, targets=3, slowness=(), seed=1):
-        self.shares = CustomerShares()
+        policy = QueuePolicy()
+        policy.is_active = True
         self.targets = [
-            SimulatedTarget(self.shares, slowness=dict(slowness).get(index, 1.0))
+            SimulatedTarget(policy, slowness=dict(slowness).get(index, 1.0))
             for index in range(targets)
         ]
         self.random = random.Random(seed)
@@ -123,47 +125,32 @@
         heapq.heappush(self._events, (at, self._count, *event))
 
     def _place(self, exchange, now):
-        self.targets[0].queue.record_asked(exchange.terms, now)
+        self.targets[0].admission.record_start(exchange, now)
         for target in sorted(self.targets, key=lambda t: t.in_flight + len(t.queue)):
-            bound = target.load.compute_bound(now)
+            bound = target.admission.compute_bound(CONNECTIONS, now)
             if target.in_flight + len(target.queue) < bound:
                 self._send(target, exchange, now)
                 return
-            terms = exchange.terms
-            usual_s = LONG_WORK_S
-            exchange.refusal = find_refusal(
-                target.queue, target.load, terms, target.in_flight, usual_s, now
+            exchange.refusal = target.admission.find_refusal(
+                exchange, target.in_flight, CONNECTIONS, now
             )
             if exchange.refusal is None:
-                target.queue.offer(
-                    exchange,
-                    terms.priority,
-                    terms.customer_name,
-                    terms.weight,
-                    terms.deadline,
-                    now,
-                )
+                target.admission.offer(exchange, now)
                 return
 
     def _send(self, target, exchange, now):
-        target.queue.record_served(exchange.terms)
+        target.admission.record_sent(exchange)
         self._push(target.send(exchange, now), "end", exchange, target)
 
     def _end(self, exchange, target, now):
-        in_flight = target.in_flight
+        admission = target.admission
+        admission.record_reply(exchange, 200, target.in_flight, now)
         target.in_flight -= 1
         if now <= exchange.terms.deadline:
             exchange.ended_at = now
-        elapsed_s = now - exchange.sent_at
-        target.load.record_reply(elapsed_s, LONG_WORK_S, in_flight, now)
-        needed_s = estimate_least_s(target.load, target.in_flight, LONG_WORK_S)
-        for expired in target.queue.take_expired(now, needed_s):
+        for expired in admission.take_expired(target.in_flight, CONNECTIONS, now):
             expired.refusal = RefusalReason.EXPIRED
-        while target.in_flight < target.load.compute_bound(now):
-            is_pressed = target.in_flight + len(target.queue) > 4
-            waiting = target.queue.take(now, needed_s, is_pressed)
-            if waiting is None:
-                break
+        while waiting := admission.take(target.in_flight, CONNECTIONS, now):
             self._send(target, waiting, now)
 
 
@@ -381,12 +368,15 @@
 
     def test_refusals(self):
         """Guards against waits that cannot end in time, and late cold requests."""
-        queue, load = TargetQueue(), TargetLoad(2)
+        admission = TargetAdmission(QueuePolicy(), "s")
+        admission.load.slots = 2
         for number in range(20):
-            queue.offer(number, 1, "a", 1.0, 9.0, 0.0)
-        for priority, expected in ((1, RefusalReason.TOO_LATE), (0, None)):
-            terms = WaitTerms(priority, "a", 1.0, 0.1)
-            self.assertIs(expected, find_refusal(queue, load, terms, 4, 0.0165, 0.0))
-        terms = WaitTerms(0, "a", 1.0, 9.0, is_reserved=True)
-        refusal = find_refusal(queue, load, terms, 4, 0.0165, 0.0)
-        self.assertIs(RefusalReason.RESERVATION, refusal)
+            admission.queue.offer(number, 1, "a", 1.0, 9.0, 0.0)
+        for terms, expected in (
+            (WaitTerms(1, "a", 1.0, 0.1), RefusalReason.TOO_LATE),
+            (WaitTerms(0, "a", 1.0, 0.1), None),
+            (WaitTerms(0, "a", 1.0, 9.0, is_reserved=True), RefusalReason.RESERVATION),
+        ):
+            exchange = FakeExchange(terms, LONG_WORK_S, 0.0)
+            refusal = admission.find_refusal(exchange, 4, CONNECTIONS, 0.0)
+            self.assertIs(expected, refusal)
