--- a/tarragonchute/targetqueues.py
+++ b/tarragonchute/targetqueues.py
@@ -109,6 +109,7 @@
         self._asked_in_all = 0.0
         self._served_in_all = 0.0
         self._halved_at = 0.0
+        # By rank, then by customer.
         self._times = {}
         # Time of the newest attempt sent, and average time between two, of customers
         # that wait.
@@ -138,21 +139,25 @@
         self._asked_in_all = sum(self._asked.values())
         self._served_in_all = sum(self._served.values())
 
-    def compute_owed(self, name):
-        """Return by how many attempts a customer is behind its least share."""
-        served_share = self._served_in_all / max(self._asked_in_all, 1.0)
-        least = OWED_FRACTION * served_share * self._asked[name]
-        return least - self._served[name]
+    def list_owed(self, names):
+        """Return those customers that are behind their least share.
 
-    def is_owed(self, name):
-        """Return whether a customer is behind its least share by a whole attempt."""
-        return self.compute_owed(name) >= 1.0
+        They are by at least a whole attempt; the one that is farthest behind is first.
+        """
+        least_share = OWED_FRACTION * self._served_in_all / max(self._asked_in_all, 1.0)
+        asked, served = self._asked, self._served
+        owed = [
+            (served[name] - least_share * asked[name], name)
+            for name in names
+            if least_share * asked[name] - served[name] >= 1.0
+        ]
+        return [name for _, name in sorted(owed)]
 
     def add(self, rank, name):
         """Count an attempt that begins to wait."""
         key = (rank, name)
         if not self._waiting[key]:
-            self._times[key] = self.get_time(rank, name)
+            self._times.setdefault(rank, {})[name] = self.get_time(rank, name)
         self._waiting[key] += 1
 
     def discard(self, rank, name):
@@ -169,10 +174,18 @@
 
     def get_time(self, rank, name):
         """Return the time of a customer, also of one that does not wait yet."""
-        key = (rank, name)
-        if key in self._waiting:
-            return self._times[key]
-        return max(self._times.get(key, 0.0), self._rank_times.get(rank, 0.0))
+        time = self._times.get(rank, {}).get(name, 0.0)
+        if (rank, name) in self._waiting:
+            return time
+        return max(time, self._rank_times.get(rank, 0.0))
+
+    def sort_by_time(self, rank, names):
+        """Return customers that wait, the one to be served next first."""
+        return sorted(names, key=self._times[rank].__getitem__)
+
+    def find_next(self, rank, names):
+        """Return the customer to be served next, of those that wait."""
+        return min(names, key=self._times[rank].__getitem__)
 
     def estimate_wait_s(self, rank, name):
         """Return how long a new attempt of a customer would wait at its present pace.
@@ -187,9 +200,10 @@
     def record_sent(self, rank, name, weight, now):
         """Advance a customer's time; it must still be counted as waiting."""
         key = (rank, name)
-        start = self._times[key]
+        times = self._times[rank]
+        start = times[name]
         self._rank_times[rank] = max(self._rank_times.get(rank, 0.0), start)
-        self._times[key] = start + 1 / weight
+        times[name] = start + 1 / weight
         sent_at, interval_s = self._intervals.get(key, (now, 0.0))
         interval_s += INTERVAL_WEIGHT * (now - sent_at - interval_s)
         self._intervals[key] = (now, interval_s)
@@ -370,7 +384,7 @@
         terms : WaitTerms
         """
         rank = (terms.is_extra, terms.priority)
-        if not terms.is_extra and self._shares.is_owed(terms.customer_name):
+        if not terms.is_extra and self._shares.list_owed((terms.customer_name,)):
             flows = self._flows.get(rank, {})
             return len(flows.get(terms.customer_name, ()))
         before = sum(
@@ -410,22 +424,26 @@
         owed = self._find_owed(latest)
         if owed is not None:
             return owed
-        candidates = self._list_candidates(latest)
-        if not candidates:
+        ranks = sorted(self._flows)
+        while ranks:
+            rank = ranks.pop(0)
+            first = self._find_head(rank, latest)
+            if first is not None:
+                break
+        else:
             return None
-        ranks = [rank for rank, _ in candidates]
-        less_urgent = [
-            entry for rank, entry in candidates[1:] if not rank[0] and rank != ranks[0]
-        ]
+        less_urgent = [other for other in ranks if not other[0]]
         if not less_urgent:
             # Nothing is owed to those that did not wait.
             self._credit = 0.0
-            return candidates[0][1]
+            return first
         self._credit += LESS_URGENT_SHARE
         if self._credit < 1.0:
-            return candidates[0][1]
+            return first
         self._credit -= 1.0
-        return min(less_urgent, key=lambda entry: entry.offered_at)
+        heads = [self._find_head(other, latest) for other in less_urgent]
+        heads = [head for head in heads if head is not None]
+        return min(heads, key=lambda head: head.offered_at, default=first)
 
     def _find_owed(self, latest):
         """Return an entry of the customer that is farthest behind its least share."""
@@ -434,24 +452,23 @@
             for (is_extra, _), flows in self._flows.items()
             if not is_extra
             for name in flows
-            if self._shares.is_owed(name)
         }
-        for name in sorted(names, key=self._shares.compute_owed, reverse=True):
+        for name in self._shares.list_owed(names):
             for entry in self._entries.values():
                 is_first = not entry.rank[0] and entry.customer_name == name
                 if is_first and entry.deadline >= latest:
                     return entry
         return None
 
-    def _list_candidates(self, latest):
-        """Return the entry of each rank that goes first, the most urgent rank first."""
-        candidates = []
-        for rank in sorted(self._flows):
-            heads = []
-            for name, flow in self._flows[rank].items():
-                entry = next((e for e in flow.values() if e.deadline >= latest), None)
-                if entry is not None:
-                    heads.append((self._shares.get_time(rank, name), len(heads), entry))
-            if heads:
-                candidates.append((rank, min(heads)[2]))
-        return candidates
+    def _find_head(self, rank, latest):
+        """Return the entry of a rank that goes first, or None if none has time."""
+        flows = self._flows[rank]
+        name = self._shares.find_next(rank, flows)
+        entry = next(iter(flows[name].values()))
+        if entry.deadline >= latest:
+            return entry
+        for name in self._shares.sort_by_time(rank, flows):
+            for entry in flows[name].values():
+                if entry.deadline >= latest:
+                    return entry
+        return None
