--- a/tests/test_queued_attempts.py
+++ b/tests/test_queued_attempts.py
@@ -9,9 +9,11 @@
 
 from tarragonchute import errors
 from tarragonchute.exchanges import Exchange, FailureKind, TargetReactor
+from tarragonchute.fanout import DelegatedQuery
 from tarragonchute.gatewaymetrics import QUEUE_REFUSALS, QUEUED_ATTEMPTS
 from tarragonchute.httpio import HttpRequest
 from tarragonchute.platform.decoding import decode_configuration
+from tarragonchute.replicas import ReplyTimes
 from tarragonchute.targetadmission import QueuePolicy, RefusalReason
 from tarragonchute.targetqueues import WaitTerms
 
@@ -19,6 +21,7 @@
 from .test_exchanges import REQUEST, RecordingOwner, ScriptedTarget, build_reply
 from .test_notices import open_gateway
 from .test_queries import FakePool, QueryHarness, build_search, build_single, finish
+from .test_subsearches import build_subsearch
 from .trial import run_async
 
 
@@ -56,6 +59,7 @@
         self.pool.load.slots = slots
         self.pool.load.is_assigned = True
         self.usual_s = 0.02
+        self.refuses = False
         self.permits = trio.Semaphore(0)
         self.target = ScriptedTarget([self._reply_on_command] * 50)
         nursery.start_soon(trio.serve_listeners, self.target.serve, [listener])
@@ -63,7 +67,10 @@
 
     async def _reply_on_command(self, stream):
         await self.permits.acquire()
-        await stream.send_all(build_reply())
+        reply = build_reply()
+        if self.refuses:
+            reply = reply.replace(b"200 OK", b"503 Busy")
+        await stream.send_all(reply)
 
     def start(self, name, priority=1, limit_s=9.0, **terms):
         """Start an exchange; return its owner."""
@@ -204,6 +211,21 @@
         await waiting.ended.wait()
         self.assertIsNotNone(waiting.reply)
 
+    @run_with_pool(slots=2)
+    async def test_refusals_of_the_target_reduce_the_bound(self, harness):
+        """Guards against a VM that keeps sending to a target which has no room."""
+        harness.pool.load.is_assigned = False
+        harness.refuses = True
+        owners = [harness.start(b"x") for _ in range(3)]
+        for owner in owners:
+            harness.permits.release()
+            await owner.ended.wait()
+        self.assertEqual(1, harness.pool.load.compute_bound(trio.current_time()))
+        harness.start(b"x")
+        harness.start(b"waiting")
+        await trio.sleep(0.02)
+        self.assertEqual(1, harness.pool.count_queued())
+
     @run_with_pool(slots=2, max_connections=1)
     async def test_first_come_below_the_pressure(self, harness):
         """Guards against another order while a target has room.
@@ -292,6 +314,28 @@
         self.assertTrue(query.is_finished)
         self.assertEqual(200, finish(query, 0.02).status)
 
+    def test_delegated_shards_keep_the_terms_of_the_caller(self):
+        """Guards against shards of other VMs that wait as if nobody's.
+
+        Shards without room are not handed on either: a leader that is assigned them
+        has no room for them anywhere.
+        """
+        harness = self.build_harness(["s", "t"])
+        for number in (0, 1):
+            self.get_target(harness, number).pool.is_full = True
+        subsearch = build_subsearch(services=["s", "t"])
+        subsearch.priority, subsearch.customer_name = 0, "c1"
+        subsearch.weight = 4.0
+        reports = []
+        times = ReplyTimes(0.1, 0.1)
+        query = DelegatedQuery(subsearch, harness.context, times, reports.append, 0.0)
+        query.start(0.0)
+        terms = harness.started[-1].terms
+        expected = (0, "c1", 4.0, query.deadline)
+        values = (terms.priority, terms.customer_name, terms.weight, terms.deadline)
+        self.assertEqual(expected, values)
+        self.assertEqual([], reports)
+
     def test_retry_is_marked(self):
         """Guards against retries that overtake first attempts."""
         harness = self.build_harness()
@@ -403,6 +447,8 @@
             gateway.apply_table(decode_configuration(orjson.dumps(body).decode()))
             target.delay_s = 0.05
             outcomes = []
+            registered = gateway.registry.get(target.target_id)
+            self.assertEqual(2, registered.pool.load.slots)
 
             async def call(key, number):
                 outcome = await self.call(deployment, key, number, 400)
