--- a/tarragonchute/delegation.py
+++ b/tarragonchute/delegation.py
@@ -203,9 +203,16 @@
     def handle_answer(self, answer, now):
         """Store an answer, which replaces earlier ones, and reassign unasked shards.
 
-        Unasked shards are those for which the VM sent no request to a target.
+        Unasked shards are those for which the VM sent no request to a target. Where
+        there was no room at the targets, another VM would only add to their load.
         """
-        if answer.is_final and not answer.digests and not answer.has_run:
+        has_no_room = answer.drain_s is not None
+        if (
+            answer.is_final
+            and not answer.digests
+            and not answer.has_run
+            and not has_no_room
+        ):
             self._reassign(
                 "no target of the previous VM ran the request", now, may_have_sent=False
             )
--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -340,6 +340,12 @@
         if not open_shards or not can_suffice or is_late and self._is_sufficient():
             self._finish()
 
+    def _estimate_drain_s(self):
+        """See `Query`; includes the shards that were delegated."""
+        drains = [super()._estimate_drain_s()]
+        drains += [d.answer.drain_s for d in self.delegated_shards if d.answer]
+        return max((d for d in drains if d is not None), default=None)
+
     def _count_open(self):
         return self._open_subrequests + sum(
             delegated.count_open() for delegated in self.delegated_shards
@@ -457,6 +463,7 @@
             self._merge.build(),
             self.list_missing()[:MAX_LOGGED_SHARDS],
             self._list_unattempted(),
+            self._estimate_drain_s(),
         )
 
     def _list_unattempted(self):
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -233,6 +233,8 @@
     unasked : list of str
         Services of the shards for which no request was sent, because the VM has no
         usable target for them or no retry budget.
+    drain_s : float or None
+        Time until there is room for shards that were left out for want of it.
     """
 
     __slots__ = (
@@ -243,11 +245,20 @@
         "records",
         "missing",
         "unasked",
+        "drain_s",
     )
     kind = "answer"
 
     def __init__(
-        self, number, is_final, has_run, digests, records, missing, unasked=()
+        self,
+        number,
+        is_final,
+        has_run,
+        digests,
+        records,
+        missing,
+        unasked=(),
+        drain_s=None,
     ):
         self.number = number
         self.is_final = is_final
@@ -256,6 +267,7 @@
         self.records = records
         self.missing = missing
         self.unasked = list(unasked)
+        self.drain_s = drain_s
 
     def encode(self):
         """Return the payload of a frame."""
@@ -269,12 +281,15 @@
                 base64.b64encode(self.records).decode(),
                 self.missing,
                 self.unasked,
+                # Left out without customers, as by earlier versions.
+                *([] if self.drain_s is None else [self.drain_s]),
             ]
         )
 
     @classmethod
     def decode(cls, fields):
         """Return the message that the fields after the kind describe."""
+        fields, drain_s = _split_drain_time(fields)
         _check_types(fields, _ANSWER_TYPES)
         number, is_final, has_run, digests, records, missing, unasked = fields
         return cls(
@@ -285,9 +300,19 @@
             base64.b64decode(records, validate=True),
             missing,
             unasked,
+            drain_s,
         )
 
 
+def _split_drain_time(fields):
+    """Return the fields of an answer without its last one, and that one or None."""
+    if len(fields) <= len(_ANSWER_TYPES):
+        return fields, None
+    *fields, drain_s = fields
+    _check_types([drain_s], [_NUMBER])
+    return fields, drain_s
+
+
 _NUMBER = (int, float)
 _SUBSEARCH_TYPES = (
     int,
--- a/tests/test_queued_attempts.py
+++ b/tests/test_queued_attempts.py
@@ -14,15 +14,17 @@
 from tarragonchute.httpio import HttpRequest
 from tarragonchute.platform.decoding import decode_configuration
 from tarragonchute.replicas import ReplyTimes
+from tarragonchute.subsearches import SubsearchAnswer
 from tarragonchute.targetadmission import QueuePolicy, RefusalReason
 from tarragonchute.targetqueues import WaitTerms
 
 from .test_customers import build_configuration_with_customers
 from .test_exchanges import REQUEST, RecordingOwner, ScriptedTarget, build_reply
+from .test_fanout import DelegatedSearch, FakeDelegate
 from .test_notices import open_gateway
 from .test_queries import FakePool, QueryHarness, build_search, build_single, finish
 from .test_subsearches import build_subsearch
-from .trial import run_async
+from .trial import run_async, run_in_virtual_time
 
 
 class RecordingObserver:
@@ -335,6 +337,22 @@
         values = (terms.priority, terms.customer_name, terms.weight, terms.deadline)
         self.assertEqual(expected, values)
         self.assertEqual([], reports)
+        answer = query.build_response()
+        self.assertEqual((0.4, []), (answer.drain_s, answer.unasked))
+
+    @run_in_virtual_time
+    async def test_shards_without_room_go_to_no_other_leader(self):
+        """Guards against leaders that add to the load of targets which have no room."""
+        first, second = FakeDelegate("a"), FakeDelegate("b")
+        search = DelegatedSearch(0, first, second)
+        (delegated,) = first.delegated_shards
+        delegated.handle_acknowledged(0.002)
+        answer = SubsearchAnswer(1, True, False, [], b"", ["s0: no room"], [], 0.5)
+        delegated.handle_answer(answer, 0.003)
+        self.assertEqual([], second.subsearches)
+        error = finish(search.query, 0.01)
+        self.assertIsInstance(error, errors.OverloadedError)
+        self.assertTrue(0.5 <= error.retry_after_s <= 0.75)
 
     def test_retry_is_marked(self):
         """Guards against retries that overtake first attempts."""
--- a/tests/test_subsearches.py
+++ b/tests/test_subsearches.py
@@ -43,12 +43,13 @@
 
     def test_answer_round_trip(self):
         """Guards against changing digests or records on the way between two VMs."""
-        sent = SubsearchAnswer(
-            7, False, True, [b"d1", b"d2"], bytes(range(256)), ["x"], ["s"]
-        )
-        received = subsearches.decode_message(sent.encode())
-        for name in SubsearchAnswer.__slots__:
-            self.assertEqual(getattr(sent, name), getattr(received, name), name)
+        for drain_s in (None, 0.5):
+            sent = SubsearchAnswer(
+                7, False, True, [b"d1", b"d2"], bytes(range(256)), ["x"], ["s"], drain_s
+            )
+            received = subsearches.decode_message(sent.encode())
+            for name in SubsearchAnswer.__slots__:
+                self.assertEqual(getattr(sent, name), getattr(received, name), name)
 
     def test_malformed_message_is_a_protocol_error(self):
         """Guards against an exception of the decoder that would end the process.
@@ -68,6 +69,8 @@
             b'["answer", 1, true, true, [1], "", [], []]',
             b'["answer", 1, true, true, ["d"], "*", [], []]',
             b'["answer", 1, true, true, ["d"], "", [], [5]]',
+            b'["answer", 1, true, true, ["d"], "", [], [], "x"]',
+            b'["answer", 1, true, true, ["d"], "", [], [], 0.5, 0.5]',
             b'["answer", "1", true, true, [], "", [], []]',
             b'["acknowledgement", [1]]',
             b'["cancellation", {}]',
