--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -227,8 +227,7 @@
             self.reason = "no other usable target for a hedge"
             if any(target not in self._tried_targets for target in full_targets):
                 self.reason = "no room at another target for a hedge"
-                delay_s = self._query.reply_times.compute_hedge_delay_s()
-                self.hedge_at = now + delay_s
+                self._look_for_room_later(now)
             return
         if not self._budget.try_spend(now):
             self.reason = "no retry budget for a hedge"
@@ -248,7 +247,7 @@
         hedge_delay_s = self._query.reply_times.compute_hedge_delay_s()
         if exchange.sent_at is None and exchange.has_waited_for_room:
             if not self._move(exchange, now):
-                self.hedge_at = now + hedge_delay_s
+                self._look_for_room_later(now)
             return True
         if exchange.sent_at is None:
             due_at = exchange.started_at + CONNECT_HEDGE_FACTOR * hedge_delay_s
@@ -259,6 +258,14 @@
         self.hedge_at = due_at
         return True
 
+    def _look_for_room_later(self, now):
+        """Postpone a hedge or move; each interval is as long as the time so far.
+
+        Looking for room at the targets of dozens of shards costs milliseconds.
+        """
+        delay_s = self._query.reply_times.compute_hedge_delay_s()
+        self.hedge_at = now + max(delay_s, now - self._in_flight[0].started_at)
+
     def _move(self, exchange, now):
         """Send an attempt that waits for room to another target that has room.
 
@@ -272,6 +279,8 @@
             or target.pool.has_connect_failed
         ]
         unsuitable += self._list_full_targets(now)
+        if all(target in unsuitable for target in targets):
+            return False
         target = self._choose_target(now, unsuitable)
         if target is None:
             return False
@@ -347,6 +356,10 @@
     def update_request(self, exchange, now):
         """See `exchanges.ExchangeOwner`."""
         exchange.request = self._query.build_message(exchange.target, now)
+        due_at = now + self._query.reply_times.compute_hedge_delay_s()
+        if self.hedge_at is not None and self.hedge_at > due_at:
+            self.hedge_at = due_at
+            self._query.wake()
 
     def _find_start(self, exchange):
         """Return when an exchange started; the wait for room is not part of it."""
--- a/tests/test_queued_attempts.py
+++ b/tests/test_queued_attempts.py
@@ -373,7 +373,10 @@
         self.assertEqual(1, len(harness.started))
         for number in (0, 1):
             self.get_target(harness, number).pool.is_full = False
-        harness.started[0].sent_at = sent_at = 3.5 * delay_s
+        (exchange,) = harness.started
+        exchange.sent_at = sent_at = 3.5 * delay_s
+        exchange.owner.update_request(exchange, sent_at)
+        self.assertIn(b"Time-Limit: %d" % (400 - sent_at * 1000), exchange.request)
         query.advance(4 * delay_s + 0.001)
         self.assertEqual(1, len(harness.started))
         self.assertAlmostEqual(sent_at + delay_s, query.get_next_due_time())
