--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -296,6 +296,7 @@
         "_connections",
         "_queue",
         "_admission",
+        "_policy",
         "load",
         "_is_closed",
     )
@@ -310,7 +311,8 @@
         self.is_kept_connected = False
         self._idle = []
         self._connections = {}
-        self._admission = TargetAdmission(policy or QueuePolicy(), service)
+        self._policy = policy or QueuePolicy()
+        self._admission = TargetAdmission(self._policy, service)
         self._queue = self._admission.queue
         self.load = self._admission.load
         self._is_closed = False
@@ -326,7 +328,7 @@
         exchange.pool = self
         self.in_flight[exchange] = None
         self._reactor.record_start(self)
-        if self._admission.is_active:
+        if self._policy.is_active:
             self._admission.record_start(exchange, now)
             if not self.has_room(now):
                 self._wait_for_room(exchange, now)
@@ -408,7 +410,7 @@
         A connection is overdue if it was not established within `CONNECT_TIMEOUT_S`, or
         if its exchange was abandoned more than `ABANDON_GRACE_S` ago.
         """
-        if self._admission.is_active and self._queue:
+        if self._policy.is_active and self._queue:
             self._open_connections_for_queue(now)
         needs_sweep = bool(self.in_flight)
         for connection in list(self._connections.values()):
@@ -503,6 +505,10 @@
 
     def _take_queued(self, now):
         """Remove and return the exchange to be sent next, or None if there is none."""
+        if not self._queue:
+            return None
+        if not self._policy.is_active:
+            return self._queue.take_first()
         return self._admission.take(self._count_busy(), self.max_connections, now)
 
     def _send_queued(self, now):
@@ -528,7 +534,7 @@
 
     def _open_connections_for_queue(self, now):
         needed = len(self._queue)
-        if self._admission.is_active:
+        if self._policy.is_active:
             self._send_queued(now)
             unused = self._compute_bound(now) - self._count_busy()
             needed = min(len(self._queue), unused)
@@ -611,7 +617,7 @@
             self._open_connections_for_queue(now)
             return
         exchange.sent_at = now
-        if self._admission.is_active:
+        if self._policy.is_active:
             self._admission.record_sent(exchange)
         if sent < len(exchange.request):
             connection.unsent_data = memoryview(exchange.request)[sent:]
@@ -673,7 +679,7 @@
         if exchange.target is not None:
             # Before the connection is used again, because the target may be leaving.
             exchange.target.handle_reply(reply, now)
-        if self._admission.is_active:
+        if self._policy.is_active:
             self._admission.record_reply(
                 exchange, reply.status, self._count_busy(), now
             )
@@ -709,7 +715,7 @@
         if connection.idle_timeout_s is None:
             connection.idle_timeout_s = _read_idle_timeout_s(reply)
         self._assign_connection(connection, now)
-        if self._admission.is_active and self._queue:
+        if self._policy.is_active and self._queue:
             # The reply may have raised the bound, so that there is room for more.
             self._open_connections_for_queue(now)
 
--- a/tarragonchute/targetadmission.py
+++ b/tarragonchute/targetadmission.py
@@ -98,11 +98,6 @@
         self.queue = TargetQueue(policy.get_shares(service))
         self._policy = policy
 
-    @property
-    def is_active(self):
-        """Whether the configuration has customers."""
-        return self._policy.is_active
-
     def compute_bound(self, connections, now):
         """Return the number of attempts that may be in flight.
 
@@ -116,6 +111,9 @@
 
     def offer(self, exchange, now):
         """Let an attempt wait."""
+        if not self._policy.is_active:
+            self.queue.append(exchange)
+            return
         terms = exchange.terms
         self.queue.offer(
             exchange,
@@ -162,10 +160,6 @@
 
         None if none waits, if none has time, or if the bound is reached.
         """
-        if not self.queue:
-            return None
-        if not self.is_active:
-            return self.queue.take_first()
         if in_flight >= self.compute_bound(connections, now):
             return None
         # The bound leaves one attempt per slot waiting at the target, or fewer if the
--- a/tarragonchute/targetqueues.py
+++ b/tarragonchute/targetqueues.py
@@ -239,10 +239,19 @@
         Shared by the targets of a service; None for one of its own.
     """
 
-    __slots__ = ("_shares", "_entries", "_flows", "_credit", "_least_deadline")
+    __slots__ = (
+        "_shares",
+        "_unordered",
+        "_entries",
+        "_flows",
+        "_credit",
+        "_least_deadline",
+    )
 
     def __init__(self, shares=None):
         self._shares = shares or CustomerShares()
+        # Exchanges, as keys, that go before all others in the order of the keys.
+        self._unordered = {}
         # By exchange, in the order of their offers.
         self._entries = {}
         # Entries by exchange, by customer, by rank: hedges and retries have the ranks
@@ -254,10 +263,14 @@
         self._credit = 0.0
 
     def __len__(self):
-        return len(self._entries)
+        return len(self._unordered) + len(self._entries)
 
     def __contains__(self, exchange):
-        return exchange in self._entries
+        return exchange in self._unordered or exchange in self._entries
+
+    def append(self, exchange):
+        """Add an attempt to a queue without customers, after all others."""
+        self._unordered[exchange] = None
 
     def record_asked(self, terms, now):
         """Count an attempt for the least share of its customer."""
@@ -299,19 +312,7 @@
 
     def put_back(self, exchange):
         """Put an attempt that could not be sent before all others."""
-        terms = exchange.terms
-        others = self._entries
-        self._entries = {}
-        # The rank below 0 is before that of every priority.
-        self.offer(
-            exchange,
-            -1,
-            terms.customer_name,
-            terms.weight,
-            terms.deadline,
-            exchange.started_at,
-        )
-        self._entries.update(others)
+        self._unordered = {exchange: None, **self._unordered}
 
     def take(self, now, needed_s=0.0, is_pressed=True):
         """Remove and return the attempt to be sent next, or None if there is none.
@@ -326,6 +327,8 @@
             Whether more attempts wait than the target has slots. If not, the one that
             came first is sent.
         """
+        if self._unordered:
+            return self.take_first()
         if is_pressed:
             entry = self._choose_under_pressure(now + needed_s)
         else:
@@ -340,6 +343,10 @@
 
     def take_first(self):
         """Remove and return the attempt that came first; for use without customers."""
+        if self._unordered:
+            exchange = next(iter(self._unordered))
+            del self._unordered[exchange]
+            return exchange
         exchange = next(iter(self._entries))
         self.remove(exchange)
         return exchange
@@ -359,13 +366,16 @@
 
     def take_all(self):
         """Remove and return all attempts, in the order of their offers."""
-        exchanges = list(self._entries)
+        exchanges = [*self._unordered, *self._entries]
         for exchange in exchanges:
             self.remove(exchange)
         return exchanges
 
     def remove(self, exchange):
         """Remove an attempt, for example because its caller left."""
+        if exchange in self._unordered:
+            del self._unordered[exchange]
+            return
         entry = self._entries.pop(exchange)
         flows = self._flows[entry.rank]
         flow = flows[entry.customer_name]
@@ -383,6 +393,9 @@
         ----------
         terms : WaitTerms
         """
+        return len(self._unordered) + self._count_ahead_in_order(terms)
+
+    def _count_ahead_in_order(self, terms):
         rank = (terms.is_extra, terms.priority)
         if not terms.is_extra and self._shares.list_owed((terms.customer_name,)):
             flows = self._flows.get(rank, {})
--- a/tests/test_targetqueues.py
+++ b/tests/test_targetqueues.py
@@ -302,6 +302,20 @@
         self.assertEqual(["a2", "b3", "b4"], self.drain(queue))
         self.assertEqual(0, len(queue))
 
+    def test_attempts_from_before_go_first(self):
+        """Guards against losing attempts whose sending failed, or from before a change.
+
+        They waited when the configuration had no customers yet.
+        """
+        queue = self.build("a", ("b", 0, False))
+        queue.append("old")
+        queue.put_back(queue.take(0.0))
+        queue.remove("a0")
+        self.assertEqual(["old", "b1"], self.drain(queue))
+        queue.append("old")
+        queue.put_back("returned")
+        self.assertEqual(["returned", "old"], queue.take_all())
+
     def test_queues_of_one_service_share_the_accounts(self):
         """Guards against a customer that gets its share once at each target."""
         shares = CustomerShares()
