--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -55,7 +55,7 @@
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
-from .targetqueues import QueuePolicy
+from .targetadmission import QueuePolicy
 
 logger = logging.getLogger(__name__)
 
