--- /dev/null
+++ b/tarragonchute/rolloutcoordinator.py
@@ -0,0 +1,417 @@
+"""Decides the next state of each rollout that this VM coordinates.
+
+The coordinator of a service is derived from the list of VMs by rendezvous hashing; the
+next VM, of another failure domain if there is one, is its deputy. Both get the evidence
+of all VMs. The deputy acts `DEPUTY_DELAY_S` after the coordinator should have. States
+are written under the condition that the last one is still there, so that it does no
+harm if several VMs believe that they are coordinator.
+"""
+
+from .leaders import hash_to_fraction
+from .rolloutevidence import AnswerCounts, compare
+from .rolloutstates import Phase, RolloutState
+
+CANARY_SHARE_FRACTION = 0.5
+"""Part of `expose-share` that VMs may send to the new version in `CANARY`. The rest is
+for the time in which bad answers in `FULL` are not noticed yet."""
+
+CANARY_SLACK_FRACTION = 0.3
+"""Part of `expose-slack` that is divided among the VMs; at most 0.8, because VMs whose
+lists differ round their parts differently. With 0.5, a version that turned bad in
+`FULL` exceeded the permitted exposure in the simulation at 24 requests/s."""
+
+RARE_SHARE = 0.5
+RARE_FRACTION = 1 / 6
+"""Share of a service that gets so few requests that even all of them are permitted, and
+the part of the duration after which their rate is known."""
+
+USABLE_FRACTION = 0.8
+"""Part of the permitted exposure that phases and steps are planned for."""
+
+NOTICE_S = 2.0
+"""Time until bad answers are noticed and the change is in force everywhere."""
+
+MAX_STEP_SHARE = 0.3
+"""Largest share of a step between `CANARY` and `FULL`."""
+
+FULL_FRACTION = 2 / 3
+"""Part of the duration after which all traffic goes to the new version."""
+
+LATEST_FULL_FRACTION = 0.8
+"""Part of the duration after which a version is no longer given all traffic; it is
+rolled back instead."""
+
+DONE_FRACTION = 0.9
+DONE_MARGIN_S = 1.0
+"""`DONE` is written after this part of the duration, at least this long before its end,
+so that a deputy or a slow store still meets it."""
+
+LAST_MOMENT_S = 0.5
+"""Time before the end at which `DONE` is written although VMs have not acknowledged
+`FULL`. They are in touch with the store or send nothing to the old targets for long."""
+
+MIN_CAPACITY = 0.6
+"""Slots of the new targets, as a part of those of the old ones, that are enough to give
+them all traffic before `LATEST_FULL_FRACTION`."""
+
+MIN_CANARY_FRACTION = 0.15
+"""Part of the duration for which the first new target is observed before `FULL`."""
+
+CHECKPOINT_FRACTION = 0.25
+"""Part of the duration after which the state is written again with the time used, from
+which the next coordinator continues if no VM sends evidence."""
+
+DEPUTY_DELAY_S = 0.7
+"""Time for which a change is due before the deputy writes it; the coordinator takes
+0.1 s, the store 4 ms, and the change reaches the deputy in 0.5 s."""
+
+CANDIDATES = 2
+"""Coordinator and deputy."""
+
+FRESH_S = 2.5
+"""Time for which a VM that begins to coordinate gives no version more traffic. VMs
+repeat their evidence every 2 s."""
+
+
+class TargetSummary:
+    """The registered targets of a service, by whether they have the new version.
+
+    Parameters
+    ----------
+    old_slots, new_slots : int
+        Slots of the usable old and new targets.
+    """
+
+    __slots__ = ("old_slots", "new_slots")
+
+    def __init__(self, old_slots, new_slots):
+        self.old_slots = old_slots
+        self.new_slots = new_slots
+
+
+class StateChange:
+    """A state to be written, and the status for the operator if it changes.
+
+    Parameters
+    ----------
+    service : str
+    state : rolloutstates.RolloutState
+    status : str or None
+        ``running``, ``done`` or ``rolled_back``; None if no status is to be written.
+    reason : str
+        For the log.
+    """
+
+    __slots__ = ("service", "state", "status", "reason")
+
+    def __init__(self, service, state, status, reason):
+        self.service = service
+        self.state = state
+        self.status = status
+        self.reason = reason
+
+
+class _Coordination:
+    """What this VM keeps of a rollout that it coordinates."""
+
+    __slots__ = (
+        "order_revision",
+        "began_at",
+        "reports",
+        "due_step",
+        "due_since",
+        "rank",
+        "first_target_at",
+    )
+
+    def __init__(self, order_revision, now):
+        self.order_revision = order_revision
+        self.began_at = now
+        # By VM id and process.
+        self.reports = {}
+        self.due_step = None
+        self.due_since = now
+        self.rank = 0
+        # Time since the order at which the first new target was seen.
+        self.first_target_at = None
+
+
+class RolloutCoordinator:
+    """Decides the states of rollouts from the evidence of all VMs.
+
+    Parameters
+    ----------
+    limits : rolloutstates.RolloutLimits
+    rollouts : rollouts.Rollouts
+    """
+
+    def __init__(self, limits, rollouts):
+        self._limits = limits
+        self._rollouts = rollouts
+        self._coordinations = {}
+
+    def receive(self, report, now):
+        """Take in the `VmReport` of a VM, this one included."""
+        rollout = self._rollouts.get(report.service)
+        if rollout is None or rollout.order is None:
+            return
+        if report.order_revision != rollout.order.revision:
+            return
+        coordination = self._get_coordination(rollout, now)
+        coordination.reports[report.vm_id, report.incarnation] = report
+
+    def plan(self, service, rank, vms, targets, now):
+        """Return the `StateChange` that this VM should write now, or None.
+
+        Parameters
+        ----------
+        service : str
+        rank : int or None
+            Place of this VM in `choose_coordinators`.
+        vms : list of fleet.VmInfo
+            The VMs whose acknowledgements are needed, this one included.
+        targets : TargetSummary
+        now : float
+            Monotonic seconds.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None or not rollout.is_running or rank is None:
+            self._coordinations.pop(service, None)
+            return None
+        coordination = self._get_coordination(rollout, now)
+        coordination.rank = rank
+        change = self._choose_change(rollout, coordination, vms, targets, now)
+        if change is None:
+            coordination.due_step = None
+            return None
+        step = (change.state.phase, change.state.share)
+        if step != coordination.due_step:
+            coordination.due_step = step
+            coordination.due_since = now
+        if now - coordination.due_since < rank * DEPUTY_DELAY_S:
+            return None
+        return change
+
+    def _get_coordination(self, rollout, now):
+        coordination = self._coordinations.get(rollout.service)
+        revision = rollout.order.revision
+        if coordination is None or coordination.order_revision != revision:
+            coordination = _Coordination(revision, now)
+            self._coordinations[rollout.service] = coordination
+        return coordination
+
+    def _choose_change(self, rollout, coordination, vms, targets, now):
+        state = rollout.get_current_state()
+        elapsed_s = self._estimate_elapsed_s(rollout, coordination, now)
+        if state is None:
+            return self._start(rollout, targets, elapsed_s)
+        old, new = self._sum_counts(coordination, state)
+        comparison = compare(old, new)
+        if comparison.is_bad:
+            reason = (
+                f"{comparison.bad} of {comparison.answers} answers are bad, "
+                f"route {comparison.route or 'any'}"
+            )
+            return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
+        if state.phase is Phase.FULL:
+            change = self._finish(rollout, coordination, vms, comparison, elapsed_s)
+        else:
+            change = self._advance(
+                rollout, coordination, targets, comparison, elapsed_s, now
+            )
+        return change or self._renew(rollout, elapsed_s)
+
+    def _start(self, rollout, targets, elapsed_s):
+        """Return the first state of a rollout."""
+        order, base = rollout.order, sorted(rollout.base)
+        if order.version in rollout.base:
+            reason = "the service already uses the version"
+            return _build_change(rollout, Phase.DONE, 1.0, elapsed_s, "done", reason)
+        share = self._get_canary_share()
+        state = RolloutState(
+            order.revision, order.version, base, Phase.CANARY, share, elapsed_s
+        )
+        return StateChange(rollout.service, state, "running", "a new order")
+
+    def _advance(self, rollout, coordination, targets, comparison, elapsed_s, now):
+        """Return the change to a step, to `FULL` or to the end of a canary, or None."""
+        duration_s = rollout.order.duration_s
+        full_at = choose_full_time(duration_s)
+        latest_at = LATEST_FULL_FRACTION * choose_done_time(duration_s) / DONE_FRACTION
+        if targets.new_slots and coordination.first_target_at is None:
+            coordination.first_target_at = elapsed_s
+        if elapsed_s >= max(latest_at, full_at + NOTICE_S / 4):
+            return self._decide_late(rollout, targets, comparison, elapsed_s)
+        if not targets.new_slots or comparison.is_suspect:
+            return None
+        if now - coordination.began_at < FRESH_S:
+            return None
+        share = self._choose_step_share(rollout, coordination, elapsed_s)
+        if share is not None:
+            reason = f"more traffic, after {comparison.answers} answers"
+            return _build_change(rollout, Phase.CANARY, share, elapsed_s, None, reason)
+        is_observed = elapsed_s >= min(
+            coordination.first_target_at + MIN_CANARY_FRACTION * duration_s, latest_at
+        )
+        # A step begins with the state that was written for it.
+        if rollout.state.share > self._get_canary_share():
+            is_observed &= elapsed_s >= rollout.state.elapsed_s + NOTICE_S
+        has_capacity = targets.new_slots >= MIN_CAPACITY * targets.old_slots
+        if elapsed_s < full_at or not is_observed or not has_capacity:
+            return None
+        return self._give_all_traffic(rollout, comparison, elapsed_s)
+
+    def _decide_late(self, rollout, targets, comparison, elapsed_s):
+        """Return the change for a canary that has lasted as long as it may."""
+        if elapsed_s >= rollout.order.duration_s:
+            reason = "no verdict before the time limit"
+        elif not targets.new_slots:
+            if elapsed_s < choose_done_time(rollout.order.duration_s):
+                return None
+            reason = "no target of the version has registered"
+        elif comparison.is_suspect:
+            reason = f"{comparison.bad} of {comparison.answers} answers are bad"
+        else:
+            return self._give_all_traffic(rollout, comparison, elapsed_s)
+        return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
+
+    def _give_all_traffic(self, rollout, comparison, elapsed_s):
+        reason = f"{comparison.bad} of {comparison.answers} answers are bad"
+        return _build_change(rollout, Phase.FULL, 1.0, elapsed_s, None, reason)
+
+    def _get_canary_share(self):
+        return round(self._limits.expose_share * CANARY_SHARE_FRACTION, 4)
+
+    def _choose_step_share(self, rollout, coordination, elapsed_s):
+        """Return the share of a step between the first one and `FULL`, or None.
+
+        There is a step before `FULL` if a version that turns bad under full load would
+        exceed the permitted exposure before that is noticed, and an early one for a
+        service with few requests.
+        """
+        state = rollout.state
+        if state.share > self._get_canary_share():
+            return None
+        reports = coordination.reports.values()
+        rate = sum(report.sent for report in reports) / max(elapsed_s, NOTICE_S)
+        used = sum(report.candidate_sent for report in reports)
+        limits = self._limits
+        permitted = limits.expose_share * rate * rollout.order.duration_s
+        usable = USABLE_FRACTION * (permitted + limits.expose_slack)
+        left = usable - used
+        duration_s = rollout.order.duration_s
+        if rate * duration_s <= USABLE_FRACTION * usable:
+            return RARE_SHARE if elapsed_s >= RARE_FRACTION * duration_s else None
+        is_early = elapsed_s < choose_full_time(duration_s) - NOTICE_S
+        if is_early or rate * NOTICE_S <= left:
+            return None
+        share = min(MAX_STEP_SHARE, left / (rate * NOTICE_S))
+        return round(share, 3) if share > state.share else None
+
+    def _finish(self, rollout, coordination, vms, comparison, elapsed_s):
+        """Return the change to `DONE` once no VM uses the old versions, or None."""
+        duration_s = rollout.order.duration_s
+        if elapsed_s < choose_done_time(duration_s):
+            return None
+        if comparison.is_bad_at_last:
+            reason = f"{comparison.bad} of {comparison.answers} answers are bad"
+            return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
+        missing = self._list_missing_acknowledgements(rollout, coordination, vms)
+        last_moment_s = duration_s - LAST_MOMENT_S - coordination.rank * DEPUTY_DELAY_S
+        if missing and elapsed_s < last_moment_s:
+            return None
+        reason = "all traffic was served well"
+        if missing:
+            reason += f"; {len(missing)} VMs have not acknowledged it: {missing[:5]}"
+        return _end(rollout, Phase.DONE, elapsed_s, reason)
+
+    def _list_missing_acknowledgements(self, rollout, coordination, vms):
+        step = rollout.state.step
+        # What an earlier process of a VM acknowledged does not count.
+        latest = {}
+        for report in coordination.reports.values():
+            known = latest.get(report.vm_id)
+            if known is None or known.received_at <= report.received_at:
+                latest[report.vm_id] = report
+        acknowledged = {
+            vm_id
+            for vm_id, report in latest.items()
+            if report.step == step and report.is_drained
+        }
+        return [vm.vm_id for vm in vms if vm.vm_id not in acknowledged]
+
+    def _renew(self, rollout, elapsed_s):
+        """Return the same state with the time used, if it was written long ago."""
+        state = rollout.state
+        if state.elapsed_s + CHECKPOINT_FRACTION * rollout.order.duration_s > elapsed_s:
+            return None
+        if elapsed_s > rollout.order.duration_s:
+            return None
+        reason = "the time used"
+        return _build_change(rollout, state.phase, state.share, elapsed_s, None, reason)
+
+    def _estimate_elapsed_s(self, rollout, coordination, now):
+        """Return the time since the order; a VM that has just started knows too little.
+
+        The VM that has seen the order first knows best.
+        """
+        return max(
+            rollout.get_elapsed_s(now),
+            *(
+                report.elapsed_s + now - report.received_at
+                for report in coordination.reports.values()
+            ),
+            0.0,
+        )
+
+    def _sum_counts(self, coordination, state):
+        """Return the counts by route of the old and of the new versions."""
+        old, new = {}, {}
+        for report in coordination.reports.values():
+            for (route, version), counts in report.counts.items():
+                if version == state.version:
+                    new.setdefault(route, AnswerCounts()).add(counts)
+                elif version in state.base:
+                    old.setdefault(route, AnswerCounts()).add(counts)
+        return old, new
+
+
+def choose_coordinators(service, vms):
+    """Return the coordinator of a service and its deputy.
+
+    Parameters
+    ----------
+    service : str
+    vms : list of fleet.VmInfo
+    """
+    ranked = sorted(
+        (vm for vm in vms if vm.address),
+        key=lambda vm: hash_to_fraction(f"rollout {service} {vm.vm_id}"),
+    )
+    if not ranked:
+        return []
+    first = ranked[0]
+    others = [vm for vm in ranked[1:] if vm.domain != first.domain] or ranked[1:]
+    return [first, *others[: CANDIDATES - 1]]
+
+
+def choose_done_time(duration_s):
+    """Return the time since the order at which a rollout may be `DONE`."""
+    latest_s = max(duration_s - DONE_MARGIN_S, duration_s / 2)
+    return min(DONE_FRACTION * duration_s, latest_s)
+
+
+def choose_full_time(duration_s):
+    """Return the time since the order at which a version gets all traffic."""
+    return min(FULL_FRACTION * duration_s, 0.75 * choose_done_time(duration_s))
+
+
+def _build_change(rollout, phase, share, elapsed_s, status, reason):
+    order = rollout.order
+    base = sorted(rollout.base)
+    state = RolloutState(order.revision, order.version, base, phase, share, elapsed_s)
+    return StateChange(rollout.service, state, status, reason)
+
+
+def _end(rollout, phase, elapsed_s, reason):
+    return _build_change(rollout, phase, 1.0, elapsed_s, phase.value, reason)
