Carry out rollouts: registry, subrequests, gateway, store and adapter

Decisions of the rollout modules take effect: targets of versions that no order allows get no requests, attempts are counted by version, evidence goes to coordinator and deputy on the peer address, and state and status are written in one conditional transaction. Off without expose-share, expose-slack and rollback-ms.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -9,6 +9,7 @@
 
 import argparse
 import base64
+import random
 import secrets
 
 import orjson
@@ -132,6 +133,8 @@
         return HttpResponse.from_json({"events": events, "store-revision": revision})
 
     async def _answer_commit(self, body):
+        if len(body["writes"]) > 1:
+            return await self._answer_commit_of_several(body)
         (expected,) = body["expected-rev"]
         if body["deletes"]:
             revision = await self.store.delete(expected["key"], expected["revision"])
@@ -145,6 +148,15 @@
             )
         return HttpResponse.from_json({"revision": revision})
 
+    async def _answer_commit_of_several(self, body):
+        expected = {row["key"]: row["revision"] for row in body["expected-rev"]}
+        writes = [
+            (row["key"], base64.b64decode(row["value"]).decode(), expected[row["key"]])
+            for row in body["writes"]
+        ]
+        revision = await self.store.put_all(writes)
+        return HttpResponse.from_json({"revision": revision})
+
 
 class PlatformTarget:
     """One target of a service.
@@ -154,6 +166,8 @@
     service : str
     domain : str
         Failure domain.
+    version : str
+        Version of its software.
 
     Attributes
     ----------
@@ -161,6 +175,8 @@
         Ids of the executed requests, in order of execution.
     delay_s : float
         Seconds between the start of a request and its response.
+    fail_share : float
+        Fraction of its requests that run and fail with 500.
     refuses : bool
         Whether every request is rejected with 503 and ``Not-Executed``.
     refused : list of str
@@ -171,13 +187,15 @@
         Headers added to every response, also to failures and refusals.
     """
 
-    def __init__(self, service, domain):
+    def __init__(self, service, domain, version="v1"):
+        self.version = version
         self.target_id = f"i-{secrets.token_hex(5)}"
         self.service = service
         self.domain = domain
         self.address = ""
         self.ran = []
         self.delay_s = 0.0
+        self.fail_share = 0.0
         self.refuses = False
         self.refused = []
         self.refusal_delay_s = 0.0
@@ -202,6 +220,8 @@
             return HttpResponse(503, b"", {**echoed_headers, "Not-Executed": "1"})
         self.ran.append(request_id)
         await trio.sleep(self.delay_s)
+        if random.random() < self.fail_share:
+            return HttpResponse(500, b"", echoed_headers)
         stamp = f"{self.target_id}.{request_id}"
         body = request.body or secrets.token_bytes(RECORDS_PER_RESPONSE * RECORD_BYTES)
         return HttpResponse(200, body, {**echoed_headers, "Response-Stamp": stamp})
@@ -219,7 +239,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.domain,
-            "version": "v1",
+            "version": self.version,
             "capacity": 2,
             "state": state,
             "warmup-left-ms": warmup_left_ms,
--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -128,6 +128,19 @@
         for vm_id, value in values.items():
             self.apply(vm_id, value, now)
 
+    def list_in_touch(self, now, contact_s):
+        """Return the VMs that may be in touch with the store, sorted by id.
+
+        A VM is not after its key has been missing for `contact_s` seconds.
+        """
+        gone = {
+            vm_id
+            for vm_id, (since, _) in self._missing.items()
+            if now - since > contact_s
+        }
+        vms = self.list_vms(now)
+        return [vm for vm in vms if vm.vm_id not in gone] if gone else vms
+
     def list_vms(self, now):
         """Return the VMs that may be running, sorted by id.
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -32,6 +32,7 @@
     LEAVING_TARGETS,
     LOG_LINES_DROPPED,
     PAUSED_TARGETS,
+    ROLLOUTS,
     SUBSEARCHES,
     TARGETS,
     VMS,
@@ -42,7 +43,10 @@
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .requestrecords import RequestRecord
+from .rolloutcoordinator import CANARY_SLACK_FRACTION, summarize_targets
+from .rollouts import Rollouts
 from .routes import WeightedChoice
+from .servicerollouts import SlackPart
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
 
@@ -107,6 +111,8 @@
         Request rate allowed to a cold target, over all VMs: `cold_rate` of the
         `routes.ServicePolicy` times `cold_factor`, plus `cold_slack`, in requests per
         second.
+    rollout_limits : rolloutstates.RolloutLimits or None
+        None if rollouts are off.
     """
 
     __slots__ = (
@@ -128,9 +134,11 @@
         "retry_slack",
         "cold_factor",
         "cold_slack",
+        "rollout_limits",
     )
 
-    def __init__(self, **values):
+    def __init__(self, rollout_limits=None, **values):
+        values["rollout_limits"] = rollout_limits
         for name in self.__slots__:
             setattr(self, name, values[name])
 
@@ -152,6 +160,7 @@
         Newest configuration received.
     fleet : fleet.Fleet
         The VMs that share the fleet-wide limits.
+    rollouts : rollouts.Rollouts
     count_dropped_lines : callable
         Returns the number of log lines dropped since the start.
     """
@@ -194,12 +203,16 @@
         self.chooser = replicas.ReplicaChooser(
             settings.domain, self._try_reserve_cold_request, self._random
         )
+        self.rollouts = Rollouts(
+            settings.rollout_limits, self._compute_slack_part, self._apply_versions
+        )
         self.registry = Registry(
             self._open_pool,
             self.reactor.close_pool,
             self._assign_targets,
             self.chooser.record_exchange_end,
             self._random,
+            self.rollouts,
         )
         self.registry.on_reply = NoticeReader(self.registry, header_names).read
         self._delegates = Delegates(
@@ -214,6 +227,7 @@
             self._get_retry_budget,
             self.reactor.poll,
             self._delegates,
+            self.rollouts,
         )
         self.shard_server = ShardServer(
             settings.vm_id, self._context, self._get_reply_times, self._record_subsearch
@@ -405,6 +419,7 @@
         if self._shares.set_vms(self.fleet.list_vms(now)):
             self._retry_limits.slack = self._shares.compute_retry_slack()
             self.registry.invalidate_all()
+            self.rollouts.update_parts()
             self._next_domain_check = now
             logger.info(
                 "fleet changed",
@@ -502,6 +517,27 @@
                 self.reactor.disconnected_pools.append(target.pool)
             target.pool.max_connections = connection_limit if target.is_preferred else 1
 
+    def _compute_slack_part(self, service):
+        """Return this VM's part of the requests that a new version may get."""
+        shares = self._shares
+        slack = self.settings.rollout_limits.expose_slack * CANARY_SLACK_FRACTION
+        is_wide = self.table is not None and self.table.is_wide_shard(service)
+        if is_wide and self.settings.search_address:
+            targets = self.registry.list_usable(service)
+            slack *= shares.compute_wide_exposure_part(service, targets)
+        else:
+            slack /= shares.vm_count
+        return SlackPart(slack, shares.rank, shares.vm_count)
+
+    def _apply_versions(self, service, now):
+        """Apply a change of the versions that may get requests of a service."""
+        self.registry.apply_versions(service, now)
+
+    def summarize_rollout_targets(self, rollout):
+        """Return the `TargetSummary` of the service of a `ServiceRollout`."""
+        targets = self.registry.list_usable(rollout.service)
+        return summarize_targets(rollout, targets, trio.current_time())
+
     def _try_reserve_cold_request(self, target, now):
         """Return whether a request may be sent to a cold target now.
 
@@ -548,5 +584,6 @@
             (DELEGATES, (), self._delegates.count_usable(trio.current_time())),
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
+            (ROLLOUTS, (), len(self.rollouts.list_running())),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
         ]
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -74,6 +74,23 @@
     MetricKind.GAUGE,
     "Registered targets that get no requests because their replies say they leave.",
 )
+ROLLOUTS = MetricSpec(
+    "gateway_rollouts",
+    MetricKind.GAUGE,
+    "Rollouts that were ordered and have not ended.",
+)
+ROLLOUT_STATES = MetricSpec(
+    "gateway_rollout_states_total",
+    MetricKind.COUNTER,
+    "States of rollouts that this VM has tried to write.",
+    ("phase", "result"),
+)
+ROLLOUT_REPORTS = MetricSpec(
+    "gateway_rollout_reports_total",
+    MetricKind.COUNTER,
+    "Messages with evidence about rollouts: sent, failed or received.",
+    ("result",),
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -91,6 +108,9 @@
     SUBSEARCHES,
     PAUSED_TARGETS,
     LEAVING_TARGETS,
+    ROLLOUTS,
+    ROLLOUT_STATES,
+    ROLLOUT_REPORTS,
     LOG_LINES_DROPPED,
     ATTEMPTS,
     STORE_CALLS,
@@ -140,6 +160,14 @@
             ATTEMPTS, (RETRY,), sum(subrequest.retries for subrequest in subrequests)
         )
 
+    def count_rollout_state(self, phase, result):
+        """Record an attempt to write the state of a rollout."""
+        self.count(ROLLOUT_STATES, (phase, result))
+
+    def count_rollout_report(self, result):
+        """Record a message with evidence: ``sent``, ``failed`` or ``received``."""
+        self.count(ROLLOUT_REPORTS, (result,))
+
     def count_store_call(self, operation, result):
         """Record one call to the key-value service."""
         self.count(STORE_CALLS, (operation, result))
--- a/tarragonchute/platform/decoding.py
+++ b/tarragonchute/platform/decoding.py
@@ -11,8 +11,9 @@
 from ..customers import Customer, CustomerTable
 from ..httpio import split_address
 from ..registry import Registration
+from ..rolloutstates import RolloutOrder
 from ..routes import CallerLimits, Route, RouteTable, ServicePolicy
-from .names import EVACUATION_PREFIX, TARGET_PREFIX
+from .names import EVACUATION_PREFIX, ROLLOUT_ORDER_PREFIX, TARGET_PREFIX
 
 _VALID_STATES = ("ready", "draining")
 _IDEMPOTENT_KIND = "idempotent"
@@ -176,6 +177,40 @@
     return key[len(EVACUATION_PREFIX) :] or None
 
 
+def decode_rollout_key(key):
+    """Return the service whose rollout a key orders, or None for other keys."""
+    if not key.startswith(ROLLOUT_ORDER_PREFIX):
+        return None
+    return key[len(ROLLOUT_ORDER_PREFIX) :] or None
+
+
+def decode_rollout_order(service, text, revision):
+    """Decode an order; return its `RolloutOrder`, or None if it is invalid.
+
+    Parameters
+    ----------
+    service, text : str
+    revision : int
+        Revision of the order's key.
+    """
+    try:
+        body = orjson.loads(text)
+        version, duration_s = body["target-version"], body["duration-s"]
+        if not isinstance(version, str) or not version or not _is_number(duration_s):
+            return None
+        if duration_s <= 0 or body.get("service", service) != service:
+            return None
+        return RolloutOrder(service, version, float(duration_s), revision)
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def encode_rollout_status(change):
+    """Return the status for the operator of a `rolloutcoordinator.StateChange`."""
+    body = {"state": change.status, "target-version": change.state.version}
+    return orjson.dumps(body).decode()
+
+
 def _read_text(value):
     return value if isinstance(value, str) else ""
 
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -14,18 +14,24 @@
 from ..otherwatchers import OtherWatchers
 from ..peers import PeerServer, PeerSnapshots, RelayChooser
 from ..process import GatewayProcess, build_server_options
+from ..rolloutexchange import REPORTS_PATH, RolloutExchange
+from ..rolloutstates import decode_state, decode_state_key
 from ..store import InstrumentedStore
 from ..storewatcher import StoreUpdateHandler, StoreWatcher
 from .decoding import (
     decode_configuration,
     decode_evacuated_domain,
     decode_registration,
+    decode_rollout_key,
+    decode_rollout_order,
     decode_target_key,
+    encode_rollout_status,
 )
 from .names import (
     CONFIGURATION_KEY,
     HEADER_NAMES,
     READY_PATH,
+    ROLLOUT_STATUS_PREFIX,
     SETTINGS_VARIABLE,
 )
 from .settings import load_settings
@@ -40,11 +46,17 @@
     Parameters
     ----------
     gateway : gateway.Gateway
+
+    Attributes
+    ----------
+    get_entry : callable
+        Returns the `store.Entry` of a key, or None.
     """
 
-    __slots__ = ("_gateway", "_evacuated")
+    __slots__ = ("get_entry", "_gateway", "_evacuated")
 
     def __init__(self, gateway):
+        self.get_entry = lambda key: None
         self._gateway = gateway
         self._evacuated = set()
 
@@ -54,7 +66,14 @@
         vms = {}
         other_entries = []
         self._evacuated = set()
+        orders = {}
+        states = {}
         for entry in entries:
+            service = decode_rollout_key(entry.key)
+            if service is not None:
+                orders[service] = self._decode_order(service, entry)
+            elif (service := decode_state_key(entry.key)) is not None:
+                states[service] = (_decode_state(entry), entry.revision)
             target_id = decode_target_key(entry.key)
             vm_id = decode_vm_key(entry.key)
             if vm_id is not None:
@@ -67,6 +86,8 @@
                 _log_invalid_entry(entry.key)
         now = trio.current_time()
         self._gateway.fleet.replace_all(vms, now)
+        # Before the registrations: they may have a version that only an order allows.
+        self._gateway.rollouts.replace_all(orders, states, now)
         self._gateway.registry.replace_all(registrations, now, is_after_outage)
         # The configuration is applied last, because it makes this VM ready for callers.
         for entry in other_entries:
@@ -95,8 +116,32 @@
             else:
                 self._evacuated.add(domain)
             self._gateway.registry.set_evacuated(self._evacuated)
+        else:
+            return self._apply_rollout_entry(key)
         return False
 
+    def _apply_rollout_entry(self, key):
+        """Apply an order or a state; return whether the change is urgent."""
+        entry = self.get_entry(key)
+        rollouts = self._gateway.rollouts
+        now = trio.current_time()
+        if (service := decode_rollout_key(key)) is not None:
+            order = None if entry is None else self._decode_order(service, entry)
+            rollouts.set_order(service, order, now)
+        elif (service := decode_state_key(key)) is not None:
+            state = None if entry is None else _decode_state(entry)
+            revision = None if entry is None else entry.revision
+            rollouts.set_state(service, state, now, revision)
+        else:
+            return False
+        return rollouts.limits is not None
+
+    def _decode_order(self, service, entry):
+        order = decode_rollout_order(service, entry.value, entry.revision)
+        if order is None:
+            _log_invalid_entry(entry.key)
+        return order
+
     def _apply_target_entry(self, target_id, key, value):
         registration = None
         if value is not None:
@@ -107,6 +152,13 @@
         return self._gateway.registry.apply(target_id, registration, now)
 
 
+def _decode_state(entry):
+    state = decode_state(entry.value)
+    if state is None:
+        _log_invalid_entry(entry.key)
+    return state
+
+
 def _log_invalid_entry(key):
     logger.warning("an entry of the store cannot be used", extra={"key": key})
 
@@ -173,15 +225,25 @@
     store = InstrumentedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
     relays = RelayChooser(gateway.fleet, settings.vm_id)
-    watcher = StoreWatcher(
-        store, GatewayUpdater(gateway), relays, peers, OtherWatchers(gateway.fleet)
-    )
+    updater = GatewayUpdater(gateway)
+    watcher = StoreWatcher(store, updater, relays, peers, OtherWatchers(gateway.fleet))
+    updater.get_entry = watcher.get_entry
     vm_registration = VmRegistration(store, gateway.fleet)
+    rollout_exchange = RolloutExchange(
+        gateway, store, watcher, ROLLOUT_STATUS_PREFIX, encode_rollout_status
+    )
+    peer_server = PeerServer(watcher)
+
+    async def handle_peer_request(request):
+        if request.path == REPORTS_PATH:
+            return await rollout_exchange.handle(request)
+        return await peer_server.handle(request)
+
     process = GatewayProcess(
         gateway,
         options,
-        [watcher, vm_registration],
-        PeerServer(watcher).handle,
+        [watcher, vm_registration, rollout_exchange],
+        handle_peer_request,
         READY_PATH,
         file.reload,
     )
--- a/tarragonchute/platform/names.py
+++ b/tarragonchute/platform/names.py
@@ -7,6 +7,8 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
+ROLLOUT_ORDER_PREFIX = "op/rollout/"
+ROLLOUT_STATUS_PREFIX = "status/rollout/"
 
 READY_PATH = "/ready"
 
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -4,6 +4,7 @@
 
 from ..errors import Finding, FindingsError
 from ..gateway import GatewaySettings
+from ..rolloutstates import RolloutLimits
 
 
 def load_settings(path):
@@ -66,12 +67,28 @@
         # service's rate times this factor, plus the slack.
         cold_factor=read("bounds", "warmup-overshoot", number, 1.0),
         cold_slack=read("bounds", "warmup-slack", number, 0),
+        rollout_limits=_read_rollout_limits(content.get("bounds"), read),
     )
     if findings:
         raise FindingsError(findings)
     return settings
 
 
+def _read_rollout_limits(bounds, read):
+    """Return the `RolloutLimits`, or None if any of their settings is absent."""
+    names = ("expose-share", "expose-slack", "rollback-ms")
+    if not isinstance(bounds, dict) or any(name not in bounds for name in names):
+        return None
+    number = (int, float)
+    return RolloutLimits(
+        read("bounds", "expose-share", number, 0.0),
+        read("bounds", "expose-slack", number, 0),
+        read("bounds", "rollback-ms", number, 5000) / 1000,
+        # Time after which a VM without a path to the store is out of touch.
+        read("bounds", "contact-ms", number, 5000) / 1000,
+    )
+
+
 def _choose_search_address(content):
     """Return the address for searches: the first port of the range for other VMs."""
     ports = content.get("port-range")
--- a/tarragonchute/platform/store.py
+++ b/tarragonchute/platform/store.py
@@ -104,11 +104,20 @@
 
     async def put(self, key, value, expect, lease=None):
         """Write by compare-and-swap and return the new revision; see `Store.put`."""
-        write = {"key": key, "value": base64.b64encode(value.encode()).decode()}
+        write = _encode_write(key, value)
         if lease is not None:
             write["lease"] = lease
         return await self._commit("put", key, expect, writes=[write])
 
+    async def put_all(self, writes):
+        """Write several keys in one transaction; see `store.Store.put_all`."""
+        body = {
+            "expected-rev": [{"key": k, "revision": rev} for k, _, rev in writes],
+            "writes": [_encode_write(key, value) for key, value, _ in writes],
+            "deletes": [],
+        }
+        return await self._commit_body("put", body)
+
     async def delete(self, key, expect):
         """Delete by compare-and-swap and return the new revision."""
         return await self._commit("delete", key, expect, deletes=[key])
@@ -135,6 +144,9 @@
             "writes": list(writes),
             "deletes": list(deletes),
         }
+        return await self._commit_body(name, body)
+
+    async def _commit_body(self, name, body):
         content = await self._write(name, "POST", "/kv-txn", body)
         with _report_malformed(StoreOutcomeUnknownError):
             return _check_revision(content["revision"])
@@ -161,6 +173,10 @@
         return _decode_response(response, StoreOutcomeUnknownError)
 
 
+def _encode_write(key, value):
+    return {"key": key, "value": base64.b64encode(value.encode()).decode()}
+
+
 def _decode_response(response, unknown_result_error):
     """Return the JSON object of a response, or raise the error for its status.
 
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -12,6 +12,7 @@
 )
 from .httpio import ForwardedResponse
 from .replies import list_end_to_end_headers
+from .rollouts import Rollouts
 from .subrequests import ReplyClass, Subrequest, SubrequestState
 from .subsearches import OutgoingRequest
 
@@ -67,6 +68,7 @@
         Called with the time; processes the replies that have arrived.
     delegation : delegation.Delegation or None
         Chooses other VMs to which shards of searches are delegated.
+    rollouts : rollouts.Rollouts or None
 
     Attributes
     ----------
@@ -81,12 +83,20 @@
         "get_retry_budget",
         "poll",
         "delegation",
+        "rollouts",
         "lag_s",
         "_lowercase_names",
     )
 
     def __init__(
-        self, registry, chooser, header_names, get_retry_budget, poll, delegation=None
+        self,
+        registry,
+        chooser,
+        header_names,
+        get_retry_budget,
+        poll,
+        delegation=None,
+        rollouts=None,
     ):
         self.registry = registry
         self.chooser = chooser
@@ -94,6 +104,7 @@
         self.get_retry_budget = get_retry_budget
         self.poll = poll
         self.delegation = delegation or NoDelegation()
+        self.rollouts = rollouts or Rollouts()
         self.lag_s = 0.0
         self._lowercase_names = header_names.lowercase
 
--- a/tarragonchute/registry.py
+++ b/tarragonchute/registry.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+from .rollouts import Rollouts
+
 logger = logging.getLogger(__name__)
 
 REGISTRATION_GRACE_S = 2.2
@@ -262,6 +264,8 @@
     on_exchange_end : callable or None
         See `RegisteredTarget`.
     random_source : random.Random or None
+    rollouts : rollouts.Rollouts or None
+        Restricts the versions that may get requests.
 
     Attributes
     ----------
@@ -278,6 +282,7 @@
         update_preferences,
         on_exchange_end=None,
         random_source=None,
+        rollouts=None,
     ):
         self._open_pool = open_pool
         self._update_preferences = update_preferences
@@ -291,6 +296,7 @@
         self._removed_notices = collections.OrderedDict()
         self._paused = {}
         self._random = random_source or random.Random()
+        self._rollouts = rollouts or Rollouts()
         self.on_reply = None
         self.evacuated = frozenset()
 
@@ -315,6 +321,7 @@
             targets = self._targets_by_service.get(service, {})
             usable = [targets[key] for key in sorted(targets)]
             usable = [target for target in usable if self._is_usable(target)]
+            usable = self._rollouts.filter(service, usable, targets.values())
             self._update_preferences(service, usable)
             self._usable_by_service[service] = usable
         return usable
@@ -335,11 +342,25 @@
 
     def list_served_domains(self, service):
         """Return the set of failure domains with a usable target of a service."""
-        return {
-            target.registration.domain
-            for target in self._targets_by_service.get(service, {}).values()
-            if self._is_usable(target)
-        }
+        usable = self._usable_by_service.get(service)
+        if usable is None:
+            targets = self._targets_by_service.get(service, {}).values()
+            usable = [target for target in targets if self._is_usable(target)]
+            usable = self._rollouts.filter(service, usable, targets)
+        return {target.registration.domain for target in usable}
+
+    def apply_versions(self, service, now):
+        """Apply a change of the versions that may get requests of a service.
+
+        Requests that wait for a connection to a target that may not get any fail as not
+        sent.
+        """
+        self._invalidate(service)
+        usable = self.list_usable(service)
+        for target in list(self._targets_by_service.get(service, {}).values()):
+            if self._is_usable(target) and target not in usable:
+                target.pool.is_kept_connected = False
+                target.pool.fail_queued(now, "its version may not get requests")
 
     def refresh(self, limit):
         """Recompute the usable targets of up to `limit` changed services."""
--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -80,13 +80,37 @@
     ----------
     old_slots, new_slots : int
         Slots of the usable old and new targets.
+    warm_slots : int
+        Slots of the new targets that are not cold.
     """
 
-    __slots__ = ("old_slots", "new_slots")
+    __slots__ = ("old_slots", "new_slots", "warm_slots")
 
-    def __init__(self, old_slots, new_slots):
+    def __init__(self, old_slots, new_slots, warm_slots):
         self.old_slots = old_slots
         self.new_slots = new_slots
+        self.warm_slots = warm_slots
+
+
+def summarize_targets(rollout, targets, now):
+    """Return the `TargetSummary` of the service of a rollout.
+
+    Parameters
+    ----------
+    rollout : servicerollouts.ServiceRollout
+    targets : list of registry.RegisteredTarget
+        Its usable targets.
+    now : float
+    """
+    old = new = warm = 0
+    for target in targets:
+        slots = target.registration.slots
+        if target.registration.software_version != rollout.order.version:
+            old += slots
+        else:
+            new += slots
+            warm += slots * (target.cold_until <= now)
+    return TargetSummary(old, new, warm)
 
 
 class StateChange:
@@ -256,7 +280,7 @@
         # A step begins with the state that was written for it.
         if rollout.state.share > self._get_canary_share():
             is_observed &= elapsed_s >= rollout.state.elapsed_s + NOTICE_S
-        has_capacity = targets.new_slots >= MIN_CAPACITY * targets.old_slots
+        has_capacity = targets.warm_slots >= MIN_CAPACITY * targets.old_slots
         if elapsed_s < full_at or not is_observed or not has_capacity:
             return None
         return self._give_all_traffic(rollout, comparison, elapsed_s)
--- /dev/null
+++ b/tarragonchute/rolloutexchange.py
@@ -0,0 +1,210 @@
+"""Sends and receives evidence about rollouts, and writes their states to the store."""
+
+import logging
+import secrets
+
+import orjson
+import trio
+
+from .errors import (
+    ProtocolError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    TarragonchuteError,
+)
+from .httpio import HttpConnection, HttpResponse
+from .rolloutagents import RolloutAgent
+from .rolloutstates import STATE_PREFIX, decode_state
+
+logger = logging.getLogger(__name__)
+
+REPORTS_PATH = "/v1/rollout-reports"
+
+TICK_S = 0.1
+"""Interval at which reports and states are checked while there is a rollout."""
+
+SEND_TIMEOUT_S = 0.4
+"""Timeout of a report; it is shorter than the interval of reports, and a VM of the same
+region answers in milliseconds."""
+
+FAILED_WRITE_DELAY_S = 0.5
+"""Delay before a state is written again after an error of the store; each call is
+billed."""
+
+MAX_MESSAGE_BYTES = 1024 * 1024
+"""Largest message that is decoded; usual ones have a few hundred bytes."""
+
+_PEER_ERRORS = (
+    OSError,
+    ProtocolError,
+    TarragonchuteError,
+    trio.TooSlowError,
+)
+
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+
+
+class RolloutExchange:
+    """Carries out what a `RolloutAgent` decides.
+
+    Parameters
+    ----------
+    gateway : gateway.Gateway
+    store : store.Store
+    watcher : storewatcher.StoreWatcher
+    status_prefix : str
+        Prefix of the keys of the status for the operator.
+    encode_status : callable
+        Takes a `rolloutcoordinator.StateChange`; returns the status.
+    """
+
+    def __init__(self, gateway, store, watcher, status_prefix, encode_status):
+        self._rollouts = gateway.rollouts
+        self._metrics = gateway.metrics
+        self._fleet = gateway.fleet
+        self._store = store
+        self._watcher = watcher
+        self._status_prefix = status_prefix
+        self._encode_status = encode_status
+        self._agent = RolloutAgent(
+            gateway.settings.vm_id,
+            secrets.token_hex(6),
+            gateway.rollouts,
+            self._list_vms,
+            gateway.summarize_rollout_targets,
+        )
+        # Services whose state is being written, and VMs to which a report is sent.
+        self._writing = set()
+        self._sending = set()
+        # Revisions that were read or written and that the watch may not deliver yet.
+        self._revisions = {}
+        gateway.rollouts.last_heard_at = watcher.get_last_success
+
+    def _list_vms(self, now):
+        return self._fleet.list_in_touch(now, self._rollouts.limits.contact_s)
+
+    async def run(self):
+        """Send reports and write states until cancelled."""
+        if self._rollouts.limits is None:
+            return
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                if self._rollouts.list_running():
+                    self._advance(nursery, now)
+                await trio.sleep(TICK_S)
+
+    def _advance(self, nursery, now):
+        messages, changes = self._agent.advance(now)
+        for message in messages:
+            if message.vm.vm_id in self._sending:
+                # The one before has not arrived yet.
+                self._agent.record_failure(message)
+            else:
+                self._sending.add(message.vm.vm_id)
+                nursery.start_soon(self._send, message)
+        for change in changes:
+            if change.service not in self._writing:
+                self._writing.add(change.service)
+                nursery.start_soon(self._write, change)
+
+    async def _send(self, message):
+        result = "failed"
+        connection = None
+        try:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                address = message.vm.address
+                connection = await HttpConnection.open(address, SEND_TIMEOUT_S)
+                body = orjson.dumps(message.body)
+                response = await connection.exchange("POST", REPORTS_PATH, (), body)
+            if response.status == 200:
+                result = "sent"
+        except _PEER_ERRORS as error:
+            logger.debug("cannot send evidence to %s: %r", message.vm.vm_id, error)
+        finally:
+            if connection is not None:
+                connection.close()
+            self._sending.discard(message.vm.vm_id)
+            if result != "sent":
+                self._agent.record_failure(message)
+            self._metrics.count_rollout_report(result)
+
+    async def handle(self, request):
+        """Return the response to an `HttpRequest` with the evidence of another VM."""
+        if self._rollouts.limits is None or request.method != "POST":
+            return HttpResponse(404)
+        if len(request.body) > MAX_MESSAGE_BYTES:
+            return HttpResponse(413)
+        try:
+            self._agent.receive(orjson.loads(request.body), trio.current_time())
+        except _MALFORMED_ERRORS as error:
+            logger.warning("cannot decode evidence of another VM: %r", error)
+            return HttpResponse(400)
+        self._metrics.count_rollout_report("received")
+        return HttpResponse(200)
+
+    async def _write(self, change):
+        """Write a state, and the status with it, if both are as this VM knows them."""
+        service = change.service
+        state_key = STATE_PREFIX + service
+        status_key = self._status_prefix + service
+        writes = [(state_key, change.state.encode(), self._get_revision(state_key))]
+        if change.status is not None:
+            revision = self._get_revision(status_key)
+            writes.append((status_key, self._encode_status(change), revision))
+        result = "ok"
+        try:
+            revision = await self._store.put_all(writes)
+            for key, _, _ in writes:
+                self._revisions[key] = revision
+            now = trio.current_time()
+            self._rollouts.set_state(service, change.state, now, revision)
+        except (StoreConflictError, StoreOutcomeUnknownError) as error:
+            result = error.code
+            await self._read_again(service, state_key, status_key)
+        except TarragonchuteError as error:
+            result = error.code
+            await trio.sleep(FAILED_WRITE_DELAY_S)
+        finally:
+            self._writing.discard(service)
+            self._metrics.count_rollout_state(change.state.phase.value, result)
+            logger.info(
+                "rollout state written",
+                extra={
+                    "service": service,
+                    "version": change.state.version,
+                    "phase": change.state.phase.value,
+                    "share": change.state.share,
+                    "status": change.status,
+                    "elapsed_s": round(change.state.elapsed_s, 1),
+                    "reason": change.reason,
+                    "result": result,
+                },
+            )
+
+    async def _read_again(self, service, state_key, status_key):
+        """Read state and status, because another VM or a lost write changed them."""
+        try:
+            entry = await self._store.get(state_key)
+            status = await self._store.get(status_key)
+        except TarragonchuteError:
+            await trio.sleep(FAILED_WRITE_DELAY_S)
+            return
+        self._revisions[status_key] = 0 if status is None else status.revision
+        self._revisions[state_key] = 0 if entry is None else entry.revision
+        if entry is not None:
+            state = decode_state(entry.value)
+            now = trio.current_time()
+            self._rollouts.set_state(service, state, now, entry.revision)
+
+    def _get_revision(self, key):
+        """Return the revision of a key as this VM knows it; 0 if there is none."""
+        entry = self._watcher.get_entry(key)
+        known = 0 if entry is None else entry.revision
+        return max(known, self._revisions.get(key, 0))
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -148,12 +148,32 @@
         targets : list of RegisteredTarget
             All usable targets of the service.
         """
-        slack = OTHERS_RETRY_SHARE / self.vm_count
+        return self._retry_slack * self._compute_wide_part(service, targets)
+
+    @property
+    def rank(self):
+        """Place of this VM in the list of VMs."""
+        return self._rank
+
+    def compute_wide_exposure_part(self, service, targets):
+        """Return this VM's fraction of the slack of a new version of a shard.
+
+        It is divided as the retry slack is.
+
+        Parameters
+        ----------
+        service, targets
+            As for `compute_wide_retry_slack`.
+        """
+        return self._compute_wide_part(service, targets)
+
+    def _compute_wide_part(self, service, targets):
+        part = OTHERS_RETRY_SHARE / self.vm_count
         if self.is_leader:
-            slack += LEADER_RETRY_SHARE / len(self._leaders)
+            part += LEADER_RETRY_SHARE / len(self._leaders)
         if self.is_assigned(service, targets):
-            slack += ASSIGNED_RETRY_SHARE / _count_domains(targets)
-        return self._retry_slack * slack
+            part += ASSIGNED_RETRY_SHARE / _count_domains(targets)
+        return part
 
     def compute_cold_interval_s(self, rate):
         """Return the interval between this VM's requests to a cold target.
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -73,6 +73,27 @@
             If the key has another revision; the error holds the current entry.
         """
 
+    async def put_all(self, writes):
+        """Write several keys by compare-and-swap in one transaction.
+
+        Only rollouts on the platform need it; `HttpStore` does not have it.
+
+        Parameters
+        ----------
+        writes : list of (str, str, int)
+            Key, value, and the revision that the key must have, as for `put`.
+
+        Returns
+        -------
+        int
+            New revision of all these keys.
+
+        Raises
+        ------
+        StoreConflictError
+            If a key has another revision; then none is written.
+        """
+
     async def delete(self, key, expect):
         """Delete a key by compare-and-swap; raises the errors of `put`."""
 
@@ -135,6 +156,10 @@
         """See `Store`."""
         return await self._call("put", self._store.put(key, value, expect, lease))
 
+    async def put_all(self, writes):
+        """See `Store`."""
+        return await self._call("put", self._store.put_all(writes))
+
     async def delete(self, key, expect):
         """See `Store`."""
         return await self._call("delete", self._store.delete(key, expect))
@@ -229,6 +254,19 @@
         self._entries[key] = _StoredEntry(key, value, self.revision, lease)
         return self._finish_write()
 
+    async def put_all(self, writes):
+        """Write several keys by compare-and-swap; see `Store.put_all`."""
+        await self._begin_call("put_all")
+        for key, value, expect in writes:
+            _check_value(value)
+            self._check_revision(key, expect)
+        self._inject_lost_write()
+        self.revision += 1
+        for key, value, _ in writes:
+            self._deleted.pop(key, None)
+            self._entries[key] = _StoredEntry(key, value, self.revision, None)
+        return self._finish_write()
+
     async def delete(self, key, expect):
         """Delete by compare-and-swap; return the new revision."""
         await self._begin_call("delete")
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -193,6 +193,15 @@
         """Return all known entries."""
         return list(self._entries.values())
 
+    def get_entry(self, key):
+        """Return the known `Entry` of a key, or None."""
+        return self._entries.get(key)
+
+    def get_last_success(self):
+        """Return when the store or a relay last answered, in monotonic seconds."""
+        last = self._last_success_at
+        return -math.inf if last is None else last
+
     def list_changes(self, after):
         """Return the latest entries of the keys that changed after a revision.
 
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -4,6 +4,8 @@
 
 from . import replicas
 from .exchanges import Exchange, FailureKind
+from .rolloutevidence import Outcome
+from .servicerollouts import ABANDONED_FACTOR
 
 MAX_UNSENT_ATTEMPTS = 3
 """A subrequest fails after this many attempts that did not send the request, for
@@ -49,6 +51,14 @@
     """The request may have run but failed, or the reply cannot be used."""
 
 
+OUTCOMES = {
+    ReplyClass.GOOD: Outcome.GOOD,
+    ReplyClass.REFUSED: Outcome.NOT_RUN,
+    ReplyClass.FAILED: Outcome.FAILED,
+}
+"""What each class of replies tells about the version of a target."""
+
+
 class Subrequest:
     """Obtains one reply to a request from any of a service's targets.
 
@@ -270,6 +280,7 @@
         now = exchange.finished_at
         self._in_flight.remove(exchange)
         reply_class = self._context.classify(reply)
+        self._record_outcome(exchange, OUTCOMES[reply_class], now)
         if reply_class is ReplyClass.GOOD:
             replicas.record_success(exchange.target, now)
             self._query.reply_times.record(now - exchange.started_at)
@@ -286,6 +297,10 @@
         """See `exchanges.ExchangeOwner`."""
         now = exchange.finished_at
         self._in_flight.remove(exchange)
+        is_unsent = kind is FailureKind.UNSENT
+        self._record_outcome(
+            exchange, Outcome.NOT_RUN if is_unsent else Outcome.FAILED, now
+        )
         if not exchange.target.is_withdrawn(now):
             replicas.record_failure(exchange.target, now)
         if kind is FailureKind.UNSENT:
@@ -341,8 +356,47 @@
             self.retries += 1
             self._send(target, now)
 
+    def _record_outcome(self, exchange, outcome, now):
+        """Record what an attempt tells about the version of its target."""
+        target = exchange.target
+        elapsed_s = None
+        if exchange.sent_at is None:
+            outcome = Outcome.NOT_RUN
+        elif outcome is Outcome.FAILED and target.is_withdrawn(now):
+            outcome = Outcome.IGNORED
+        else:
+            elapsed_s = now - exchange.sent_at
+            usual_s = self._query.reply_times.mean_s
+            if outcome is Outcome.ABANDONED and elapsed_s < ABANDONED_FACTOR * usual_s:
+                outcome = Outcome.IGNORED
+            if target.cold_until > now:
+                # A cold target may be slow whatever its version.
+                elapsed_s = None
+        self._context.rollouts.record(
+            self._query.route.name,
+            self.service,
+            target.registration.software_version,
+            outcome,
+            elapsed_s,
+            now,
+        )
+
     def _choose_target(self, now):
         targets = self._context.registry.list_usable(self.service)
+        choices = self._context.rollouts.choose_version(
+            self.service, now, bool(self._tried_targets)
+        )
+        if choices is None:
+            return self._choose_among(targets, now)
+        for versions in choices:
+            chosen = self._choose_among(
+                [t for t in targets if t.registration.software_version in versions], now
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose_among(self, targets, now):
         mean_reply_time_s = self._query.reply_times.mean_s
         chooser = self._context.chooser
         target = chooser.choose(targets, now, mean_reply_time_s, self._tried_targets)
@@ -371,6 +425,8 @@
             query.reply_times.mean_s,
         )
         self.possible_runs += 1
+        version = target.registration.software_version
+        self._context.rollouts.record_sent(self.service, version)
         self._tried_targets.append(target)
         self._in_flight.append(exchange)
         self.hedge_at = now + query.reply_times.compute_hedge_delay_s()
@@ -390,6 +446,7 @@
     def _abandon_in_flight(self, now):
         for exchange in self._in_flight:
             exchange.pool.abandon(exchange, now)
+            self._record_outcome(exchange, Outcome.ABANDONED, now)
             if exchange.sent_at is None:
                 self.possible_runs -= 1
         self._in_flight.clear()
--- a/tests/rolloutworld.py
+++ b/tests/rolloutworld.py
@@ -210,7 +210,8 @@
         """Return the `TargetSummary` of the registered targets."""
         versions = [target.software_version for target in self.targets]
         new = versions.count(rollout.order.version)
-        return TargetSummary(sum(version in rollout.base for version in versions), new)
+        old = sum(version in rollout.base for version in versions)
+        return TargetSummary(old, new, new)
 
     def restart(self, vm, delay_s=0.3):
         """End the process of a VM, and start the next one from the store's content."""
