Handle services without old targets, and new targets that vanish in full

The first order of a service whose old targets the coordinator did not know left the base empty, so that all VMs would have refused the service; a version without targets could be done. Preferred targets are chosen per version.

--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -43,10 +43,8 @@
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
 from .registry import Registry
 from .requestrecords import RequestRecord
-from .rolloutcoordinator import CANARY_SLACK_FRACTION, summarize_targets
 from .rollouts import Rollouts
 from .routes import WeightedChoice
-from .servicerollouts import SlackPart
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
 
@@ -499,14 +497,19 @@
         if not policy:
             return
         limit = policy.max_connections
-        shares = self._shares
+        for group in self.rollouts.group_by_version(service, targets):
+            self._assign_group(service, group, limit)
+        if table.is_wide_shard(service) and self.settings.search_address:
+            self._update_wide_retry_limits(service, targets)
+
+    def _assign_group(self, service, targets, limit):
+        table, shares = self.table, self._shares
         is_kept_connected = table.is_routed(service)
         if table.is_wide_shard(service) and self.settings.search_address:
             preferred, connection_limit = shares.assign_wide_targets(
                 service, targets, limit
             )
             is_kept_connected = shares.is_assigned(service, targets)
-            self._update_wide_retry_limits(service, targets)
         else:
             preferred = shares.choose_preferred(service, targets, limit)
             connection_limit = shares.compute_connection_limit(limit, len(targets))
@@ -519,25 +522,15 @@
 
     def _compute_slack_part(self, service):
         """Return this VM's part of the requests that a new version may get."""
-        shares = self._shares
-        slack = self.settings.rollout_limits.expose_slack * CANARY_SLACK_FRACTION
         is_wide = self.table is not None and self.table.is_wide_shard(service)
-        if is_wide and self.settings.search_address:
-            targets = self.registry.list_usable(service)
-            slack *= shares.compute_wide_exposure_part(service, targets)
-        else:
-            slack /= shares.vm_count
-        return SlackPart(slack, shares.rank, shares.vm_count)
+        if not is_wide or not self.settings.search_address:
+            return self._shares.compute_exposure_part()
+        targets = self.registry.list_usable(service)
+        return self._shares.compute_wide_exposure_part(service, targets)
 
     def _apply_versions(self, service, now):
-        """Apply a change of the versions that may get requests of a service."""
         self.registry.apply_versions(service, now)
 
-    def summarize_rollout_targets(self, rollout):
-        """Return the `TargetSummary` of the service of a `ServiceRollout`."""
-        targets = self.registry.list_usable(rollout.service)
-        return summarize_targets(rollout, targets, trio.current_time())
-
     def _try_reserve_cold_request(self, target, now):
         """Return whether a request may be sent to a cold target now.
 
--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -15,11 +15,6 @@
 """Part of `expose-share` that VMs may send to the new version in `CANARY`. The rest is
 for the time in which bad answers in `FULL` are not noticed yet."""
 
-CANARY_SLACK_FRACTION = 0.3
-"""Part of `expose-slack` that is divided among the VMs; at most 0.8, because VMs whose
-lists differ round their parts differently. With 0.5, a version that turned bad in
-`FULL` exceeded the permitted exposure in the simulation at 24 requests/s."""
-
 RARE_SHARE = 0.5
 RARE_FRACTION = 1 / 6
 """Share of a service that gets so few requests that even all of them are permitted, and
@@ -34,6 +29,9 @@
 MAX_STEP_SHARE = 0.3
 """Largest share of a step between `CANARY` and `FULL`."""
 
+NO_BASE_FRACTION = 0.25
+"""Part of the duration for which old targets are awaited."""
+
 FULL_FRACTION = 2 / 3
 """Part of the duration after which all traffic goes to the new version."""
 
@@ -228,7 +226,7 @@
         state = rollout.get_current_state()
         elapsed_s = self._estimate_elapsed_s(rollout, coordination, now)
         if state is None:
-            return self._start(rollout, targets, elapsed_s)
+            return self._start(rollout, elapsed_s)
         old, new = self._sum_counts(coordination, state)
         comparison = compare(old, new)
         if comparison.is_bad:
@@ -238,25 +236,41 @@
             )
             return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
         if state.phase is Phase.FULL:
-            change = self._finish(rollout, coordination, vms, comparison, elapsed_s)
+            change = self._finish(
+                rollout, coordination, vms, targets, comparison, elapsed_s
+            )
         else:
             change = self._advance(
                 rollout, coordination, targets, comparison, elapsed_s, now
             )
         return change or self._renew(rollout, elapsed_s)
 
-    def _start(self, rollout, targets, elapsed_s):
+    def _start(self, rollout, elapsed_s):
         """Return the first state of a rollout."""
         order, base = rollout.order, sorted(rollout.base)
         if order.version in rollout.base:
             reason = "the service already uses the version"
             return _build_change(rollout, Phase.DONE, 1.0, elapsed_s, "done", reason)
+        if not base:
+            return self._start_without_old_targets(rollout, elapsed_s)
         share = self._get_canary_share()
         state = RolloutState(
             order.revision, order.version, base, Phase.CANARY, share, elapsed_s
         )
         return StateChange(rollout.service, state, "running", "a new order")
 
+    def _start_without_old_targets(self, rollout, elapsed_s):
+        """Return the first state of a service without old versions.
+
+        This VM may only not know the old targets yet, so it waits. Then all traffic
+        goes to the new version, because nothing else can serve it.
+        """
+        if elapsed_s < NO_BASE_FRACTION * rollout.order.duration_s:
+            return None
+        reason = "there are no old targets"
+        status = "running"
+        return _build_change(rollout, Phase.FULL, 1.0, elapsed_s, status, reason)
+
     def _advance(self, rollout, coordination, targets, comparison, elapsed_s, now):
         """Return the change to a step, to `FULL` or to the end of a canary, or None."""
         duration_s = rollout.order.duration_s
@@ -332,11 +346,14 @@
         share = min(MAX_STEP_SHARE, left / (rate * NOTICE_S))
         return round(share, 3) if share > state.share else None
 
-    def _finish(self, rollout, coordination, vms, comparison, elapsed_s):
+    def _finish(self, rollout, coordination, vms, targets, comparison, elapsed_s):
         """Return the change to `DONE` once no VM uses the old versions, or None."""
         duration_s = rollout.order.duration_s
         if elapsed_s < choose_done_time(duration_s):
             return None
+        if not targets.new_slots:
+            reason = "no target of the version is left"
+            return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
         if comparison.is_bad_at_last:
             reason = f"{comparison.bad} of {comparison.answers} answers are bad"
             return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
--- a/tarragonchute/rolloutexchange.py
+++ b/tarragonchute/rolloutexchange.py
@@ -14,6 +14,7 @@
 )
 from .httpio import HttpConnection, HttpResponse
 from .rolloutagents import RolloutAgent
+from .rolloutcoordinator import summarize_targets
 from .rolloutstates import STATE_PREFIX, decode_state
 
 logger = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
         self._rollouts = gateway.rollouts
         self._metrics = gateway.metrics
         self._fleet = gateway.fleet
+        self._registry = gateway.registry
         self._store = store
         self._watcher = watcher
         self._status_prefix = status_prefix
@@ -77,7 +79,7 @@
             secrets.token_hex(6),
             gateway.rollouts,
             self._list_vms,
-            gateway.summarize_rollout_targets,
+            self._summarize_targets,
         )
         # Services whose state is being written, and VMs to which a report is sent.
         self._writing = set()
@@ -89,6 +91,10 @@
     def _list_vms(self, now):
         return self._fleet.list_in_touch(now, self._rollouts.limits.contact_s)
 
+    def _summarize_targets(self, rollout):
+        targets = self._registry.list_usable(rollout.service)
+        return summarize_targets(rollout, targets, trio.current_time())
+
     async def run(self):
         """Send reports and write states until cancelled."""
         if self._rollouts.limits is None:
--- a/tarragonchute/rollouts.py
+++ b/tarragonchute/rollouts.py
@@ -96,6 +96,8 @@
         for service in {*self._services, *orders, *states}:
             self.set_order(service, orders.get(service), now)
             state, revision = states.get(service, (None, None))
+            if service in self._services:
+                self._services[service].forget_revision()
             self.set_state(service, state, now, revision)
 
     def _open(self, service):
@@ -169,6 +171,17 @@
             )
         return known
 
+    def group_by_version(self, service, targets):
+        """Return the targets in groups, each of which can serve all requests."""
+        rollout = self._services.get(service)
+        if rollout is None or rollout.candidate is None:
+            return [targets]
+        old, new = [], []
+        for target in targets:
+            is_new = target.registration.software_version == rollout.candidate
+            (new if is_new else old).append(target)
+        return [group for group in (old, new) if group]
+
     def choose_version(self, service, now, is_retry=False):
         """Return the sets of versions for one attempt, the preferred set first.
 
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -18,6 +18,11 @@
 used. A rollback must be in force everywhere within `rollback-ms` (5 s), of which the
 evidence takes up to 0.5 s, the decision of a deputy 1 s and the change 0.5 s."""
 
+CANARY_SLACK_FRACTION = 0.3
+"""Part of `expose-slack` that is divided among the VMs; at most 0.8, because VMs whose
+lists differ round their parts differently. With 0.5, a version that turned bad in
+`FULL` exceeded the permitted exposure in the simulation at 24 requests/s."""
+
 SLACK_RELEASE_FRACTION = 0.5
 """Fraction of the duration over which a VM's part of the slack becomes usable. A
 version that turns bad after seconds is noticed only if it still gets requests then."""
@@ -42,16 +47,17 @@
 
     Parameters
     ----------
-    requests : float
+    fraction : float
+        The parts of all VMs add up to at most 1.
     rank : int
         Place of this VM among those that share the slack.
     vm_count : int
     """
 
-    __slots__ = ("requests", "rank", "vm_count")
+    __slots__ = ("fraction", "rank", "vm_count")
 
-    def __init__(self, requests, rank, vm_count):
-        self.requests = requests
+    def __init__(self, fraction, rank, vm_count):
+        self.fraction = fraction
         self.rank = rank
         self.vm_count = vm_count
 
@@ -160,7 +166,7 @@
         Returns
         -------
         bool
-            Whether the state has changed. The time used counts from its first arrival.
+            Whether more than the time used has changed.
         """
         known = self.state
         if revision is not None:
@@ -169,6 +175,10 @@
             self._state_revision = revision
         if _encode(known) == _encode(state):
             return False
+        if is_renewal(known, state):
+            self.state = state
+            self.state_seen_at = now
+            return False
         if known is not None and known.phase.is_final:
             is_same = known.belongs_to(self.order) and (
                 state is None or state.belongs_to(self.order)
@@ -182,6 +192,10 @@
         self._derive_versions()
         return True
 
+    def forget_revision(self):
+        """Accept a state of any revision next, because it comes from a listing."""
+        self._state_revision = 0
+
     def set_established(self, established):
         """Set the versions that were in use before the first order."""
         self.established = established
@@ -255,11 +269,13 @@
             # The old targets may have been stopped since.
             return (old, new) if silence_s > limits.contact_s else (old,)
         is_over = self.get_elapsed_s(now) > self.order.duration_s
-        if is_over or silence_s > MAX_SILENCE_S or not self._has_credit(now):
+        if is_over or silence_s > MAX_SILENCE_S:
+            return (old,)
+        if not self._has_credit(now, limits):
             return (old,)
         return (old, new) if is_retry else (new, old)
 
-    def _has_credit(self, now):
+    def _has_credit(self, now, limits):
         """Return whether one more request to the new version is within the limit."""
         part = self._part
         allowed = self.credit + self.state.share
@@ -267,7 +283,8 @@
             release_s = SLACK_RELEASE_FRACTION * self.order.duration_s
             released = min(self.get_elapsed_s(now) / release_s, 1.0)
             seed = f"{self.service} {self.state.order_revision}"
-            allowed += part.requests * released + part.choose_offset(seed)
+            slack = limits.expose_slack * CANARY_SLACK_FRACTION
+            allowed += part.fraction * slack * released + part.choose_offset(seed)
         return self.candidate_sent + 1 <= allowed + ROUNDING
 
     def record_sent(self, version):
@@ -352,5 +369,12 @@
     return order and order.revision
 
 
+def is_renewal(known, state):
+    """Return whether two states differ only in the time used."""
+    if known is None or state is None:
+        return False
+    return known.step == state.step and known.base == state.base
+
+
 def _encode(state):
     return state and state.encode()
--- a/tarragonchute/shares.py
+++ b/tarragonchute/shares.py
@@ -9,6 +9,7 @@
 import zlib
 
 from .leaders import choose_assignee, list_leaders
+from .servicerollouts import SlackPart
 
 ASSUMED_VMS = 16
 """Number of VMs assumed until the list of VMs is known."""
@@ -150,13 +151,12 @@
         """
         return self._retry_slack * self._compute_wide_part(service, targets)
 
-    @property
-    def rank(self):
-        """Place of this VM in the list of VMs."""
-        return self._rank
+    def compute_exposure_part(self):
+        """Return this VM's `SlackPart` of the requests to a new version."""
+        return SlackPart(1 / self.vm_count, self._rank, self.vm_count)
 
     def compute_wide_exposure_part(self, service, targets):
-        """Return this VM's fraction of the slack of a new version of a shard.
+        """Return this VM's `SlackPart` for a new version of a wide-search shard.
 
         It is divided as the retry slack is.
 
@@ -165,7 +165,8 @@
         service, targets
             As for `compute_wide_retry_slack`.
         """
-        return self._compute_wide_part(service, targets)
+        part = self._compute_wide_part(service, targets)
+        return SlackPart(part, self._rank, self.vm_count)
 
     def _compute_wide_part(self, service, targets):
         part = OTHERS_RETRY_SHARE / self.vm_count
--- a/tests/rolloutworld.py
+++ b/tests/rolloutworld.py
@@ -8,7 +8,7 @@
 
 from tarragonchute.fleet import VmInfo
 from tarragonchute.rolloutagents import RolloutAgent
-from tarragonchute.rolloutcoordinator import CANARY_SLACK_FRACTION, TargetSummary
+from tarragonchute.rolloutcoordinator import TargetSummary
 from tarragonchute.rolloutevidence import Outcome
 from tarragonchute.rollouts import Rollouts
 from tarragonchute.rolloutstates import (
@@ -57,9 +57,7 @@
         self.info = VmInfo(f"vm-{number}", domain, f"10.0.0.{number + 1}:1")
         self.rollouts = Rollouts(
             RolloutLimits(SHARE, SLACK),
-            lambda service: SlackPart(
-                CANARY_SLACK_FRACTION * SLACK / world.size, number, world.size
-            ),
+            lambda service: SlackPart(1 / world.size, number, world.size),
         )
         self.rollouts.last_heard_at = lambda: self.heard_at
         self.agent = RolloutAgent(
--- a/tests/test_rolloutcoordinator.py
+++ b/tests/test_rolloutcoordinator.py
@@ -292,6 +292,23 @@
         world.run(DURATION_S - 3.0)
         self.check_done(world)
 
+    def test_new_targets_gone(self):
+        """Guards against old targets that are stopped although no new one is left."""
+        world = self.start()
+        world.run(9.0)
+        self.assertEqual(Phase.FULL, world.get_phase())
+        world.targets = [t for t in world.targets if t.software_version == "v1"]
+        world.run(DURATION_S - 9.0)
+        self.check_rolled_back(world)
+
+    def test_first_targets(self):
+        """Guards against a service whose first version gets a part of the requests."""
+        world = World(answer_well, versions=("v2",))
+        world.order("v2")
+        world.run(DURATION_S)
+        self.assertEqual("done", world.get_status())
+        self.assertGreater(world.count_sent("v2", 4.0), 150)
+
     def test_answer_to_a_write_lost(self):
         """Guards against a state that is written again after its answer was lost."""
         world = self.start()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -21,11 +21,16 @@
     RolloutState,
     decode_state,
 )
-from tarragonchute.servicerollouts import MAX_SILENCE_S, SlackPart
+from tarragonchute.servicerollouts import (
+    CANARY_SLACK_FRACTION,
+    MAX_SILENCE_S,
+    SlackPart,
+)
 
 from .rolloutworld import Target
 
 LIMITS = RolloutLimits(0.1, 50.0, 5.0, 5.0)
+CANARY_SLACK = LIMITS.expose_slack * CANARY_SLACK_FRACTION
 OLD, NEW = frozenset(("v1",)), frozenset(("v2",))
 V1, V2, V3 = Target("v1"), Target("v2"), Target("v3")
 
@@ -52,7 +57,7 @@
     def build(self, requests=0.0):
         return Rollouts(
             LIMITS,
-            lambda service: SlackPart(requests, 0, 1),
+            lambda service: SlackPart(requests / CANARY_SLACK, 0, 1),
             lambda service, now: self.changed.append(service),
         )
 
@@ -204,7 +209,7 @@
 
     def order(self, requests=0.0, share=0.1, rank=0, vm_count=1):
         self.rollouts = Rollouts(
-            LIMITS, lambda service: SlackPart(requests, rank, vm_count)
+            LIMITS, lambda service: SlackPart(requests / CANARY_SLACK, rank, vm_count)
         )
         self.filter(V1)
         self.rollouts.set_order("s", build_order(), 0.0)
