--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -72,8 +72,11 @@
             service = decode_rollout_key(entry.key)
             if service is not None:
                 orders[service] = self._decode_order(service, entry)
-            elif (service := decode_state_key(entry.key)) is not None:
+                continue
+            service = decode_state_key(entry.key)
+            if service is not None:
                 states[service] = (_decode_state(entry), entry.revision)
+                continue
             target_id = decode_target_key(entry.key)
             vm_id = decode_vm_key(entry.key)
             if vm_id is not None:
