--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -45,9 +45,11 @@
 """`DONE` is written after this part of the duration, at least this long before its end,
 so that a deputy or a slow store still meets it."""
 
-LAST_MOMENT_S = 0.5
+LAST_MOMENT_S = 0.8
 """Time before the end at which `DONE` is written although VMs have not acknowledged
-`FULL`. They are in touch with the store or send nothing to the old targets for long."""
+`FULL`, so that a deputy meets the end too. The key of a VM that was killed stays for
+the rest of its lease of 12 s; one that is in touch with the store has applied `FULL`
+by then."""
 
 MIN_CAPACITY = 0.6
 """Slots of the new targets, as a part of those of the old ones, that are enough to give
