Keep a rollout's state when the store comes back from an older copy

A state that was missing in the copy was forgotten: after done, the versions of before were allowed again. The known state is written for an order of the same content in a later era.

--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -230,7 +230,10 @@
             Monotonic seconds.
         """
         rollout = self._rollouts.get(service)
-        if rollout is None or not rollout.is_running or rank is None:
+        is_needed = rollout is not None and (
+            rollout.is_running or rollout.has_rewritten_order
+        )
+        if not is_needed or rank is None:
             self._coordinations.pop(service, None)
             return None
         coordination = self._get_coordination(rollout, now)
@@ -260,6 +263,8 @@
         elapsed_s = self._estimate_elapsed_s(rollout, coordination, now)
         if state is None:
             return self._start(rollout, elapsed_s)
+        if rollout.has_rewritten_order:
+            return self._adopt(rollout, elapsed_s)
         if state.step != coordination.step:
             coordination.step = state.step
             coordination.step_since = now
@@ -298,6 +303,20 @@
         )
         return StateChange(rollout.service, state, "running", "a new order")
 
+    def _adopt(self, rollout, elapsed_s):
+        """Return the known state for an order that was written again in a later era.
+
+        The store may have lost the state and the status.
+        """
+        state = rollout.state
+        status = state.phase.value if state.phase.is_final else "running"
+        reason = "the order was written again after the store came back from a copy"
+        change = _build_change(
+            rollout, state.phase, state.share, elapsed_s, status, reason
+        )
+        change.state.base = state.base
+        return change
+
     def _start_without_old_targets(self, rollout, elapsed_s):
         """Return the first state of a service without old versions.
 
--- a/tarragonchute/rollouts.py
+++ b/tarragonchute/rollouts.py
@@ -49,7 +49,7 @@
         return self._services.get(service)
 
     def list_running(self):
-        """Return the `ServiceRollout` of each order that has not ended."""
+        """Return the `ServiceRollout` of each order that needs a coordinator."""
         return list(self._running.values())
 
     def set_order(self, service, order, now):
@@ -62,7 +62,7 @@
             self._update(rollout, now)
 
     def set_state(self, service, state, now, revision=None):
-        """Apply a state from the store; None if its key was removed.
+        """Apply a state from the store; None, for a removed key, changes nothing.
 
         Parameters
         ----------
@@ -103,7 +103,7 @@
         return rollout
 
     def _update(self, rollout, now):
-        if rollout.is_running:
+        if rollout.is_running or rollout.has_rewritten_order:
             self._running[rollout.service] = rollout
         else:
             self._running.pop(rollout.service, None)
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -160,8 +160,9 @@
     def set_state(self, state, now, revision=None):
         """Apply a state; an ended rollout does not continue under the same order.
 
-        The store may come back from a copy that is older than the end. A state of an
-        older revision than the known one is ignored.
+        The store may come back from a copy that is older than the end, or than the
+        state; no VM removes one. A state of an older revision than the known one is
+        ignored.
 
         Returns
         -------
@@ -169,6 +170,8 @@
             Whether more than the time used has changed.
         """
         known = self.state
+        if state is None:
+            return False
         if revision is not None:
             if revision < self._state_revision:
                 return False
@@ -180,14 +183,12 @@
             self.state_seen_at = now
             return False
         if known is not None and known.phase.is_final:
-            is_same = known.belongs_to(self.order) and (
-                state is None or state.belongs_to(self.order)
-            )
-            if is_same and (state is None or not state.phase.is_final):
+            is_same = known.belongs_to(self.order) and state.belongs_to(self.order)
+            if is_same and not state.phase.is_final:
                 return False
         self.state = state
         self.state_seen_at = now
-        if known is None and state is not None and self.order is not None:
+        if known is None and self.order is not None:
             self._is_late |= state.elapsed_s > now - self.order_seen_at + LATE_JOIN_S
         self._derive_versions()
         return True
@@ -213,6 +214,12 @@
             return True
         return version in state.base
 
+    @property
+    def has_rewritten_order(self):
+        """Whether the state has to be written for an order of a later era."""
+        state = self.get_current_state()
+        return state is not None and state.order_revision != self.order.revision
+
     @property
     def is_running(self):
         """Whether there is an order whose rollout has not ended."""
--- a/tests/rolloutworld.py
+++ b/tests/rolloutworld.py
@@ -12,6 +12,7 @@
 from tarragonchute.rolloutevidence import Outcome
 from tarragonchute.rollouts import Rollouts
 from tarragonchute.rolloutstates import (
+    ERA_BITS,
     Phase,
     RolloutLimits,
     RolloutOrder,
@@ -188,9 +189,22 @@
                 return
         # After a conflict, the VM reads both keys.
         for key in ("state", "status"):
+            vm.revisions[key] = 0
             if key in self.store:
                 vm.apply(key, *self.store[key])
 
+    def restore(self, keys):
+        """Begin a new era with only these keys; the operator writes the order again."""
+        self.revision = ((self.revision >> ERA_BITS) + 1 << ERA_BITS) + 1
+        order, _ = self.store["order"]
+        self.store = {key: self.store[key] for key in keys}
+        for vm in self.vms:
+            for key in {"order", "state"} - set(keys):
+                vm.changes.append((self.now + 0.1, key, None, self.revision))
+        for key in keys:
+            self.put(key, self.store[key][0])
+        self.put("order", order)
+
     def post(self, vm, message):
         """Deliver a message to another VM after a moment, unless one is cut off."""
         data = orjson.dumps(message.body)
--- a/tests/test_rolloutcoordinator.py
+++ b/tests/test_rolloutcoordinator.py
@@ -325,6 +325,26 @@
         self.check_done(world)
         self.assertEqual(["running", "done"], [status for _, status in world.statuses])
 
+    def test_store_comes_back_from_an_older_copy(self):
+        """Guards against a verdict that is lost with the store's latest content."""
+        cases = (
+            (answer_well, "done", (3.0, 9.0, 11.8)),
+            (answer_badly(fail=0.9), "rolled_back", (0.6, 5.0, 9.0)),
+        )
+        for answer, expected, times in cases:
+            for after_s in times:
+                for keys in ((), ("state", "status")):
+                    world = self.start(answer)
+                    world.run(after_s)
+                    sent = world.count_sent("v2")
+                    known = world.get_status()
+                    world.restore(keys)
+                    world.run(DURATION_S + 1 - after_s)
+                    self.assertEqual(expected, world.get_status(), (after_s, keys))
+                    self.assertIsNotNone(world.get_phase())
+                    if known == "rolled_back":
+                        self.assertEqual(sent, world.count_sent("v2"))
+
     def test_vms_restart_or_join(self):
         """Guards against a part of the slack that each new process uses again."""
         world = self.start(answer_badly(fail=0.04), size=12)
