--- a/tarragonchute/rolloutagents.py
+++ b/tarragonchute/rolloutagents.py
@@ -2,7 +2,11 @@
 
 import logging
 
-from .rolloutcoordinator import RolloutCoordinator, choose_coordinators
+from .rolloutcoordinator import (
+    RolloutCoordinator,
+    build_withdrawal,
+    choose_coordinators,
+)
 from .rolloutreports import Reporter, VmReport, decode_report
 
 logger = logging.getLogger(__name__)
@@ -73,7 +77,8 @@
         tuple of (list of RolloutMessage, list of StateChange)
         """
         running = self._rollouts.list_running()
-        services = {rollout.service for rollout in running}
+        withdrawn = self._rollouts.list_withdrawn()
+        services = {rollout.service for rollout in running + withdrawn}
         self._update_vms(services, now)
         self._reporter.forget(services)
         reports = {}
@@ -95,6 +100,10 @@
             )
             if change is not None:
                 changes.append(change)
+        for rollout in withdrawn:
+            coordinators = self._choose_coordinators(rollout.service)
+            if any(vm.vm_id == self._vm_id for vm in coordinators) and rollout.base:
+                changes.append(build_withdrawal(rollout))
         return [self._build_message(*item) for item in reports.values()], changes
 
     def receive(self, body, now):
--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -483,6 +483,15 @@
         return old, new
 
 
+def build_withdrawal(rollout):
+    """Return the change for an order that was withdrawn before its first state."""
+    order = rollout.withdrawn_order
+    base = sorted(rollout.base)
+    phase = Phase.ROLLED_BACK
+    state = RolloutState(order.revision, order.version, base, phase, 1.0, 0.0)
+    return StateChange(rollout.service, state, None, "the order was withdrawn")
+
+
 def choose_coordinators(service, vms):
     """Return the coordinator of a service and its deputy.
 
--- a/tarragonchute/rolloutexchange.py
+++ b/tarragonchute/rolloutexchange.py
@@ -104,7 +104,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 now = trio.current_time()
-                if self._rollouts.list_running():
+                if self._rollouts.list_running() or self._rollouts.list_withdrawn():
                     self._advance(nursery, now)
                 elif not self._sending:
                     self._close_connections()
--- a/tarragonchute/rollouts.py
+++ b/tarragonchute/rollouts.py
@@ -41,6 +41,7 @@
         # Services with an order or a state, now or earlier.
         self._services = {}
         self._running = {}
+        self._withdrawn = {}
         self._established = {}
         self._held_back = set()
 
@@ -52,6 +53,13 @@
         """Return the `ServiceRollout` of each order that needs a coordinator."""
         return list(self._running.values())
 
+    def list_withdrawn(self):
+        """Return the `ServiceRollout` of each order that was withdrawn without a state.
+
+        See `ServiceRollout.is_withdrawal_unknown`.
+        """
+        return list(self._withdrawn.values())
+
     def set_order(self, service, order, now):
         """Apply an order; None if it was withdrawn. Ignored if rollouts are off."""
         known = self._services.get(service)
@@ -107,6 +115,10 @@
             self._running[rollout.service] = rollout
         else:
             self._running.pop(rollout.service, None)
+        if rollout.is_withdrawal_unknown:
+            self._withdrawn[rollout.service] = rollout
+        else:
+            self._withdrawn.pop(rollout.service, None)
         if self._compute_part is not None:
             rollout.set_part(self._compute_part(rollout.service))
         state = rollout.get_current_state()
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -104,6 +104,8 @@
         Rises with each new evidence.
     bad_answers : int
         Failures and abandoned attempts of the new version.
+    withdrawn_order : RolloutOrder or None
+        The latest order, if it was withdrawn.
     is_braked : bool
         Whether this VM's own evidence shows that the version is bad.
     """
@@ -120,6 +122,7 @@
         self.in_flight = {}
         self.changes = 0
         self._state_revision = 0
+        self.withdrawn_order = None
         self._withdrawn = set()
         self._part = None
         self._is_late = False
@@ -142,6 +145,7 @@
             return False
         if known is not None and not self._is_allowed_without_order(known.version):
             self._withdrawn.add(known.version)
+        self.withdrawn_order = known if order is None else None
         if order is not None:
             self._withdrawn.discard(order.version)
         self.order = order
@@ -214,6 +218,14 @@
             return True
         return version in state.base
 
+    @property
+    def is_withdrawal_unknown(self):
+        """Whether an order was withdrawn before a state was written for it.
+
+        A VM that starts later would not know which versions were in use before.
+        """
+        return self.withdrawn_order is not None and self.state is None
+
     @property
     def has_rewritten_order(self):
         """Whether the state has to be written for an order of a later era."""
--- a/tests/test_rolloutcoordinator.py
+++ b/tests/test_rolloutcoordinator.py
@@ -283,6 +283,10 @@
             self.assertEqual(0, world.count_sent("v2", 0.6))
             self.assertGreater(world.count_sent("v1", 1.0), 100)
             self.assertEqual(len(statuses), len(world.statuses))
+            # A VM that starts later knows which version was in use.
+            world.restart(world.vms[0])
+            world.run(1.0)
+            self.assertEqual(0, world.count_sent("v2", 0.6))
 
     def test_new_targets_never_come(self):
         """Guards against a service that is left to a version without targets."""
