--- a/tarragonchute/rolloutstates.py
+++ b/tarragonchute/rolloutstates.py
@@ -10,6 +10,10 @@
 ERA_BITS = 48
 """Bits of a revision below the number of the store's era."""
 
+ROLLBACK_MARGIN_S = 2.0
+"""Part of `rollback-ms` for what goes before the change reaches a VM: the evidence
+takes up to 0.5 s, the decision of a deputy 0.8 s, and a relay lags up to 0.7 s."""
+
 MAX_REVISION = 2**63
 """Integers above this are not encoded."""
 
@@ -45,11 +49,24 @@
         Time after its fiftieth bad answer after which it may get none.
     contact_s : float
         Time after which a VM that has run undisturbed counts as in touch.
+
+    Attributes
+    ----------
+    max_silence_s : float
+        Time without the store or a relay after which a VM does not use a version that
+        is not `DONE`.
     """
 
-    __slots__ = ("expose_share", "expose_slack", "rollback_s", "contact_s")
+    __slots__ = (
+        "expose_share",
+        "expose_slack",
+        "rollback_s",
+        "contact_s",
+        "max_silence_s",
+    )
 
     def __init__(self, expose_share, expose_slack, rollback_s=5.0, contact_s=5.0):
+        self.max_silence_s = max(rollback_s - ROLLBACK_MARGIN_S, 0.0)
         self.expose_share = expose_share
         self.expose_slack = expose_slack
         self.rollback_s = rollback_s
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -13,11 +13,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_SILENCE_S = 3.0
-"""Time without the store or a relay after which a version that is not `DONE` is not
-used. A rollback must be in force everywhere within `rollback-ms` (5 s), of which the
-evidence takes up to 0.5 s, the decision of a deputy 1 s and the change 0.5 s."""
-
 CANARY_SLACK_FRACTION = 0.3
 """Part of `expose-slack` that is divided among the VMs; at most 0.8, because VMs whose
 lists differ round their parts differently. With 0.5, a version that turned bad in
@@ -283,12 +278,12 @@
         if self.is_braked:
             return (old,)
         if self.state.phase is Phase.FULL:
-            if silence_s <= MAX_SILENCE_S:
+            if silence_s <= limits.max_silence_s:
                 return (new, old)
             # The old targets may have been stopped since.
             return (old, new) if silence_s > limits.contact_s else (old,)
         is_over = self.get_elapsed_s(now) > self.order.duration_s
-        if is_over or silence_s > MAX_SILENCE_S:
+        if is_over or silence_s > limits.max_silence_s:
             return (old,)
         if not self._has_credit(now, limits):
             return (old,)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,6 +29,19 @@
     return [vm.vm_id for vm in fleet.list_vms(now)]
 
 
+class InTouchTests(testtools.TestCase):
+    """Which VMs have to acknowledge a state."""
+
+    def test_vm_without_a_key(self):
+        """Guards against a rollout that waits for a VM that is gone."""
+        fleet = Fleet(VmInfo("vm-1"))
+        fleet.apply("vm-2", VmInfo("vm-2").encode(), 0.0)
+        fleet.apply("vm-2", None, 10.0)
+        for now, count in ((10.0, 2), (14.9, 2), (15.1, 1)):
+            self.assertEqual(count, len(fleet.list_in_touch(now, 5.0)), now)
+        self.assertEqual(2, len(fleet.list_vms(15.1)))
+
+
 class FleetTests(testtools.TestCase):
     """Which VMs are listed."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -23,7 +23,6 @@
 )
 from tarragonchute.servicerollouts import (
     CANARY_SLACK_FRACTION,
-    MAX_SILENCE_S,
     SlackPart,
 )
 
@@ -126,7 +125,7 @@
         self.rollouts.set_state("s", build_state(Phase.FULL, 1.0), 0.1)
         self.rollouts.last_heard_at = lambda: 1.0
         self.assertEqual((NEW, OLD), self.choose(1.0))
-        self.assertEqual((OLD,), self.choose(1.0 + MAX_SILENCE_S + 0.1))
+        self.assertEqual((OLD,), self.choose(1.0 + LIMITS.max_silence_s + 0.1))
         self.assertEqual((OLD, NEW), self.choose(1.0 + LIMITS.contact_s + 0.1))
 
     def test_order_withdrawn(self):
@@ -260,8 +259,8 @@
         """Guards against requests to a version that may have been rolled back."""
         self.order(share=1.0)
         self.rollouts.last_heard_at = lambda: 1.0
-        self.assertEqual((NEW, OLD), self.choose(1.0 + MAX_SILENCE_S))
-        self.assertEqual((OLD,), self.choose(1.0 + MAX_SILENCE_S + 0.1))
+        self.assertEqual((NEW, OLD), self.choose(1.0 + LIMITS.max_silence_s))
+        self.assertEqual((OLD,), self.choose(1.0 + LIMITS.max_silence_s + 0.1))
 
     def test_time_limit(self):
         """Guards against a canary that goes on after its time limit."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -57,6 +57,8 @@
                 fleet = build_wide_fleet(size)
                 slacks = [vm.compute_wide_retry_slack("s", targets) for vm in fleet]
                 self.assertLessEqual(sum(slacks), 198.0)
+                parts = [vm.compute_wide_exposure_part("s", targets) for vm in fleet]
+                self.assertLessEqual(sum(part.fraction for part in parts), 1.0)
         # A leader can hedge its requests while each of the replicas pauses.
         self.assertGreater(max(slacks), 10)
 
