--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -254,6 +254,19 @@
             self._present_vms = sorted(self._present.values(), key=lambda vm: vm.vm_id)
         return self._present_vms
 
+    def list_in_touch(self, now, contact_s):
+        """Return the VMs that may be in touch with the store, sorted by id.
+
+        A VM is not after its key has been missing for `contact_s` seconds.
+        """
+        gone = {
+            vm_id
+            for vm_id, (since, _) in self._missing.items()
+            if now - since > contact_s
+        }
+        vms = self.list_vms(now)
+        return [vm for vm in vms if vm.vm_id not in gone] if gone else vms
+
     def list_vms(self, now):
         """Return the VMs that may be running, sorted by id.
 
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -38,6 +38,7 @@
     PAUSED_TARGETS,
     QUEUED_ATTEMPTS,
     RETAINED_ENTRIES,
+    ROLLOUTS,
     STORE_ERA,
     SUBSEARCHES,
     TARGETS,
@@ -52,6 +53,7 @@
 from .registry import Registry
 from .requestrecords import RequestRecord
 from .revisions import StoreEras
+from .rollouts import Rollouts
 from .routes import WeightedChoice
 from .shardserver import ShardServer
 from .shares import ColdLimits, FleetShares
@@ -122,6 +124,8 @@
         second.
     allowance_bounds : grants.AllowanceBounds or None
         None if the allowances of customers are not enforced.
+    rollout_limits : rolloutstates.RolloutLimits or None
+        None if rollouts are off.
     """
 
     __slots__ = (
@@ -145,9 +149,11 @@
         "cold_factor",
         "cold_slack",
         "allowance_bounds",
+        "rollout_limits",
     )
 
-    def __init__(self, **values):
+    def __init__(self, rollout_limits=None, **values):
+        values["rollout_limits"] = rollout_limits
         for name in self.__slots__:
             setattr(self, name, values[name])
 
@@ -173,6 +179,7 @@
         None if allowances are not enforced.
     channel_owner : channels.ChannelOwner
         Owner of the channels that other VMs open.
+    rollouts : rollouts.Rollouts
     count_dropped_lines : callable
         Returns the number of log lines dropped since the start.
     """
@@ -221,12 +228,16 @@
         self.chooser = replicas.ReplicaChooser(
             settings.domain, self._try_reserve_cold_request, self._random
         )
+        self.rollouts = Rollouts(
+            settings.rollout_limits, self._compute_slack_part, self._apply_versions
+        )
         self.registry = Registry(
             self._open_pool,
             self.reactor.close_pool,
             self._assign_targets,
             self.chooser.record_exchange_end,
             self._random,
+            self.rollouts,
         )
         self.registry.on_reply = NoticeReader(self.registry, header_names).read
         self._delegates = Delegates(
@@ -242,6 +253,7 @@
             self.reactor.poll,
             self._delegates,
             self._queue_policy,
+            self.rollouts,
         )
         self.shard_server = ShardServer(
             settings.vm_id, self._context, self._get_reply_times, self._record_subsearch
@@ -469,6 +481,7 @@
         if self._shares.set_vms(self.fleet.list_vms(now)):
             self._retry_limits.slack = self._shares.compute_retry_slack()
             self.registry.invalidate_all()
+            self.rollouts.update_parts()
             self._next_domain_check = now
             logger.info(
                 "fleet changed",
@@ -553,14 +566,19 @@
         if not policy:
             return
         limit = policy.max_connections
-        shares = self._shares
+        for group in self.rollouts.group_by_version(service, targets):
+            self._assign_group(service, group, limit)
+        if table.is_wide_shard(service) and self.settings.search_address:
+            self._update_wide_retry_limits(service, targets)
+
+    def _assign_group(self, service, targets, limit):
+        table, shares = self.table, self._shares
         is_kept_connected = table.is_routed(service)
         if table.is_wide_shard(service) and self.settings.search_address:
             preferred, connection_limit = shares.assign_wide_targets(
                 service, targets, limit
             )
             is_kept_connected = shares.is_assigned(service, targets)
-            self._update_wide_retry_limits(service, targets)
         else:
             preferred = shares.choose_preferred(service, targets, limit)
             connection_limit = shares.compute_connection_limit(limit, len(targets))
@@ -576,6 +594,17 @@
                 self.reactor.disconnected_pools.append(target.pool)
             target.pool.max_connections = connection_limit if target.is_preferred else 1
 
+    def _compute_slack_part(self, service):
+        """Return this VM's part of the requests that a new version may get."""
+        is_wide = self.table is not None and self.table.is_wide_shard(service)
+        if not is_wide or not self.settings.search_address:
+            return self._shares.compute_exposure_part()
+        targets = self.registry.list_usable(service)
+        return self._shares.compute_wide_exposure_part(service, targets)
+
+    def _apply_versions(self, service, now):
+        self.registry.apply_versions(service, now)
+
     def _try_reserve_cold_request(self, target, now):
         """Return whether a request may be sent to a cold target now.
 
@@ -630,6 +659,7 @@
             (PAUSED_TARGETS, (), self.registry.count_paused()),
             (LEAVING_TARGETS, (), self.registry.count_leaving()),
             (QUEUED_ATTEMPTS, (), self._count_queued()),
+            (ROLLOUTS, (), len(self.rollouts.list_running())),
             (LOG_LINES_DROPPED, (), self.count_dropped_lines()),
             (HELD_ALLOWANCES, (), held),
             (STORE_ERA, (), self.store_eras.current),
--- a/tarragonchute/gatewaymetrics.py
+++ b/tarragonchute/gatewaymetrics.py
@@ -115,6 +115,23 @@
     "Attempts that were not sent because there was no room at the target.",
     ("reason",),
 )
+ROLLOUTS = MetricSpec(
+    "gateway_rollouts",
+    MetricKind.GAUGE,
+    "Rollouts that were ordered and have not ended.",
+)
+ROLLOUT_STATES = MetricSpec(
+    "gateway_rollout_states_total",
+    MetricKind.COUNTER,
+    "States of rollouts that this VM has tried to write.",
+    ("phase", "result"),
+)
+ROLLOUT_REPORTS = MetricSpec(
+    "gateway_rollout_reports_total",
+    MetricKind.COUNTER,
+    "Messages with evidence about rollouts: sent, failed or received.",
+    ("result",),
+)
 LOG_LINES_DROPPED = MetricSpec(
     "gateway_log_lines_dropped",
     MetricKind.GAUGE,
@@ -166,6 +183,9 @@
     QUEUED_ATTEMPTS,
     QUEUE_WAIT,
     QUEUE_REFUSALS,
+    ROLLOUTS,
+    ROLLOUT_STATES,
+    ROLLOUT_REPORTS,
     LOG_LINES_DROPPED,
     HELD_BYTES,
     OPENED_CONNECTIONS,
@@ -228,6 +248,14 @@
         """See `targetadmission.QueueObserver`."""
         self.count(QUEUE_REFUSALS, (reason.value,))
 
+    def count_rollout_state(self, phase, result):
+        """Record an attempt to write the state of a rollout."""
+        self.count(ROLLOUT_STATES, (phase, result))
+
+    def count_rollout_report(self, result):
+        """Record a message with evidence: ``sent``, ``failed`` or ``received``."""
+        self.count(ROLLOUT_REPORTS, (result,))
+
     def count_store_call(self, operation, result):
         """Record one call to the key-value service."""
         self.count(STORE_CALLS, (operation, result))
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -21,6 +21,8 @@
 )
 from ..registry import REGISTRATION_GRACE_S
 from ..revisions import RESTORED_KEY_RETENTION_S
+from ..rolloutexchange import REPORTS_PATH, RolloutExchange
+from ..rolloutstates import decode_state, decode_state_key
 from ..store import InstrumentedStore
 from ..storecontent import StoreUpdateHandler
 from ..storewatcher import StoreWatcher
@@ -28,13 +30,18 @@
     decode_configuration,
     decode_evacuated_domain,
     decode_registration,
+    decode_rollout_key,
+    decode_rollout_order,
     decode_target_key,
+    encode_rollout_status,
 )
 from .names import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
     HEADER_NAMES,
     READY_PATH,
+    ROLLOUT_ORDER_PREFIX,
+    ROLLOUT_STATUS_PREFIX,
     SETTINGS_VARIABLE,
 )
 from .settings import load_settings
@@ -42,7 +49,11 @@
 
 logger = logging.getLogger(__name__)
 
-RETAINED_PREFIXES = (EVACUATION_PREFIX, VM_PREFIX)
+RETAINED_PREFIXES = (
+    EVACUATION_PREFIX,
+    ROLLOUT_ORDER_PREFIX,
+    VM_PREFIX,
+)
 """Keys of operators, and of VMs, which write theirs again. They neither appear nor
 disappear because the store came back from an older copy; see `revisions`."""
 
@@ -53,11 +64,17 @@
     Parameters
     ----------
     gateway : gateway.Gateway
+
+    Attributes
+    ----------
+    get_entry : callable
+        Returns the `store.Entry` of a key, or None.
     """
 
-    __slots__ = ("_gateway", "_evacuated")
+    __slots__ = ("get_entry", "_gateway", "_evacuated")
 
     def __init__(self, gateway):
+        self.get_entry = lambda key: None
         self._gateway = gateway
         self._evacuated = set()
 
@@ -67,7 +84,17 @@
         vms = {}
         other_entries = []
         self._evacuated = set()
+        orders = {}
+        states = {}
         for entry in entries:
+            service = decode_rollout_key(entry.key)
+            if service is not None:
+                orders[service] = self._decode_order(service, entry)
+                continue
+            service = decode_state_key(entry.key)
+            if service is not None:
+                states[service] = (_decode_state(entry), entry.revision)
+                continue
             target_id = decode_target_key(entry.key)
             vm_id = decode_vm_key(entry.key)
             if vm_id is not None:
@@ -80,6 +107,8 @@
                 _log_invalid_entry(entry.key)
         now = trio.current_time()
         self._gateway.fleet.replace_all(vms, now)
+        # Before the registrations: they may have a version that only an order allows.
+        self._gateway.rollouts.replace_all(orders, states, now)
         self._gateway.registry.replace_all(registrations, now, is_after_outage)
         # The configuration is applied last, because it makes this VM ready for callers.
         for entry in other_entries:
@@ -108,6 +137,8 @@
             else:
                 self._evacuated.add(domain)
             self._gateway.registry.set_evacuated(self._evacuated)
+        else:
+            return self._apply_rollout_entry(key)
         return False
 
     def choose_retention_s(self, key, known, restored):
@@ -120,6 +151,28 @@
             return RESTORED_KEY_RETENTION_S
         return 0.0
 
+    def _apply_rollout_entry(self, key):
+        """Apply an order or a state; return whether the change is urgent."""
+        entry = self.get_entry(key)
+        rollouts = self._gateway.rollouts
+        now = trio.current_time()
+        if (service := decode_rollout_key(key)) is not None:
+            order = None if entry is None else self._decode_order(service, entry)
+            rollouts.set_order(service, order, now)
+        elif (service := decode_state_key(key)) is not None:
+            state = None if entry is None else _decode_state(entry)
+            revision = None if entry is None else entry.revision
+            rollouts.set_state(service, state, now, revision)
+        else:
+            return False
+        return rollouts.limits is not None
+
+    def _decode_order(self, service, entry):
+        order = decode_rollout_order(service, entry.value, entry.revision)
+        if order is None:
+            _log_invalid_entry(entry.key)
+        return order
+
     def _apply_target_entry(self, target_id, key, value):
         registration = None
         if value is not None:
@@ -153,6 +206,13 @@
     return math.inf if registration.is_older_than(known) else 0.0
 
 
+def _decode_state(entry):
+    state = decode_state(entry.value)
+    if state is None:
+        _log_invalid_entry(entry.key)
+    return state
+
+
 def _log_invalid_entry(key):
     logger.warning("an entry of the store cannot be used", extra={"key": key})
 
@@ -221,22 +281,29 @@
     store = InstrumentedStore(store, gateway.metrics.count_store_call)
     peers = PeerSnapshots(settings.peers, settings.peer_address)
     relays = RelayChooser(gateway.fleet, settings.vm_id)
+    updater = GatewayUpdater(gateway)
     watcher = StoreWatcher(
-        store,
-        GatewayUpdater(gateway),
-        relays,
-        peers,
-        OtherWatchers(gateway.fleet),
-        eras=eras,
+        store, updater, relays, peers, OtherWatchers(gateway.fleet), eras=eras
     )
-    gateway.get_last_contact = lambda: watcher.last_contact_at
+    updater.get_entry = watcher.get_entry
+    gateway.get_last_contact = watcher.get_last_success
     gateway.count_retained = lambda: len(watcher.list_retained())
     vm_registration = VmRegistration(store, gateway.fleet, eras)
+    rollout_exchange = RolloutExchange(
+        gateway, store, watcher, ROLLOUT_STATUS_PREFIX, encode_rollout_status
+    )
+    peer_server = PeerServer(watcher)
+
+    async def handle_peer_request(request):
+        if request.path == REPORTS_PATH:
+            return await rollout_exchange.handle(request)
+        return await peer_server.handle(request)
+
     process = GatewayProcess(
         gateway,
         options,
-        [watcher, vm_registration],
-        PeerServer(watcher).handle,
+        [watcher, vm_registration, rollout_exchange],
+        handle_peer_request,
         READY_PATH,
         file.reload,
     )
--- a/tarragonchute/platform/store.py
+++ b/tarragonchute/platform/store.py
@@ -131,15 +131,21 @@
 
     async def put(self, key, value, expect, lease=None):
         """Write by compare-and-swap and return the new revision; see `Store.put`."""
-        write = {"key": key, "value": base64.b64encode(value.encode()).decode()}
+        write = _encode_write(key, value)
         if lease is not None:
             self._check_lease(lease)
             write["lease"] = lease.number
-        return await self._commit("put", key, expect, writes=[write])
+        return await self._commit("put", [(key, expect)], writes=[write])
+
+    async def put_all(self, writes):
+        """Write several keys in one transaction; see `store.Store.put_all`."""
+        conditions = [(key, expect) for key, _, expect in writes]
+        encoded = [_encode_write(key, value) for key, value, _ in writes]
+        return await self._commit("put", conditions, writes=encoded)
 
     async def delete(self, key, expect):
         """Delete by compare-and-swap and return the new revision."""
-        return await self._commit("delete", key, expect, deletes=[key])
+        return await self._commit("delete", [(key, expect)], deletes=[key])
 
     async def grant_lease(self, ttl_s):
         """Create a lease and return its id; see `Store.grant_lease`."""
@@ -164,19 +170,27 @@
         """Close all connections."""
         self._transport.close()
 
-    async def _commit(self, name, key, expect, writes=(), deletes=()):
+    async def _commit(self, name, conditions, writes=(), deletes=()):
+        """Write if each key has its expected revision.
+
+        `conditions` has pairs of a key and a revision.
+        """
         era = self._eras.current
         is_era_known = self._eras.is_known
-        expected_era, number = split_revision(expect)
-        if expect and not self._eras.observe(expected_era):
-            raise ConditionOutdatedError("the condition is of an earlier era")
+        expected = []
+        for key, expect in conditions:
+            expected_era, number = split_revision(expect)
+            if expect and not self._eras.observe(expected_era):
+                raise ConditionOutdatedError("the condition is of an earlier era")
+            era = max(era, expected_era)
+            expected.append({"key": key, "revision": number})
         body = {
-            "expected-rev": [{"key": key, "revision": number}],
+            "expected-rev": expected,
             "writes": list(writes),
             "deletes": list(deletes),
         }
         content, answered_era = await self._write(name, "POST", "/kv-txn", body)
-        if is_era_known and answered_era > max(era, expected_era):
+        if is_era_known and answered_era > era:
             # The revision in the condition may have been given out again.
             raise StoreOutcomeUnknownError("the era changed during the write")
         with _report_malformed(StoreOutcomeUnknownError):
@@ -222,6 +236,10 @@
         return era
 
 
+def _encode_write(key, value):
+    return {"key": key, "value": base64.b64encode(value.encode()).decode()}
+
+
 def _decode_response(response, unknown_result_error):
     """Return the JSON object of a response, or raise the error for its status.
 
--- a/tarragonchute/queries.py
+++ b/tarragonchute/queries.py
@@ -13,6 +13,7 @@
 )
 from .httpio import ForwardedResponse
 from .replies import list_end_to_end_headers
+from .rollouts import Rollouts
 from .subrequests import ReplyClass, Subrequest, SubrequestState
 from .subsearches import OutgoingRequest
 from .targetadmission import QueuePolicy
@@ -70,6 +71,7 @@
     delegation : delegation.Delegation or None
         Chooses other VMs to which shards of searches are delegated.
     queue_policy : targetadmission.QueuePolicy or None
+    rollouts : rollouts.Rollouts or None
 
     Attributes
     ----------
@@ -85,6 +87,7 @@
         "poll",
         "delegation",
         "queue_policy",
+        "rollouts",
         "lag_s",
         "_lowercase_names",
     )
@@ -98,6 +101,7 @@
         poll,
         delegation=None,
         queue_policy=None,
+        rollouts=None,
     ):
         self.registry = registry
         self.chooser = chooser
@@ -106,6 +110,7 @@
         self.poll = poll
         self.delegation = delegation or NoDelegation()
         self.queue_policy = queue_policy or QueuePolicy()
+        self.rollouts = rollouts or Rollouts()
         self.lag_s = 0.0
         self._lowercase_names = header_names.lowercase
 
--- a/tarragonchute/storecontent.py
+++ b/tarragonchute/storecontent.py
@@ -92,6 +92,10 @@
         """Return all entries of the store, without what is retained."""
         return list(self._entries.values())
 
+    def get_entry(self, key):
+        """Return the store's `Entry` of a key, or None."""
+        return self._entries.get(key)
+
     def list_retained(self):
         """Return the `RetainedEntry` that count in place of the store's entries."""
         return self._retained.list_entries()
--- a/tarragonchute/storewatcher.py
+++ b/tarragonchute/storewatcher.py
@@ -162,11 +162,6 @@
         self.is_watching_store = False
         self.is_loaded = False
 
-    @property
-    def last_contact_at(self):
-        """When the store or a relay last answered; minus infinity if never."""
-        return -math.inf if self._last_success_at is None else self._last_success_at
-
     async def run(self):
         """Track the store until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -201,6 +196,15 @@
         """Return the `RetainedEntry` that count in place of the store's entries."""
         return self._content.list_retained()
 
+    def get_entry(self, key):
+        """Return the known `Entry` of a key, or None."""
+        return self._content.get_entry(key)
+
+    def get_last_success(self):
+        """Return when the store or a relay last answered, in monotonic seconds."""
+        last = self._last_success_at
+        return -math.inf if last is None else last
+
     def list_changes(self, after):
         """Return the changes after a revision; see `StoreContent.list_changes`."""
         return self._content.list_changes(after)
