--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -133,6 +133,7 @@
         "demand",
         "held_until",
         "is_hold_unknown",
+        "has_spares",
         "deputy_hold_s",
         "spread_s",
         "refused",
@@ -155,6 +156,8 @@
         self.demand = DecayingRate()
         self.held_until = -math.inf
         self.is_hold_unknown = False
+        # Whether the latest answer brought more tokens than were needed.
+        self.has_spares = False
         # Time until a deputy that has used up its part may grant again.
         self.deputy_hold_s = 0.0
         self.spread_s = 0.0
@@ -297,6 +300,8 @@
         waiter = Waiter(account)
         if not account.waiters and account.take_token(now):
             self._grant(waiter, GRANTED_LOCALLY)
+            if account.has_spares and not account.tokens[0][1]:
+                self._ask_for_spares(account, now)
         elif now < account.held_until:
             self._refuse(account, waiter, now)
         else:
@@ -342,7 +347,7 @@
         else:
             # Another VM was asked meanwhile. The tokens are valid nevertheless.
             role = (vm_id, pending.is_for_deputy)
-            account.add_tokens(answer.granted, pending.sent_at + TOKEN_LEASE_S, role)
+            account.add_tokens(answer.granted, pending.sent_at + answer.lease_s, role)
             self._grant_waiters(account, now)
         if account.waiters and account.pending is None:
             self._ask(account, now)
@@ -411,6 +416,20 @@
             account.spread_s = UNKNOWN_HOLD_S
             self._refuse_waiters(account, now)
 
+    def _ask_for_spares(self, account, now):
+        """Ask the grantor for tokens before the next request needs one."""
+        account.has_spares = False
+        account.asked.clear()
+        role = self._choose_role(account, now)
+        if account.pending is not None or role is None:
+            return
+        vm_id, is_for_deputy = role
+        if not is_for_deputy and vm_id != self._own_vm.vm_id:
+            ask = self._build_ask(account, role, now)
+            if self._links.send(vm_id, ask, now):
+                pending = _PendingAsk(account, vm_id, ask, now, account.timeout_s)
+                self._pending[ask.number] = account.pending = pending
+
     def _wait_longer(self, account, now):
         """Wait once more for a late answer; return whether one is still open.
 
@@ -483,9 +502,9 @@
             key = (account.customer.name, role)
             self._declined_until[key] = now + answer.hold_s
             return
-        expires_at = pending.sent_at + TOKEN_LEASE_S
+        account.has_spares = answer.granted > pending.wanted
         if answer.granted:
-            account.add_tokens(answer.granted, expires_at, role)
+            account.add_tokens(answer.granted, pending.sent_at + answer.lease_s, role)
         self._grant_waiters(account, now)
         if answer.granted >= pending.wanted or pending.version != account.version:
             # A refusal under an earlier configuration says nothing about this one.
--- a/tarragonchute/grantmessages.py
+++ b/tarragonchute/grantmessages.py
@@ -27,7 +27,7 @@
     is_for_deputy : bool
         Whether the receiver is asked as deputy and not as grantor.
     wanted : int
-        Number of waiting requests.
+        Number of waiting requests; 0 if only spare tokens are asked for.
     returned : int
         Unspent tokens that the receiver granted in the same role.
     demand : float
@@ -73,6 +73,8 @@
         Whether the receiver does not have the role in which it was asked.
     granted : int
         Number of tokens.
+    lease_s : float
+        Time for which the tokens are valid, counted from the ask.
     hold_s : float
         Time after which the sender may ask again, if it got fewer tokens than it
         wanted or was declined.
@@ -80,13 +82,23 @@
         Time over which callers that are refused should spread their next attempts.
     """
 
-    __slots__ = ("number", "is_declined", "granted", "hold_s", "spread_s")
+    __slots__ = (
+        "number",
+        "is_declined",
+        "granted",
+        "lease_s",
+        "hold_s",
+        "spread_s",
+    )
     kind = "allowance-answer"
 
-    def __init__(self, number, is_declined, granted, hold_s=0.0, spread_s=0.0):
+    def __init__(
+        self, number, is_declined, granted, lease_s=0.0, hold_s=0.0, spread_s=0.0
+    ):
         self.number = number
         self.is_declined = is_declined
         self.granted = granted
+        self.lease_s = lease_s
         self.hold_s = hold_s
         self.spread_s = spread_s
 
@@ -113,7 +125,7 @@
         _NUMBER,
         int,
     ),
-    Answer: (int, bool, int, _NUMBER, _NUMBER),
+    Answer: (int, bool, int, _NUMBER, _NUMBER, _NUMBER),
 }
 
 ASK_PREFIX = b'["' + Ask.kind.encode() + b'"'
--- a/tarragonchute/grants.py
+++ b/tarragonchute/grants.py
@@ -15,6 +15,14 @@
 """Time for which a token is valid, counted by its holder from its ask, and by the
 grantor from its answer, which is later."""
 
+SPARE_LEASE_S = 10.0
+"""Lease of a single spare token. Most VMs see a request of a customer only each few
+seconds. Single spares take at most `CAPACITY_PART` of the permitted excess, also where
+a grantor that has ended cannot count them any more."""
+
+EXPIRY_CHECK_INTERVAL_S = 0.1
+"""Interval between checks for expired tokens, which go through all of their holders."""
+
 CAPACITY_PART = 0.2
 FIRST_TOKENS_PART = 0.25
 DEPUTIES_PART = 0.35
@@ -127,6 +135,7 @@
         "_updated_at",
         "_spares",
         "_spare_count",
+        "_next_expiry_at",
     )
 
     def __init__(self, rate, capacity, level, max_single_spares, now):
@@ -137,6 +146,7 @@
         self._updated_at = now
         self._spares = {}
         self._spare_count = 0
+        self._next_expiry_at = -math.inf
 
     def set_limits(self, rate, capacity, max_single_spares, now):
         """Change the limits; a higher capacity is available at once."""
@@ -150,12 +160,8 @@
 
     def refill(self, now):
         """Add what has flown in, and return the level."""
-        while self._spares:
-            holder_id, (expires_at, count) = next(iter(self._spares.items()))
-            if now < expires_at:
-                break
-            del self._spares[holder_id]
-            self._spare_count -= count
+        if now >= self._next_expiry_at:
+            self._remove_expired(now)
         elapsed_s = max(now - self._updated_at, 0.0)
         self._updated_at = max(now, self._updated_at)
         self._level = min(
@@ -163,6 +169,13 @@
         )
         return self._level
 
+    def _remove_expired(self, now):
+        for holder_id, (expires_at, count) in list(self._spares.items()):
+            if now >= expires_at:
+                del self._spares[holder_id]
+                self._spare_count -= count
+        self._next_expiry_at = now + EXPIRY_CHECK_INTERVAL_S
+
     def take(self, holder_id, wanted, ahead, now):
         """Take tokens for waiting requests of a VM, and some in advance.
 
@@ -178,24 +191,26 @@
 
         Returns
         -------
-        int
-            Number of tokens.
+        tuple of (int, float)
+            Number of tokens, and their lease in seconds.
         """
         self._spare_count -= self._spares.pop(holder_id, (0.0, 0))[1]
         level = self.refill(now)
         # Tolerates the rounding of a level that has just reached the next token.
         available = max(int(level + 1e-9), 0)
         granted = min(wanted, available)
+        lease_s = TOKEN_LEASE_S
         spares = min(int(ahead), int(SPARE_LEVEL * self.capacity) - self._spare_count)
         if spares < 1 and level > SPARE_LEVEL * self.capacity:
             spares = 1 if self._spare_count + 1 <= self._max_single_spares else 0
+            lease_s = SPARE_LEASE_S
         spares = min(spares, available - granted)
         if spares > 0:
-            self._spares[holder_id] = (now + TOKEN_LEASE_S, spares)
+            self._spares[holder_id] = (now + lease_s, spares)
             self._spare_count += spares
             granted += spares
         self._level -= granted
-        return granted
+        return granted, lease_s
 
     def put_back(self, count, now):
         """Put back unspent tokens."""
@@ -243,7 +258,7 @@
         if granted:
             self._grants.append((now, granted))
             self._granted += granted
-        return granted
+        return granted, TOKEN_LEASE_S
 
     def put_back(self, count, now):
         """Drop unspent tokens."""
@@ -284,15 +299,16 @@
         source.put_back(ask.returned, now)
         ahead_s = AHEAD_S * max(self.asks.get(now) / AHEAD_ASKS_PER_S, 1.0)
         ahead = ask.demand * min(ahead_s, MAX_AHEAD_S)
-        granted = source.take(ask.sender_id, ask.wanted, ahead, now)
+        granted, lease_s = source.take(ask.sender_id, ask.wanted, ahead, now)
         if granted >= ask.wanted:
             self.refused_at.pop(ask.sender_id, None)
-            return Answer(ask.number, False, granted)
+            return Answer(ask.number, False, granted, lease_s)
         self.refusals.record(ask.wanted - granted, now)
         self._record_refusal(ask.sender_id, now)
         hold_s = self._compute_hold_s(random_source, now)
         spread_s = self.refusals.get(now) * RATE_MEMORY_S / max(source.rate, 1e-3)
-        return Answer(ask.number, False, granted, hold_s, min(spread_s, MAX_SPREAD_S))
+        spread_s = min(spread_s, MAX_SPREAD_S)
+        return Answer(ask.number, False, granted, lease_s, hold_s, spread_s)
 
     def _record_refusal(self, vm_id, now):
         self.refused_at.pop(vm_id, None)
@@ -394,11 +410,11 @@
         is_alone = roles.grantor_id is None and ask.sender_id == self._own_id
         if ask.is_for_deputy:
             if self._own_id not in roles.deputy_ids.values():
-                return Answer(ask.number, True, 0, DECLINED_HOLD_S)
+                return Answer(ask.number, True, 0, 0.0, DECLINED_HOLD_S)
         elif not is_alone:
             wait_s = self._roles.compute_wait_s(ask.customer_name, now)
             if wait_s > 0:
-                return Answer(ask.number, True, 0, min(wait_s, DECLINED_HOLD_S))
+                return Answer(ask.number, True, 0, 0.0, min(wait_s, DECLINED_HOLD_S))
         if ask.is_for_deputy:
             account = self._get_deputy_account(ask.customer_name, roles, now)
         else:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -71,6 +71,15 @@
         waiting = sum(wait > 0 for wait in fleet.waits)
         self.assertLess(waiting, 0.3 * len(fleet.waits))
 
+    def test_caller_with_little_traffic_seldom_waits(self):
+        """Guards against a round trip for each request of a small customer."""
+        fleet = start_fleet(58, 2, 4)
+        caller = next(v for v in fleet.vms if v != fleet.get_grantor_id())
+        for _ in range(20):
+            fleet.request(caller)
+            fleet.run(4.0)
+        self.assertEqual(1, sum(wait > 0 for wait in fleet.waits))
+
     def test_seven_times_the_allowance(self):
         """Guards against too many requests, too few, and costly refusals."""
         for rate, burst in ((2, 4), (RATE, BURST), (200, 100)):
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -52,14 +52,14 @@
     def test_tokens_in_advance_count_until_their_lease_ends(self):
         """Guards against a full bucket beside tokens that VMs still hold."""
         bucket = TokenBucket(10.0, 20.0, 20.0, 2.0, 0.0)
-        self.assertEqual(1 + 8, bucket.take("a", 1, 8, 0.0))
+        self.assertEqual((1 + 8, TOKEN_LEASE_S), bucket.take("a", 1, 8, 0.0))
         self.assertEqual(20 - 8, bucket.refill(1.9))
         self.assertEqual(20, bucket.refill(TOKEN_LEASE_S + 1.0))
 
     def test_single_spares_do_not_use_up_the_burst(self):
         """Guards against a burst that is lost to VMs that do not use their spares."""
         bucket = TokenBucket(10.0, 22.0, 22.0, 2.0, 0.0)
-        granted = [bucket.take(f"vm{n}", 1, 0, 0.0) for n in range(20)]
+        granted = [bucket.take(f"vm{n}", 1, 0, 0.0)[0] for n in range(20)]
         self.assertEqual([2, 2] + [1] * 18, granted)
 
     def test_returned_tokens_do_not_exceed_the_capacity(self):
