--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -133,7 +133,7 @@
         "demand",
         "held_until",
         "is_hold_unknown",
-        "has_spares",
+        "may_ask_early",
         "deputy_hold_s",
         "spread_s",
         "refused",
@@ -156,8 +156,8 @@
         self.demand = DecayingRate()
         self.held_until = -math.inf
         self.is_hold_unknown = False
-        # Whether the latest answer brought more tokens than were needed.
-        self.has_spares = False
+        # Whether the latest answer brought a spare token, and the grantor is not busy.
+        self.may_ask_early = False
         # Time until a deputy that has used up its part may grant again.
         self.deputy_hold_s = 0.0
         self.spread_s = 0.0
@@ -300,7 +300,7 @@
         waiter = Waiter(account)
         if not account.waiters and account.take_token(now):
             self._grant(waiter, GRANTED_LOCALLY)
-            if account.has_spares and not account.tokens[0][1]:
+            if account.may_ask_early and not account.tokens[0][1]:
                 self._ask_for_spares(account, now)
         elif now < account.held_until:
             self._refuse(account, waiter, now)
@@ -418,7 +418,7 @@
 
     def _ask_for_spares(self, account, now):
         """Ask the grantor for tokens before the next request needs one."""
-        account.has_spares = False
+        account.may_ask_early = False
         account.asked.clear()
         role = self._choose_role(account, now)
         if account.pending is not None or role is None:
@@ -502,7 +502,9 @@
             key = (account.customer.name, role)
             self._declined_until[key] = now + answer.hold_s
             return
-        account.has_spares = answer.granted > pending.wanted
+        account.may_ask_early = (
+            answer.granted > pending.wanted and answer.lease_s > TOKEN_LEASE_S
+        )
         if answer.granted:
             account.add_tokens(answer.granted, pending.sent_at + answer.lease_s, role)
         self._grant_waiters(account, now)
--- a/tarragonchute/grants.py
+++ b/tarragonchute/grants.py
@@ -300,6 +300,9 @@
         ahead_s = AHEAD_S * max(self.asks.get(now) / AHEAD_ASKS_PER_S, 1.0)
         ahead = ask.demand * min(ahead_s, MAX_AHEAD_S)
         granted, lease_s = source.take(ask.sender_id, ask.wanted, ahead, now)
+        if self.asks.get(now) > AHEAD_ASKS_PER_S:
+            # VMs ask in advance only for spares with the longer lease.
+            lease_s = TOKEN_LEASE_S
         if granted >= ask.wanted:
             self.refused_at.pop(ask.sender_id, None)
             return Answer(ask.number, False, granted, lease_s)
