End connections with their answers while others are refused

Connections that always have a request running or waiting are never inactive, so that a crowd of them keeps ordinary callers out for as long as it has requests.

--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -538,7 +538,10 @@
     async def _send(self, response, is_head=False):
         headers = response.list_header_lines()
         headers.append(("Content-Length", str(len(response.body))))
-        if self._server.is_draining:
+        is_crowded = self._memory.is_crowded(
+            self._server.options.source, trio.current_time()
+        )
+        if self._server.is_draining or is_crowded:
             headers.append(("Connection", "close"))
         parts = [
             self._h11.send(h11.Response(status_code=response.status, headers=headers))
--- a/tarragonchute/memory.py
+++ b/tarragonchute/memory.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 import resource
 
 MEGABYTE = 1_000_000
@@ -85,6 +86,10 @@
 """Time after which other connections may be closed for a new one: without a request,
 with a request that is not complete, or with an answer of which nothing was taken."""
 
+CROWDED_S = 1.0
+"""Time after a refused connection during which answers end their connections. Callers
+that send request after request on one connection then do not keep others out."""
+
 RETRY_AFTER_S = 0.5
 """Mean delay after which a refused caller should try again: bodies that take memory
 are answered, refused or closed in about this time."""
@@ -269,6 +274,7 @@
         "events",
         "_by_phase",
         "_counts",
+        "_refused_at",
         "_reported",
     )
 
@@ -282,6 +288,8 @@
         # The holdings of each source and phase, the one longest in its phase first.
         self._by_phase = {source: {phase: {} for phase in Phase} for source in Source}
         self._counts = dict.fromkeys(Source, 0)
+        # When a connection of each source was last refused.
+        self._refused_at = dict.fromkeys(Source, -math.inf)
 
     def open(self, source, close, now):
         """Return a `Holding` for a new connection, or None if it is refused.
@@ -300,12 +308,17 @@
         is_full = self._counts[source] >= self.get_connection_limit(source)
         if is_full and not self._close_inactive(source, now):
             self.events[CONNECTION_REFUSED] += 1
+            self._refused_at[source] = now
             return None
         holding = Holding(source, close, now)
         self._counts[source] += 1
         self._by_phase[source][holding.phase][holding] = None
         return holding
 
+    def is_crowded(self, source, now):
+        """Return whether connections of a source are to end with their next answer."""
+        return now - self._refused_at[source] < CROWDED_S
+
     def release(self, holding):
         """Remove a connection that is closed."""
         if holding.is_closing:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -158,6 +158,15 @@
             events = {CONNECTION_REFUSED: 1, CONNECTION_CLOSED: 1}
             self.assertEqual(events, crowd.account.list_new_events())
 
+    def test_answers_end_connections_after_a_refusal(self):
+        """Guards against busy connections that keep all new callers out."""
+        account = self.build(Phase.RUNNING).account
+        self.assertFalse(account.is_crowded(Source.CALLER, 1.0))
+        self.assertIsNone(account.open(Source.CALLER, None, 1.0))
+        self.assertTrue(account.is_crowded(Source.CALLER, 1.5))
+        self.assertFalse(account.is_crowded(Source.INTERNAL, 1.5))
+        self.assertFalse(account.is_crowded(Source.CALLER, 3.0))
+
     def test_reader_of_a_long_answer_is_kept(self):
         """Guards against closing a caller that takes its answer all the time."""
         crowd = self.build(Phase.RUNNING)
