--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -51,11 +51,11 @@
     greatest_descriptors : int
     """
 
-    def __init__(self, pid, caller_address):
+    def __init__(self, pid, address):
         self.greatest_bytes = 0
         self.greatest_descriptors = 0
         self._pid = pid
-        self._local_port = f":{split_address(caller_address)[1]:04X}"
+        self._local_port = f":{split_address(address)[1]:04X}"
 
     async def run(self):
         """Take samples until cancelled."""
@@ -96,7 +96,12 @@
     """Crowds of callers that do not read answers, or send more than is answered."""
 
     async def check_crowd(
-        self, behave, connections, max_descriptors=1024, prepare=None
+        self,
+        behave,
+        connections,
+        max_descriptors=1024,
+        prepare=None,
+        listener="callers",
     ):
         """Run a crowd and check the process and one ordinary request after it.
 
@@ -108,19 +113,20 @@
         max_descriptors : int
         prepare : callable or None
             Called with the deployment before the crowd.
+        listener : str
+            Attribute of the deployment with the address to which the crowd connects.
         """
         limits = {"memory-mb": MEMORY_MB, "max-fds": max_descriptors}
         async with open_deployment(limits=limits) as deployment:
             if prepare is not None:
                 prepare(deployment)
             process = deployment.process
-            sampler = ProcessSampler(process.pid, deployment.callers)
+            address = getattr(deployment, listener)
+            sampler = ProcessSampler(process.pid, address)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sampler.run)
                 for number in range(connections):
-                    nursery.start_soon(
-                        self.run_caller, deployment.callers, behave, number
-                    )
+                    nursery.start_soon(self.run_caller, address, behave, number)
                 await trio.sleep(CROWD_S)
                 status = await self.send_ordinary_request(deployment)
                 sampler.take()
@@ -170,6 +176,22 @@
 
         await self.check_crowd(behave, MANY_CONNECTIONS)
 
+    @run_async
+    async def test_bodies_for_the_peer_listener(self):
+        """Guards against a crowd on the address for other VMs, which has no customers.
+
+        Both the memory and the descriptors are used up.
+        """
+        request = build_request("/none", None, b"x" * BODY_BYTES, "POST")
+
+        async def behave(stream, _number):
+            for _ in range(PIPELINED_REQUESTS):
+                await stream.send_all(request)
+
+        await self.check_crowd(
+            behave, MANY_CONNECTIONS, MAX_DESCRIPTORS, listener="peers"
+        )
+
     @run_async
     async def test_bodies_behind_running_requests(self):
         """Guards against bodies that are read while an earlier request runs."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -440,7 +440,7 @@
         self.server = PlatformStoreServer()
         self.targets = []
         self.process = None
-        self.callers = self.ready = self.server_address = ""
+        self.callers = self.ready = self.peers = self.server_address = ""
 
     async def start(self, services):
         """Start all parts and return once the gateway is ready."""
@@ -470,7 +470,7 @@
         """Write the settings file and start the gateway process."""
         self.callers = await reserve_closed_port()
         self.ready = await reserve_closed_port()
-        control = await reserve_closed_port()
+        self.peers = await reserve_closed_port()
         path = self.folder / "node.toml"
         limits = "".join(f"{name} = {self.limits[name]}\n" for name in self.limits)
         path.write_text(
@@ -481,7 +481,7 @@
 [listen-addrs]
 front = "{self.callers}"
 ready = "{self.ready}"
-control = "{control}"
+control = "{self.peers}"
 [bounds]
 grace-s = {GRACE_S}
 retry-ratio = 0.2
