--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -440,7 +440,7 @@
         self.server = PlatformStoreServer()
         self.targets = []
         self.process = None
-        self.callers = self.ready = self.server_address = ""
+        self.callers = self.ready = self.peers = self.server_address = ""
 
     async def start(self, services):
         """Start all parts and return once the gateway is ready."""
@@ -475,7 +475,7 @@
         """
         if addresses is None:
             addresses = [await reserve_closed_port() for _ in range(3)]
-        self.callers, self.ready, control = addresses
+        self.callers, self.ready, self.peers = addresses
         path = self.folder / "node.toml"
         limits = "".join(f"{name} = {self.limits[name]}\n" for name in self.limits)
         path.write_text(
@@ -486,7 +486,7 @@
 [listen-addrs]
 front = "{self.callers}"
 ready = "{self.ready}"
-control = "{control}"
+control = "{self.peers}"
 [bounds]
 grace-s = {GRACE_S}
 retry-ratio = 0.2
