Soak: write at a revision that was given out before, and check that it is in force

Now each restore loses a configuration and a draining target, and a version with a new shard is written right after it.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -73,6 +73,8 @@
     era : int or None
         Value of the header ``Store-Era``, which rises with each `restore`; None if the
         store does not send it.
+    restores : int
+        Number of calls of `restore`.
     hides_era : bool
         Whether the header is left out of the answers for now.
     """
@@ -80,6 +82,7 @@
     def __init__(self):
         self.era = None
         self.hides_era = False
+        self.restores = 0
         self.store = MemoryStore()
         self.compacted_revision = 0
         self.refuses = False
@@ -102,6 +105,7 @@
         """
         self.refuses = away_s > 0
         await trio.sleep(away_s)
+        self.restores += 1
         if self.era is not None:
             self.era += 1
         self.store.restore_backup(copy.content, restarts_leases=True)
@@ -217,32 +221,33 @@
 
     Parameters
     ----------
-    store : MemoryStore
+    server : PlatformStoreServer
     """
 
-    def __init__(self, store):
-        self._store = store
-        # Latest value and revision of each key that was written.
+    def __init__(self, server):
+        self._server = server
+        # Latest value and revision of each key, and the number of restores before.
         self._written = {}
 
     async def write(self, key, value):
         """Write a key, or delete it if the value is None."""
-        entry = await self._store.get(key)
+        store = self._server.store
+        entry = await store.get(key)
         expect = 0 if entry is None else entry.revision
         if value is not None:
-            revision = await self._store.put(key, value, expect)
+            revision = await store.put(key, value, expect)
         elif entry is not None:
-            revision = await self._store.delete(key, expect)
+            revision = await store.delete(key, expect)
         else:
-            revision = self._store.revision
-        self._written[key] = (value, revision)
+            revision = store.revision
+        self._written[key] = (value, revision, self._server.restores)
 
-    async def write_again(self, restored_revision):
-        """Write what was written after the revision of the copy, in the same order."""
+    async def write_again(self, copy):
+        """Write what the latest restore to a `StoreCopy` has lost, in its order."""
         lost = [
             (revision, key, value)
-            for key, (value, revision) in self._written.items()
-            if revision > restored_revision
+            for key, (value, revision, restores) in self._written.items()
+            if revision > copy.revision and restores < self._server.restores
         ]
         for _, key, value in sorted(lost, key=lambda item: item[0]):
             await self.write(key, value)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -39,7 +39,7 @@
     def __init__(self, nursery, folder):
         super().__init__(nursery, folder)
         self.vms = [self]
-        self.operator = PlatformOperator(self.server.store)
+        self.operator = PlatformOperator(self.server)
         self.server.era = 1
 
     async def start(self, services):
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -408,7 +408,7 @@
     async def start(self, nursery, **options):
         """Start a VM, write, and return the VM and the copy from before."""
         self.server = build_server(**options)
-        self.operator = PlatformOperator(self.server.store)
+        self.operator = PlatformOperator(self.server)
         await self.write_version(1)
         await self.write_registration("ready", 4)
         vm = await self.start_vm(nursery)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -175,6 +175,15 @@
         self.search(at=9.0, request_id="r2")
         self.assertEqual([], self.oracle.findings)
 
+    def test_version_that_was_never_in_force(self):
+        """Guards against an oracle that misses a lost configuration."""
+        self.oracle.record_version(2, ("t0", "t1", "t2", "t3"))
+        self.oracle.record_version_in_force(2, ["vm"], 5.0)
+        self.search(at=4.9)
+        self.assertEqual([], self.oracle.findings)
+        self.search(at=5.1, request_id="r2")
+        self.assert_finds("saw version 1 after 2")
+
     def test_late_stand_ins_suspend_the_check_of_removed_targets(self):
         """Guards against findings that only the load of the machine causes."""
         self.oracle.record_target_removal("i-desk", 5.0)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,6 +7,9 @@
 from .proxy import ProxyMode
 from .world import DRAIN_TIMEOUT_S, GRACE_S
 
+CONFIGURATION_TIME_S = 5.0
+"""Time within which a VM applies a configuration that the store has confirmed."""
+
 AFTEREFFECT_S = 4.0
 """Time after a fault in which it may still delay or break requests of a VM."""
 
@@ -196,13 +199,44 @@
         if self._is_restoring or world.server.stale_revision is not None:
             return
         self._is_restoring = True
+        desk = self._random.choice([t for t in world.targets if t.service == "desk"])
+        await world.add_target("desk", desk.domain)
+        new_shard = await world.add_shard()
         copy = world.server.copy()
-        await trio.sleep(self._random.uniform(0.5, 4.0))
-        away_s = self._random.choice((0.0, self._random.uniform(0.2, 1.5)))
-        if away_s:
-            self._mark_disturbed(world.vms, 3.0)
-        await world.restore_store(copy, away_s, self._random.uniform(0.0, 2.0))
+        async with trio.open_nursery() as nursery:
+            # Lost with the store, as is the configuration.
+            nursery.start_soon(self._withdraw, desk, True)
+            await world.write_configuration()
+            await trio.sleep(self._random.uniform(0.5, 4.0))
+            lost_at = trio.current_time()
+            away_s = self._random.choice((0.0, self._random.uniform(0.2, 1.5)))
+            if away_s:
+                self._mark_disturbed(world.vms, 3.0)
+            await world.server.restore(copy, away_s)
+            # Its revision had been given out to the configuration before.
+            old_targets = await world.replace_shard(new_shard)
+            nursery.start_soon(self._check_version, world.version)
+            await trio.sleep(self._random.uniform(0.0, 2.0))
+            await world.write_again(copy, lost_at)
         self._is_restoring = False
+        for target in old_targets:
+            await self._withdraw(target, True)
+
+    async def _check_version(self, version):
+        """Require a version of all processes that were undisturbed since its write."""
+        world = self._world
+        written_at = trio.current_time()
+        processes = {vm: vm.lifetime for vm in world.vms}
+        await trio.sleep(CONFIGURATION_TIME_S)
+        if world.oracle.timing_unreliable_until > written_at:
+            return
+        calm = [
+            lifetime
+            for vm, lifetime in processes.items()
+            if vm.lifetime is lifetime and vm.disturbed_until < written_at
+        ]
+        now = trio.current_time()
+        world.oracle.record_version_in_force(version, calm, now)
 
     async def _run_proxy_fault(self, proxy):
         proxy.mode = self._random.choice(list(ProxyMode)[1:])
@@ -294,6 +328,12 @@
             await trio.sleep(self._random.uniform(0.0, 4.0))
             if target.is_leaving or target not in self._world.targets:
                 return
+        await self._withdraw(target, is_announced)
+
+    async def _withdraw(self, target, is_announced):
+        """Remove a target from the store, and end it some time later."""
+        if target.is_leaving or target not in self._world.targets:
+            return
         left_at = await self._world.remove_target(target, is_announced)
         if left_at is None:
             target.is_gone = True
--- a/tools/soak/oracle.py
+++ b/tools/soak/oracle.py
@@ -139,6 +139,12 @@
         """Record the time from which a removed target must receive no new requests."""
         self._removal_deadlines[target_id] = deadline
 
+    def record_version_in_force(self, version, processes, at):
+        """Record that processes must have applied a version by a time."""
+        for process in processes:
+            if self._newest_seen.get(process, (0, 0.0))[0] < version:
+                self._newest_seen[process] = (version, at)
+
     def delay_target_removal(self, target_id, deadline):
         """Delay the time of `record_target_removal`, if it was recorded."""
         if target_id in self._removal_deadlines:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -247,7 +247,7 @@
         self.oracle = oracle
         self.server = PlatformStoreServer()
         self.server.era = 1
-        self.operator = PlatformOperator(self.server.store)
+        self.operator = PlatformOperator(self.server)
         self.targets = []
         # When each target left, and whether it announced that it drains.
         self.removed = {}
@@ -344,19 +344,21 @@
         else:
             await store.delete(key, entry.revision)
 
-    async def restore_store(self, copy, away_s, rewrite_delay_s):
-        """Return the store to a copy; operator and targets write again what is lost.
+    async def write_again(self, copy, lost_at):
+        """Let operator and targets write again what a restored store has lost.
 
         Targets that are in use register again by themselves.
+
+        Parameters
+        ----------
+        copy : standins.platform.StoreCopy
+        lost_at : float
+            When the store was lost.
         """
-        restored_revision = copy.revision
-        await self.server.restore(copy, away_s)
-        restored_at = trio.current_time()
-        await trio.sleep(rewrite_delay_s)
-        await self.operator.write_again(restored_revision)
+        await self.operator.write_again(copy)
         for target, (left_at, is_announced) in self.removed.items():
             await self._write_removal(target, is_announced)
-            if left_at > restored_at - away_s - UNSEEN_CHANGE_S:
+            if left_at > lost_at - UNSEEN_CHANGE_S:
                 # VMs may not have seen that it left before the store lost it.
                 self.oracle.delay_target_removal(
                     target.target_id, trio.current_time() + DRAIN_TIMEOUT_S
@@ -380,12 +382,20 @@
 
     async def repartition(self):
         """Replace one shard by a new one, and return the targets of the old one."""
-        old = self.shards[0]
+        return await self.replace_shard(await self.add_shard())
+
+    async def add_shard(self):
+        """Add the targets of a new shard, and return its name once they are known."""
         new = f"s{self._next_shard}"
         self._next_shard += 1
         for domain in DOMAINS:
             await self.add_target(new, domain)
         await trio.sleep(0.5)
+        return new
+
+    async def replace_shard(self, new):
+        """Write a version with a new shard; return the targets of the old one."""
+        old = self.shards[0]
         self.shards = [*self.shards[1:], new]
         await self.write_configuration()
         return [target for target in self.targets if target.service == old]
