--- a/bench/queues.py
+++ b/bench/queues.py
@@ -301,6 +301,8 @@
         retry_slack=50.0,
         cold_factor=1.5,
         cold_slack=5.0,
+        allowance_bounds=None,
+        rollout_limits=None,
     )
     return GatewaySettings(**values)
 
--- a/tarragonchute/rolloutevidence.py
+++ b/tarragonchute/rolloutevidence.py
@@ -46,6 +46,11 @@
 requests/s. With 5e-4 and half of `LAST_PROBABILITY`, and recent answers not compared
 alone at the end, it was 2 and 59."""
 
+SUSPECT_PROBABILITY = 0.02
+MIN_SUSPECT_ANSWERS = 2
+"""As `BAD_PROBABILITY` and `MIN_BAD_ANSWERS`, for a version that must not get more
+traffic yet."""
+
 LAST_PROBABILITY = 0.01
 """As `BAD_PROBABILITY`, for the one test before the old version is given up."""
 
