--- a/bench/queues.py
+++ b/bench/queues.py
@@ -18,8 +18,9 @@
 from tarragonchute import gateway as gateway_module
 from tarragonchute.errors import TarragonchuteError
 from tarragonchute.exchanges import TargetPool, TargetReactor, _Connection, _Phase
-from tarragonchute.gateway import Gateway, GatewaySettings
+from tarragonchute.gateway import Gateway
 from tarragonchute.gatewaymetrics import ATTEMPTS, QUEUE_REFUSALS
+from tarragonchute.gatewaysettings import GatewaySettings
 from tarragonchute.httpio import HttpRequest, ServerOptions
 from tarragonchute.platform.decoding import decode_configuration
 from tarragonchute.platform.names import HEADER_NAMES
--- a/tarragonchute/platform/settings.py
+++ b/tarragonchute/platform/settings.py
@@ -3,7 +3,7 @@
 import tomllib
 
 from ..errors import Finding, FindingsError
-from ..gateway import GatewaySettings
+from ..gatewaysettings import GatewaySettings
 from ..grants import AllowanceBounds
 from ..memory import DEFAULT_MEMORY_MB, read_descriptor_limit
 from ..rolloutstates import RolloutLimits
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,8 @@
 import trio
 
 from tarragonchute import errors, gatewaymetrics
-from tarragonchute.gateway import Gateway, GatewaySettings
+from tarragonchute.gateway import Gateway
+from tarragonchute.gatewaysettings import GatewaySettings
 from tarragonchute.httpio import HttpRequest, ServerOptions
 from tarragonchute.registry import Registration
 from tarragonchute.routes import CallerLimits, Route, RouteTable, ServicePolicy
