--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -46,7 +46,7 @@
     GatewayMetrics,
 )
 from .grantlinks import build_allowances
-from .leaders import estimate_rate, hash_to_fraction
+from .leaders import estimate_rate, order_domains
 from .memory import Source
 from .notices import NoticeReader
 from .queries import CallerIdentity, QueryContext, SingleQuery, build_outgoing
@@ -438,22 +438,10 @@
         self._delegates.update(vms, domains, now)
 
     def _choose_leader_domains(self):
-        """Return the failure domains whose leaders this VM uses, its own one first.
-
-        These are the domains with targets of wide searches. This VM's own domain is
-        left out if only others have any.
-        """
         domains = set()
         for service in self.table.wide_shards:
             domains |= self.registry.list_served_domains(service)
-        own_domain = self.settings.domain
-        others = sorted(
-            domains - {own_domain},
-            key=lambda domain: hash_to_fraction(domain + self.settings.vm_id),
-        )
-        if own_domain in domains or not others:
-            return [own_domain, *others]
-        return others
+        return order_domains(domains, self.settings.domain, self.settings.vm_id)
 
     def _delete_obsolete_state(self, table):
         """Delete the state of routes and services that no longer exist."""
--- a/tarragonchute/leaders.py
+++ b/tarragonchute/leaders.py
@@ -68,6 +68,27 @@
     return leader_ids
 
 
+def order_domains(served_domains, own_domain, vm_id):
+    """Return the failure domains whose leaders a VM uses, its own one first.
+
+    The own domain is left out if only others have targets of wide searches.
+
+    Parameters
+    ----------
+    served_domains : set of str
+        Domains with targets of wide searches.
+    own_domain, vm_id : str
+        Of the VM; the order of the other domains differs from VM to VM.
+    """
+    others = sorted(
+        served_domains - {own_domain},
+        key=lambda domain: hash_to_fraction(domain + vm_id),
+    )
+    if own_domain in served_domains or not others:
+        return [own_domain, *others]
+    return others
+
+
 def assign_shards(services, vms):
     """Distribute services over VMs in proportion to their rates.
 
