Wait 3 s before the role of an expired key is taken over

With a relay's answers as basis of authority, the grantor before learns of the expiry up to 1.5 s late. Tests for authority by a relay's answers, for contact without a key, and for the successor of an expired key.

--- a/tarragonchute/grantroles.py
+++ b/tarragonchute/grantroles.py
@@ -14,6 +14,10 @@
 VM before it continues for `CONTINUE_S`, lists may differ by a second, and tokens have
 a lease of 2 s (`grants.TOKEN_LEASE_S`)."""
 
+EXPIRED_HANDOVER_S = 3.0
+"""Time that a VM waits if the key of the grantor before it has expired. That one stops
+as soon as it learns of this, up to 1.5 s later through a relay."""
+
 CONTINUE_S = 3.0
 """Time for which a VM continues to grant after it has seen that another is first."""
 
@@ -250,7 +254,6 @@
         )
         roles.changed_at = -math.inf if is_back else now
         if is_other_before and roles.grantor_id not in self._present_ids:
-            # Its key has expired, and its authority ended long before that.
             roles.previous_id = None
-            roles.changed_at = now - HANDOVER_S
+            roles.changed_at = now - HANDOVER_S + EXPIRED_HANDOVER_S
         roles.grantor_id = grantor_id
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -10,12 +10,18 @@
 from tarragonchute import errors
 from tarragonchute.channels import Channel, ChannelListener
 from tarragonchute.customers import Customer
-from tarragonchute.fleet import Fleet, KeyLease, VmInfo
+from tarragonchute.fleet import TRUSTED_CONTACT_S, Fleet, KeyLease, VmInfo
 from tarragonchute.gateway import Gateway
 from tarragonchute.gatewaymetrics import GatewayMetrics
 from tarragonchute.grantlinks import SUSPECT_MIN_S, build_allowances
 from tarragonchute.grantmessages import Answer, Ask, decode_grant_message
-from tarragonchute.grantroles import CONTINUE_S, HANDOVER_S, RoleTable
+from tarragonchute.grantroles import (
+    CONTINUE_S,
+    EXPIRED_HANDOVER_S,
+    HANDOVER_S,
+    RELIST_S,
+    RoleTable,
+)
 from tarragonchute.grants import TOKEN_LEASE_S, AllowanceBounds, GrantBook, TokenBucket
 from tarragonchute.httpio import ServerOptions
 from tarragonchute.leaders import hash_to_fraction
@@ -132,6 +138,37 @@
         self.key_lease.is_missing = False
         self.assertTrue(book.answer(build_ask(), 1e9).is_declined)
 
+    def test_relay_that_answers_keeps_the_authority(self):
+        """Guards against refusals while the store turns only the grantor away."""
+        book = self.build()
+        self.key_lease.valid_until = 5.0
+        for now in range(10):
+            self.key_lease.confirm(now, now)
+            self.assertFalse(book.answer(build_ask(), now + 0.5).is_declined, now)
+        after_gap = 9 + TRUSTED_CONTACT_S
+        self.assertTrue(book.answer(build_ask(), after_gap).is_declined)
+        self.key_lease.confirm(20.0, 20.0)
+        self.assertTrue(book.answer(build_ask(), 20.0).is_declined)
+        for now in range(21, 24):
+            self.key_lease.confirm(now, now)
+        self.assertFalse(book.answer(build_ask(), 20.0 + RELIST_S).is_declined)
+
+    def test_contact_without_a_key_gives_no_authority(self):
+        """Guards against grants of a VM that has not registered yet."""
+        key_lease = KeyLease()
+        key_lease.confirm(10.0, 10.0)
+        self.assertFalse(key_lease.is_valid(10.0))
+
+    def test_successor_of_an_expired_key_waits_less(self):
+        """Guards against seconds without a grantor after a VM was lost."""
+        book = self.build(rank=1)
+        self.roles.get("c", 0.0)
+        self.roles.set_vms(self.vms[1:], 20.0)
+        before = 20.0 + EXPIRED_HANDOVER_S - 0.1
+        self.assertTrue(book.answer(build_ask(), before).is_declined)
+        after = 20.0 + EXPIRED_HANDOVER_S
+        self.assertFalse(book.answer(build_ask(), after).is_declined)
+
     def test_deputy_grants_only_its_part(self):
         """Guards against a deputy that grants a whole allowance."""
         book = self.build(rank=1)
