Send to a target again after one slow reply

The estimate of work per attempt was corrected only by replies, and an estimate beyond the time limits stopped the attempts that would have brought them. The least answer time is now 0 if nothing is in flight, and the excess over the usual work halves every 2 s without replies.

--- a/tarragonchute/exchanges.py
+++ b/tarragonchute/exchanges.py
@@ -496,7 +496,7 @@
 
     def _refuse(self, exchange, reason, now):
         """Fail an exchange that is not queued, because there is no room."""
-        self._admission.record_refusal(exchange, reason, self.max_connections)
+        self._admission.record_refusal(exchange, reason, self.max_connections, now)
         owner = exchange.owner
         self._finish(exchange, now)
         if owner is not None:
--- a/tarragonchute/targetadmission.py
+++ b/tarragonchute/targetadmission.py
@@ -142,17 +142,17 @@
             return RefusalReason.RESERVATION
         ahead = in_flight + self.queue.count_ahead(terms)
         usual_s = exchange.mean_reply_time_s
-        answer_s = self.load.estimate_answer_s(ahead, usual_s, connections)
+        answer_s = self.load.estimate_answer_s(ahead, usual_s, now, connections)
         answer_s = max(answer_s, self.queue.estimate_wait_s(terms))
         if now + answer_s > terms.deadline:
             return RefusalReason.TOO_LATE
         return None
 
-    def record_refusal(self, exchange, reason, connections):
+    def record_refusal(self, exchange, reason, connections, now):
         """Count a refusal, and note when there will be room for the attempt."""
         self._policy.observer.record_refusal(reason)
         exchange.drain_s = self.load.estimate_answer_s(
-            len(self.queue), exchange.mean_reply_time_s, connections
+            len(self.queue), exchange.mean_reply_time_s, now, connections
         )
 
     def take(self, in_flight, connections, now):
@@ -167,7 +167,7 @@
         waiting = len(self.queue)
         bound = self.load.compute_bound(now)
         is_pressed = waiting > self.load.slots or in_flight + waiting > bound
-        needed_s = self._estimate_least_s(in_flight, connections)
+        needed_s = self._estimate_least_s(in_flight, connections, now)
         exchange = self.queue.take(now, needed_s, is_pressed)
         if exchange is None:
             return None
@@ -179,7 +179,7 @@
 
     def take_expired(self, in_flight, connections, now):
         """Remove and return the attempts that can no longer be answered in time."""
-        needed_s = self._estimate_least_s(in_flight, connections)
+        needed_s = self._estimate_least_s(in_flight, connections, now)
         return self.queue.take_expired(now, needed_s)
 
     def record_start(self, exchange, now):
@@ -198,10 +198,13 @@
         elapsed_s = now - exchange.sent_at
         self.load.record_reply(elapsed_s, exchange.mean_reply_time_s, in_flight, now)
 
-    def _estimate_least_s(self, in_flight, connections):
+    def _estimate_least_s(self, in_flight, connections, now):
         """Return the least time in which an attempt sent now can be answered.
 
-        0 if the target has not replied yet.
+        0 if the target has not replied yet, or if nothing is in flight: otherwise no
+        reply could correct an estimate that exceeds the time limits.
         """
-        answer_s = self.load.estimate_answer_s(in_flight, 0.0, connections)
+        if not in_flight:
+            return 0.0
+        answer_s = self.load.estimate_answer_s(in_flight, 0.0, now, connections)
         return SEND_MARGIN * answer_s
--- a/tarragonchute/targetloads.py
+++ b/tarragonchute/targetloads.py
@@ -10,6 +10,10 @@
 """Weight of the newest reply in the moving average of a target's work per attempt. Slow
 phases of targets last some seconds, that is dozens of replies under pressure."""
 
+WORK_HALF_LIFE_S = 2.0
+"""Time without a reply after which the excess of the work per attempt over the usual
+one counts half. Without replies it is not known whether a slow phase lasts."""
+
 SLOW_REPLY_FACTOR = 3.0
 """Multiple of the route's average reply time above which the work of an attempt reduces
 the bound. A short search that waits behind longer ones takes up to three times its
@@ -41,12 +45,20 @@
         at one attempt per slot or more; that of other VMs may fall to one attempt.
     """
 
-    __slots__ = ("slots", "is_assigned", "_work_s", "_reduction", "_updated_at")
+    __slots__ = (
+        "slots",
+        "is_assigned",
+        "_work_s",
+        "_replied_at",
+        "_reduction",
+        "_updated_at",
+    )
 
     def __init__(self, slots=1, is_assigned=False):
         self.slots = slots
         self.is_assigned = is_assigned
         self._work_s = None
+        self._replied_at = 0.0
         # Attempts by which the bound is reduced, as of `_updated_at`.
         self._reduction = 0.0
         self._updated_at = 0.0
@@ -74,6 +86,7 @@
         if self._work_s is None:
             self._work_s = work_s
         self._work_s += WORK_WEIGHT * (work_s - self._work_s)
+        self._replied_at = now
         if usual_s > 0 and work_s > SLOW_REPLY_FACTOR * usual_s:
             self._reduce(SLOW_REPLY_BOUND_FACTOR, now)
         elif self._reduction:
@@ -84,7 +97,7 @@
         """Learn that the target has refused a request."""
         self._reduce(REFUSAL_FACTOR, now)
 
-    def estimate_answer_s(self, ahead, usual_s, connections=math.inf):
+    def estimate_answer_s(self, ahead, usual_s, now, connections=math.inf):
         """Return the time until a new attempt is answered.
 
         Parameters
@@ -92,13 +105,21 @@
         ahead : int
             Attempts that are in flight or go first.
         usual_s : float
-            Assumed work if the target has not replied yet.
+            Assumed work if the target has not replied yet, or not for long.
+        now : float
         connections : float
             Number of connections that this VM may open to the target.
         """
-        work_s = usual_s if self._work_s is None else self._work_s
+        work_s = self._estimate_work_s(usual_s, now)
         return max(1.0, (ahead + 1) / min(self.slots, connections)) * work_s
 
+    def _estimate_work_s(self, usual_s, now):
+        if self._work_s is None:
+            return usual_s
+        excess_s = max(self._work_s - usual_s, 0.0)
+        left = 0.5 ** (max(now - self._replied_at, 0.0) / WORK_HALF_LIFE_S)
+        return self._work_s - excess_s * (1.0 - left)
+
     def _get_ceiling(self):
         return max(int(self.slots * BOUND_FACTOR), 1)
 
--- a/tests/test_targetqueues.py
+++ b/tests/test_targetqueues.py
@@ -15,7 +15,12 @@
     RefusalReason,
     TargetAdmission,
 )
-from tarragonchute.targetloads import BOUND_FACTOR, RECOVERY_S_PER_ATTEMPT, TargetLoad
+from tarragonchute.targetloads import (
+    BOUND_FACTOR,
+    RECOVERY_S_PER_ATTEMPT,
+    WORK_HALF_LIFE_S,
+    TargetLoad,
+)
 from tarragonchute.targetqueues import CustomerShares, TargetQueue, WaitTerms
 
 URGENT_WORK_S = 0.0057
@@ -380,6 +385,26 @@
             load.record_reply(LONG_WORK_S, LONG_WORK_S, 2, 0.0)
         self.assertEqual(4, load.compute_bound(0.0))
 
+    def test_target_recovers_from_one_slow_reply(self):
+        """Guards against a target that gets no more attempts after one slow reply."""
+        admission = TargetAdmission(QueuePolicy(), "s")
+        terms = WaitTerms(1, "a", 1.0, 1.0 + TIME_LIMIT_S)
+        exchange = FakeExchange(terms, LONG_WORK_S, 1.0)
+        admission.load.record_reply(2.0, LONG_WORK_S, 1, 1.0)
+        admission.queue.offer(exchange, 1, "a", 1.0, terms.deadline, 1.0)
+        self.assertEqual([], list(admission.take_expired(0, CONNECTIONS, 1.0)))
+        self.assertIs(exchange, admission.take(0, CONNECTIONS, 1.0))
+
+    def test_estimate_ages(self):
+        """Guards against refusals for a slow phase of which no reply tells any more."""
+        load = TargetLoad(2)
+        load.record_reply(2.0, LONG_WORK_S, 1, 1.0)
+        self.assertEqual(2.0, load.estimate_answer_s(1, 0.0, 1.0))
+        self.assertEqual(1.0, load.estimate_answer_s(1, 0.0, 1.0 + WORK_HALF_LIFE_S))
+        self.assertAlmostEqual(
+            LONG_WORK_S, load.estimate_answer_s(1, LONG_WORK_S, 100.0)
+        )
+
     def test_refusals(self):
         """Guards against waits that cannot end in time, and late cold requests."""
         admission = TargetAdmission(QueuePolicy(), "s")
