Close a channel on which a subsearch number is repeated

Two subsearches with one number ended the process with a KeyError when the second one ended. The memory of a subsearch is now released first at its end, and if its start fails.

--- a/tarragonchute/shardserver.py
+++ b/tarragonchute/shardserver.py
@@ -109,9 +109,7 @@
         try:
             messages = [decode_message(payload) for payload in payloads]
         except ProtocolError as error:
-            logger.warning("closed a channel from another VM: %s", error)
-            channel.close()
-            self.handle_close(channel, str(error), now)
+            self._close_for_error(channel, str(error), now)
             return
         # After a pause of this VM, subsearches and their cancellations arrive in one
         # batch. The cancelled subsearches are not started.
@@ -124,8 +122,17 @@
             elif isinstance(message, RetryPermission):
                 self._permit_retries(channel, message.number, now)
             elif isinstance(message, Subsearch) and message.number not in cancelled:
+                if message.number in self._running.get(channel, ()):
+                    reason = f"subsearch {message.number} is already in progress"
+                    self._close_for_error(channel, reason, now)
+                    return
                 self._start(channel, message, now)
 
+    def _close_for_error(self, channel, reason, now):
+        logger.warning("closed a channel from another VM: %s", reason)
+        channel.close()
+        self.handle_close(channel, reason, now)
+
     def handle_close(self, channel, reason, now):
         """See `channels.ChannelOwner`; cancels the subsearches of the channel."""
         self._answered_channels.discard(channel)
@@ -175,14 +182,21 @@
                 )
             )
             return
+        try:
+            self._start_task(channel, subsearch, report, size, now)
+        except BaseException:
+            self._release(size)
+            raise
+
+    def _start_task(self, channel, subsearch, report, size, now):
         channel.send(Acknowledgement(subsearch.number).encode(), now)
         times = self._find_reply_times(subsearch.route_name, subsearch.goal_s)
         query = DelegatedQuery(subsearch, self._context, times, report, now)
         running = _RunningSubsearch(query, trio.CancelScope())
-        self._running.setdefault(channel, {})[subsearch.number] = running
         self._nursery.start_soon(
             self._search, channel, subsearch, running, report, size, now
         )
+        self._running.setdefault(channel, {})[subsearch.number] = running
 
     async def _search(self, channel, subsearch, running, report, size, now):
         query = running.query
@@ -200,12 +214,15 @@
             outcome = repr(error)
             report(SubsearchAnswer(subsearch.number, True, True, [], b"", [outcome]))
         finally:
+            self._release(size)
             self._remove_running(channel, subsearch.number)
-            if self.memory is not None:
-                self.memory.cancel_reservation(size)
             self._record_end(query)
             self._log_end(query, subsearch, outcome, now)
 
+    def _release(self, size):
+        if self.memory is not None:
+            self.memory.cancel_reservation(size)
+
     def _remove_running(self, channel, number):
         running_on_channel = self._running[channel]
         del running_on_channel[number]
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -262,6 +262,53 @@
             await trio.sleep(5 * MAINTENANCE_INTERVAL_S)
             self.assertEqual([], vms.harness.started)
 
+    @run_async
+    async def test_repeated_number_closes_the_channel(self):
+        """Guards against a VM whose messages with one number end this process."""
+        async with open_vms() as vms:
+            await vms.connect()
+            memory = vms.server.memory = MemoryAccount(MemoryLimits(160, 1024))
+            channel = Channel.open(vms.reactor, vms.vm.search_address, RecordingOwner())
+            payload = build_subsearch(number=5).encode()
+            now = trio.current_time()
+            vms.server.handle_frames(channel, [payload], now)
+            vms.server.handle_frames(channel, [payload, payload], now)
+            self.assertTrue(channel.is_closed)
+            with trio.fail_after(1):
+                await vms.server.wait_until_idle()
+            self.assertEqual(1, len(vms.ended))
+            self.assertEqual(0, memory.held_bytes)
+
+    @run_async
+    async def test_memory_is_released_after_an_error(self):
+        """Guards against memory that stays reserved for subsearches that failed.
+
+        One fails before its task starts, one while its end is recorded.
+        """
+
+        def fail(*_):
+            raise ValueError
+
+        async with open_vms() as vms:
+            await vms.connect()
+            memory = vms.server.memory = MemoryAccount(MemoryLimits(160, 1024))
+            channel = Channel.open(vms.reactor, vms.vm.search_address, RecordingOwner())
+            payload = build_subsearch(number=5).encode()
+            find_reply_times = vms.server._find_reply_times
+            vms.server._find_reply_times = fail
+            with contextlib.suppress(ValueError):
+                vms.server.handle_frames(channel, [payload], trio.current_time())
+            self.assertEqual(0, memory.held_bytes)
+            vms.server._find_reply_times = find_reply_times
+            with contextlib.suppress(ExceptionGroup), trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    vms.server._nursery = nursery
+                    vms.server._remove_running = fail
+                    vms.server.handle_frames(channel, [payload], trio.current_time())
+                    self.assertNotEqual(0, memory.held_bytes)
+                    scope.cancel()
+            self.assertEqual(0, memory.held_bytes)
+
     @run_async
     async def test_unresponsive_vm_must_answer_a_hello(self):
         """Guards against every search waiting for the same unresponsive VM."""
