Keep the server running if a connection cannot be watched

A refused epoll registration raised outside the error handling of the connection and ended the server. The connection is now watched after the account has admitted it, within the error handling.

--- a/tarragonchute/disconnects.py
+++ b/tarragonchute/disconnects.py
@@ -26,8 +26,8 @@
 
     def add(self, fd, callback):
         """Watch a socket; `callback` is called without arguments, at most once."""
-        self._callbacks[fd] = callback
         self._epoll.register(fd, _EVENTS)
+        self._callbacks[fd] = callback
 
     def remove(self, fd):
         """Stop watching a socket; must be called before the socket is closed."""
--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -194,18 +194,23 @@
             nursery.start_soon(self.serve_connection, stream)
 
     async def serve_connection(self, stream):
-        connection = _ServerConnection(self, stream)
         try:
-            await connection.run()
+            await self._run_connection(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except Exception:
             # An error in one connection must not stop the server.
             logger.exception("unexpected error on a server connection")
         finally:
-            connection.close()
             await trio.aclose_forcefully(stream)
 
+    async def _run_connection(self, stream):
+        connection = _ServerConnection(self, stream)
+        try:
+            await connection.run()
+        finally:
+            connection.close()
+
 
 class _ClosingError(Exception):
     """The account has asked for the connection to be closed, or refused its request."""
@@ -250,9 +255,6 @@
             h11.SERVER, max_incomplete_event_size=server.options.max_header_bytes
         )
         self._watched_fd = None
-        if server.watcher is not None and isinstance(stream, trio.SocketStream):
-            self._watched_fd = stream.socket.fileno()
-            server.watcher.add(self._watched_fd, self._handle_disconnect)
         self._holding = self._memory.open(
             server.options.source, self._scope.cancel, trio.current_time()
         )
@@ -262,6 +264,7 @@
             with trio.move_on_after(REFUSAL_TIMEOUT_S):
                 await self._send_error(build_no_room_error(), lingers=False)
             return
+        self._watch_disconnect()
         with self._scope:
             await self._serve_requests()
         if self._holding.is_refused:
@@ -270,6 +273,13 @@
         elif self._holding.is_closing:
             self._reset_on_close()
 
+    def _watch_disconnect(self):
+        watcher = self._server.watcher
+        if watcher is not None and isinstance(self._stream, trio.SocketStream):
+            fd = self._stream.socket.fileno()
+            watcher.add(fd, self._handle_disconnect)
+            self._watched_fd = fd
+
     def close(self):
         """Give up what the connection holds; the stream is closed afterwards."""
         if self._watched_fd is not None:
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,33 @@
+"""Tests of the HTTP server when watches, memory and closes fail it."""
+
+import contextlib
+from unittest import mock
+
+import testtools
+import trio
+
+from tarragonchute.disconnects import DisconnectWatcher
+from tarragonchute.httpio import ServerOptions
+from tarragonchute.memory import MemoryAccount, MemoryLimits
+
+from .test_httpio import CLOSING_REQUEST, echo_request, send_raw, start_server
+from .trial import run_async
+
+
+class FailureTests(testtools.TestCase):
+    """Errors in one connection."""
+
+    @run_async
+    async def test_failed_watch_ends_only_its_connection(self):
+        """Guards against a server that ends when the kernel refuses a watch."""
+        memory = MemoryAccount(MemoryLimits(160, 1024))
+        options = ServerOptions(cancel_on_disconnect=True, memory=memory)
+        async with start_server(echo_request, options) as address:
+            with (
+                mock.patch.object(DisconnectWatcher, "add", side_effect=OSError),
+                contextlib.suppress(trio.BrokenResourceError),
+            ):
+                self.assertEqual(b"", await send_raw(address, CLOSING_REQUEST))
+            self.assertEqual(0, memory.held_bytes)
+            answer = await send_raw(address, CLOSING_REQUEST)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
