Expect a refused or stalled error response

Errors raised while an error response was sent passed by the sibling clauses and were logged as unexpected, with a traceback for each connection.

--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -288,6 +288,15 @@
             self._memory.release(self._holding)
 
     async def _serve_requests(self):
+        try:
+            await self._serve_until_bad_request()
+        except _ClosingError:
+            pass  # `run` sends the refusal, or closes the connection.
+        except _StalledError:
+            self._memory.record_stall()
+            self._reset_on_close()
+
+    async def _serve_until_bad_request(self):
         try:
             while await self._serve_request():
                 self._h11.start_next_cycle()
@@ -295,11 +304,6 @@
             await self._send_error(self._convert_protocol_error(error))
         except BadRequestError as error:
             await self._send_error(error)
-        except _ClosingError:
-            pass  # `run` sends the refusal, or closes the connection.
-        except _StalledError:
-            self._memory.record_stall()
-            self._reset_on_close()
 
     async def _serve_request(self):
         """Serve one request; return whether the connection can carry another."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -8,12 +8,19 @@
 
 from tarragonchute.disconnects import DisconnectWatcher
 from tarragonchute.httpio import ServerOptions
-from tarragonchute.memory import MemoryAccount, MemoryLimits
+from tarragonchute.memory import MemoryAccount, MemoryLimits, Phase
 
 from .test_httpio import CLOSING_REQUEST, echo_request, send_raw, start_server
 from .trial import run_async
 
 
+class MemoryWithoutSending(MemoryAccount):
+    """Has no room for responses."""
+
+    def enter(self, holding, phase, size, now):
+        return phase is not Phase.SENDING and super().enter(holding, phase, size, now)
+
+
 class FailureTests(testtools.TestCase):
     """Errors in one connection."""
 
@@ -31,3 +38,14 @@
             self.assertEqual(0, memory.held_bytes)
             answer = await send_raw(address, CLOSING_REQUEST)
             self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+    @run_async
+    async def test_error_response_without_room_is_expected(self):
+        """Guards against a traceback for each malformed request under pressure."""
+        options = ServerOptions(memory=MemoryWithoutSending(MemoryLimits(160, 1024)))
+        async with start_server(echo_request, options) as address:
+            with (
+                self.assertNoLogs("tarragonchute.httpserver"),
+                contextlib.suppress(trio.BrokenResourceError),
+            ):
+                await send_raw(address, b"no http\r\n\r\n")
