Send subsearches that earlier versions accept where there are no customers

The three terms of customers in each message made old and new VMs close each other's channels during a rolling restart. They are left out where they have their defaults, and messages without them are accepted. Public routes of a configuration with customers keep their priority.

--- a/tarragonchute/fanout.py
+++ b/tarragonchute/fanout.py
@@ -177,7 +177,9 @@
             route.top,
             uses_retry_budget,
             services,
-            self.priority,
+            # Without customers, priorities have no effect, and the message is one that
+            # earlier versions accept.
+            self.priority if self._context.queue_policy.is_active else 0,
             self.customer_name,
             self.weight,
             self.outgoing,
--- a/tarragonchute/subsearches.py
+++ b/tarragonchute/subsearches.py
@@ -181,6 +181,9 @@
     def encode(self):
         """Return the payload of a frame."""
         values = [getattr(self, name) for name in self.__slots__[:-1]]
+        if tuple(values[-len(_NO_CUSTOMER_TERMS) :]) == _NO_CUSTOMER_TERMS:
+            # Earlier versions do not accept the terms of customers.
+            del values[-len(_NO_CUSTOMER_TERMS) :]
         outgoing = self.outgoing
         return orjson.dumps(
             [
@@ -203,6 +206,8 @@
     def decode(cls, fields):
         """Return the message that the fields after the kind describe."""
         *values, method, request_id, head, body = fields
+        if len(values) == len(_SUBSEARCH_TYPES) - len(_NO_CUSTOMER_TERMS):
+            values += _NO_CUSTOMER_TERMS
         _check_types(values, _SUBSEARCH_TYPES)
         outgoing = OutgoingRequest(
             method.encode("latin-1"),
@@ -329,6 +334,9 @@
     str,
     _NUMBER,
 )
+_NO_CUSTOMER_TERMS = (0, "", 1.0)
+"""Priority, customer name and weight where the configuration has no customers."""
+
 _ANSWER_TYPES = (int, bool, bool, list, str, list, list)
 
 
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -122,6 +122,19 @@
 class DelegatedSearchTests(testtools.TestCase):
     """Shards of a search that are delegated to other VMs."""
 
+    def test_priority_is_sent_only_with_customers(self):
+        """Guards against messages that earlier versions do not accept.
+
+        A public route of a configuration with customers keeps its priority.
+        """
+        delegate = FakeDelegate("vm-2")
+        search = DelegatedSearch(4, delegate)
+        search.query.priority = 2
+        for is_active, expected in ((False, 0), (True, 2)):
+            search.context.queue_policy.is_active = is_active
+            subsearch = search.query.build_subsearch(SHARDS, 1, False, 0.0, 0.0)
+            self.assertEqual(expected, subsearch.priority)
+
     @run_in_virtual_time
     async def test_answers_are_merged(self):
         """Guards against a response without the shards of this VM or of the leader.
--- a/tests/test_subsearches.py
+++ b/tests/test_subsearches.py
@@ -77,6 +77,20 @@
         ):
             self.assertRaises(errors.ProtocolError, subsearches.decode_message, payload)
 
+    def test_subsearch_without_a_customer(self):
+        """Guards against old and new VMs that close each other's channels.
+
+        Earlier versions send 14 fields after the kind, and accept no others.
+        """
+        sent = build_subsearch()
+        sent.priority, sent.customer_name, sent.weight = 0, "", 1.0
+        payload = sent.encode()
+        self.assertEqual(15, len(orjson.loads(payload)))
+        received = subsearches.decode_message(payload)
+        for name in Subsearch.__slots__[:-1]:
+            self.assertEqual(getattr(sent, name), getattr(received, name), name)
+        self.assertEqual(sent.outgoing.body, received.outgoing.body)
+
     def test_subsearch_with_a_field_of_another_type_is_a_protocol_error(self):
         """Guards against a subsearch that raises later, when it is started."""
         fields = orjson.loads(build_subsearch().encode())
