Read on shortly after an answer that closes before pipelined requests

Closing a socket with unread bytes resets the connection, so that answers with Connection: close of a draining or crowded server could lose their end.

--- a/tarragonchute/httpserver.py
+++ b/tarragonchute/httpserver.py
@@ -7,6 +7,7 @@
 
 import errno
 import logging
+import select
 import socket
 import struct
 
@@ -41,6 +42,12 @@
 logger = logging.getLogger(__name__)
 
 LINGER_TIMEOUT_S = 1.0
+
+UNREAD_LINGER_S = 0.25
+"""As `LINGER_TIMEOUT_S`, after an answer that closes its connection before requests
+that were sent ahead. It is shorter because many connections may need it at once, and
+because a server that shuts down waits for it."""
+
 # How long a closing server still waits for a request on an idle connection. A
 # connection that has not carried a request waits `FIRST_REQUEST_GRACE_S`, because its
 # client probably opened it to send one.
@@ -320,7 +327,11 @@
         if response is None:
             return False
         await self._send(response, is_head)
-        return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            return True
+        if self._has_unread_data():
+            await self._linger(UNREAD_LINGER_S)
+        return False
 
     async def _read_request(self):
         self._read_bytes = self._count_buffered_bytes()
@@ -529,14 +540,23 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
 
-    async def _linger(self):
-        """Discard incoming data until the client closes or `LINGER_TIMEOUT_S` passes.
+    def _has_unread_data(self):
+        if self._count_buffered_bytes():
+            return True
+        if not isinstance(self._stream, trio.SocketStream):
+            return False
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def _linger(self, timeout_s=LINGER_TIMEOUT_S):
+        """Discard incoming data until the client closes or a timeout passes.
 
         Closing a socket with unread data resets the connection, and the client may
         then lose the response.
         """
         if isinstance(self._stream, trio.abc.HalfCloseableStream):
             await self._stream.send_eof()
-        with trio.move_on_after(LINGER_TIMEOUT_S):
+        with trio.move_on_after(timeout_s):
             while await self._stream.receive_some(RECEIVE_BYTES):
                 pass
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -7,7 +7,7 @@
 import trio
 
 from tarragonchute.disconnects import DisconnectWatcher
-from tarragonchute.httpio import ServerOptions
+from tarragonchute.httpio import HttpResponse, ServerOptions
 from tarragonchute.memory import MemoryAccount, MemoryLimits, Phase
 
 from .test_httpio import CLOSING_REQUEST, echo_request, send_raw, start_server
@@ -49,3 +49,24 @@
                 contextlib.suppress(trio.BrokenResourceError),
             ):
                 await send_raw(address, b"no http\r\n\r\n")
+
+
+class CloseTests(testtools.TestCase):
+    """The end of a connection that carried a response."""
+
+    @run_async
+    async def test_close_with_unread_requests_resets_no_connection(self):
+        """Guards against a shutdown that loses answers before pipelined requests."""
+        shutdown = trio.Event()
+
+        async def handle(request):
+            shutdown.set()
+            await trio.sleep(0.05)
+            return HttpResponse(200, b"whole")
+
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        request = head % 50000 + b"x" * 50000
+        options = ServerOptions(accept_grace_s=0.0)
+        async with start_server(handle, options, shutdown) as address:
+            answer = await send_raw(address, request * 2)
+            self.assertTrue(answer.endswith(b"whole"), answer)
