--- a/tarragonchute/targetloads.py
+++ b/tarragonchute/targetloads.py
@@ -66,7 +66,9 @@
     def compute_bound(self, now):
         """Return the number of attempts that may be in flight at the target."""
         # The small term is for sums of fractions such as a third.
-        return int(self._get_ceiling() - self._get_reduction(now) + 1e-9)
+        bound = int(self._get_ceiling() - self._get_reduction(now) + 1e-9)
+        # The number of slots may have changed since the reduction.
+        return max(bound, self._get_least())
 
     def record_reply(self, elapsed_s, usual_s, in_flight, now):
         """Learn from a reply.
@@ -123,6 +125,9 @@
     def _get_ceiling(self):
         return max(int(self.slots * BOUND_FACTOR), 1)
 
+    def _get_least(self):
+        return max(self.slots, 1) if self.is_assigned else 1
+
     def _get_reduction(self, now):
         recovered = (now - self._updated_at) / RECOVERY_S_PER_ATTEMPT
         return max(self._reduction - recovered, 0.0)
@@ -133,6 +138,6 @@
         self._set_reduction(ceiling - factor * bound, now)
 
     def _set_reduction(self, reduction, now):
-        least = self.slots if self.is_assigned else 1
-        self._reduction = min(max(reduction, 0.0), self._get_ceiling() - least)
+        largest = self._get_ceiling() - self._get_least()
+        self._reduction = min(max(reduction, 0.0), largest)
         self._updated_at = now
--- a/tests/test_targetqueues.py
+++ b/tests/test_targetqueues.py
@@ -375,6 +375,14 @@
         self.assertEqual(1, load.compute_bound(0.0))
         self.assertEqual(4, load.compute_bound(3 * RECOVERY_S_PER_ATTEMPT))
 
+    def test_fewer_slots(self):
+        """Guards against a negative bound if a target under pressure loses slots."""
+        load = TargetLoad(8)
+        for _ in range(6):
+            load.record_refusal(0.0)
+        load.slots = 2
+        self.assertEqual(1, load.compute_bound(0.0))
+
     def test_slow_replies(self):
         """Guards against a slow target that gets as many attempts as the others."""
         load = TargetLoad(2, is_assigned=True)
