Keep the time of a key whose write is refused after a restore

A store that was busy for the first write after a restore made the VM count as newly listed. The time is put back if the write certainly did not run and the other VMs still have the key.

--- a/tarragonchute/fleet.py
+++ b/tarragonchute/fleet.py
@@ -15,6 +15,7 @@
 
 from .errors import (
     LeaseNotFoundError,
+    NotRunError,
     StoreConflictError,
     StoreOutcomeUnknownError,
     TarragonchuteError,
@@ -399,11 +400,23 @@
     async def _write_key(self, lease):
         key_lease = self._fleet.key_lease
         now = trio.current_time()
-        if self._is_lost_by_restore(now):
+        is_lost_by_restore = self._is_lost_by_restore(now)
+        known_since = key_lease.since
+        if is_lost_by_restore:
             # The other VMs have kept the key in their lists.
-            now = min(key_lease.since, now)
+            now = min(known_since, now)
         # Until the key is written, it is not known to be in the store.
         key_lease.since = math.inf
+        try:
+            key_lease.since = await self._put_key(lease, now)
+        except NotRunError:
+            if is_lost_by_restore:
+                # Nothing was written, and the other VMs still have the key.
+                key_lease.since = known_since
+            raise
+
+    async def _put_key(self, lease, now):
+        """Write the key; return since when it has been in the store."""
         value = self._fleet.own_vm.encode(now)
         try:
             self._revision = await self._store.put(
@@ -420,7 +433,7 @@
         except StoreOutcomeUnknownError:
             self._revision = 0
             raise
-        key_lease.since = now
+        return now
 
     def _read_listed_since(self, value, now):
         """Return since when a key of this VM has been in the store; `now` if unknown.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,10 +1,12 @@
 """Tests of the list of VMs that share limits, and of their registration."""
 
 import math
+from unittest import mock
 
 import testtools
 import trio
 
+from tarragonchute.errors import StoreBusyError, StoreOutcomeUnknownError
 from tarragonchute.fleet import (
     KEY_LEASE_S,
     MISSING_VM_GRACE_S,
@@ -16,6 +18,7 @@
     VmInfo,
     VmRegistration,
 )
+from tarragonchute.revisions import StoreEras
 from tarragonchute.store import MemoryStore
 
 from .trial import run_in_virtual_time
@@ -180,6 +183,34 @@
                 self.assertAlmostEqual(since, fleet.key_lease.since, delta=0.2)
                 nursery.cancel_scope.cancel()
 
+    @run_in_virtual_time
+    async def test_refused_write_after_a_restore_keeps_the_time(self):
+        """Guards against a grantor that waits because the store was busy once.
+
+        The restored store lacks the key, and refuses or loses its first write.
+        """
+        for error, is_kept in (
+            (StoreBusyError, True),
+            (StoreOutcomeUnknownError, False),
+        ):
+            store, fleet, eras = MemoryStore(), build_fleet(), StoreEras()
+            registration = VmRegistration(store, fleet, eras, mock.Mock())
+            registration._random.random.return_value = 0.0
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(registration.run)
+                await trio.sleep(0.1)
+                since = fleet.key_lease.since
+                await trio.sleep(10.0)
+                entry = await store.get(VM_PREFIX + "a")
+                await store.delete(VM_PREFIX + "a", entry.revision)
+                with mock.patch.object(store, "put", side_effect=error("no")):
+                    eras.observe(1)
+                    await trio.sleep(0.1)
+                await trio.sleep(2 * RETRY_DELAY_S)
+                self.assertIsNotNone(await store.get(VM_PREFIX + "a"))
+                self.assertEqual(is_kept, since == fleet.key_lease.since)
+                nursery.cancel_scope.cancel()
+
     @run_in_virtual_time
     async def test_earlier_key_that_tells_nothing(self):
         """Guards against a restarted VM that trusts a key of other properties."""
