--- a/tarragonchute/peers.py
+++ b/tarragonchute/peers.py
@@ -55,6 +55,10 @@
 START_STAGGER_S = 0.02
 """Delay after which the next seed is asked, too."""
 
+EXPIRING_SNAPSHOT_AGE_S = 0.5
+"""Time for which a compressed snapshot with expiring entries is sent again. Receivers
+keep these entries for that much longer, which is little of their retention."""
+
 COMPRESSION_LEVEL = 1
 COMPRESSION = "deflate"
 """Content coding of snapshots. They consist of similar registrations, so that even the
@@ -82,7 +86,7 @@
     watcher : storewatcher.StoreWatcher
     """
 
-    __slots__ = ("_watcher", "_compressed", "_compressed_key")
+    __slots__ = ("_watcher", "_compressed", "_compressed_key", "_compressed_at")
 
     def __init__(self, watcher):
         self._watcher = watcher
@@ -90,6 +94,7 @@
         # fleet may ask for it at the same time.
         self._compressed = None
         self._compressed_key = None
+        self._compressed_at = -math.inf
 
     async def handle(self, request):
         """Return the response to one `HttpRequest`."""
@@ -106,13 +111,17 @@
         if COMPRESSION not in request.headers.get("accept-encoding", ""):
             return HttpResponse.from_json(self._build_snapshot())
         retained = watcher.list_retained()
-        key = (watcher.last_applied_revision, self._is_current(), len(retained))
         is_expiring = any(entry.until < math.inf for entry in retained)
-        if key != self._compressed_key or is_expiring:
+        revision = watcher.last_applied_revision
+        key = (revision, self._is_current(), len(retained), is_expiring)
+        # The time that is left changes without a new revision.
+        age_s = trio.current_time() - self._compressed_at
+        is_outdated = is_expiring and age_s >= EXPIRING_SNAPSHOT_AGE_S
+        if key != self._compressed_key or is_outdated:
             data = orjson.dumps(self._build_snapshot())
             self._compressed = zlib.compress(data, COMPRESSION_LEVEL)
-            # The time that is left changes without a new revision.
-            self._compressed_key = None if is_expiring else key
+            self._compressed_key = key
+            self._compressed_at = trio.current_time()
         return HttpResponse(200, self._compressed, {"Content-Encoding": COMPRESSION})
 
     def _build_snapshot(self):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,8 @@
 """Tests of the exchange of store content between VMs, over loopback sockets."""
 
 import contextlib
+import zlib
+from unittest import mock
 
 import testtools
 import trio
@@ -9,12 +11,13 @@
 from tarragonchute.errors import RelayUnavailableError, RelayWithoutStoreError
 from tarragonchute.fleet import Fleet, VmInfo
 from tarragonchute.peers import PeerServer, PeerSnapshots, Relay, RelayChooser
+from tarragonchute.revisions import RetainedEntry
 from tarragonchute.store import Entry, MemoryStore
 from tarragonchute.storecontent import StoreUpdateHandler
 from tarragonchute.storewatcher import StoreWatcher
 
 from .test_httpio import TEST_TIMEOUT_S, reserve_closed_port, start_server
-from .trial import run_async
+from .trial import run_async, run_in_virtual_time
 
 FIRST_PORT = 1000
 """Port of ``vm-0`` in the fleets of these tests."""
@@ -264,6 +267,36 @@
         self.assertIsNone(RelayChooser(build_fleet("vm-0"), "vm-0").choose(0.0))
 
 
+class PeerServerTests(testtools.TestCase):
+    """Snapshots for many VMs."""
+
+    @run_in_virtual_time
+    async def test_compressed_snapshot_is_shared_while_entries_expire(self):
+        """Guards against a VM that compresses its content for each VM of the fleet.
+
+        Load pattern: after a restore of the store, all VMs ask for the snapshot.
+        """
+        entry = RetainedEntry("a", "1", 1, 20.0)
+        watcher = mock.Mock(is_loaded=True, last_applied_revision=1, revision=1)
+        watcher.list_retained.return_value = [entry]
+        watcher.list_entries.return_value = []
+        request = mock.Mock(
+            path=peers.SNAPSHOT_PATH, headers={"accept-encoding": peers.COMPRESSION}
+        )
+        server = PeerServer(watcher)
+        compress = mock.Mock(wraps=zlib.compress)
+        with mock.patch.object(peers.zlib, "compress", compress):
+            for _ in range(20):
+                await server.handle(request)
+            self.assertEqual(1, compress.call_count)
+            await trio.sleep(0.6)
+            first = await server.handle(request)
+            self.assertEqual(2, compress.call_count)
+            watcher.list_retained.return_value = []
+            second = await server.handle(request)
+        self.assertNotEqual(first.body, second.body)
+
+
 class PeerSnapshotsTests(testtools.TestCase):
     """Starting during a store outage, and bad requests to a peer."""
 
