--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -111,6 +111,7 @@
         The VMs that share the fleet-wide limits.
     allowances : allowances.Allowances or None
         None if allowances are not enforced.
+    queue_policy : targetadmission.QueuePolicy
     channel_owner : channels.ChannelOwner
         Owner of the channels that other VMs open.
     rollouts : rollouts.Rollouts
@@ -154,7 +155,7 @@
         self._retry_budgets = {}
         self._reply_times = {}
         self._service_choices = {}
-        self._queue_policy = QueuePolicy(self.metrics)
+        self.queue_policy = QueuePolicy(self.metrics)
         self.reactor = exchanges.TargetReactor(header_names.lowercase.request_id)
         self._memory = server_options.memory
         if self._memory is not None:
@@ -186,7 +187,7 @@
             self._get_retry_budget,
             self.reactor.poll,
             self._delegates,
-            self._queue_policy,
+            self.queue_policy,
             self.rollouts,
         )
         self.shard_server = ShardServer(
@@ -211,7 +212,7 @@
         self.table = table
         self._service_choices.clear()
         self._delete_obsolete_state(table)
-        self._queue_policy.is_active = table.customers is not None
+        self.queue_policy.is_active = table.customers is not None
         self._apply_server_limits(table.limits)
         self.registry.invalidate_all()
         now = trio.current_time()
@@ -452,7 +453,7 @@
             name for name in self._retry_budgets if name not in table.services
         ]:
             del self._retry_budgets[service]
-        self._queue_policy.delete_except(table.services)
+        self.queue_policy.delete_except(table.services)
 
     def _apply_server_limits(self, limits):
         options = self._server_options
@@ -465,7 +466,7 @@
 
     def _open_pool(self, registration):
         pool = self.reactor.open_pool(
-            registration.address, 1, self._queue_policy, registration.service
+            registration.address, 1, self.queue_policy, registration.service
         )
         pool.load.slots = registration.slots
         return pool
--- a/tarragonchute/process.py
+++ b/tarragonchute/process.py
@@ -109,6 +109,7 @@
         logger.info("started", extra={"domain": settings.domain})
         timers = TimerService(trio.current_time())
         gateway.shard_server.get_pause_s = timers.get_pause_s
+        gateway.queue_policy.get_pause_s = timers.get_pause_s
         gateway.shard_server.memory = self._options.memory
         timers.subscribe("sweep", SWEEP_PERIOD_S, gateway.sweep)
         timers.subscribe("settings", SETTINGS_CHECK_PERIOD_S, self._check_settings)
--- a/tarragonchute/targetadmission.py
+++ b/tarragonchute/targetadmission.py
@@ -54,13 +54,16 @@
     ----------
     is_active : bool
         Whether the configuration has customers.
+    get_pause_s : callable
+        As `shardserver.ShardServer.get_pause_s`.
     """
 
-    __slots__ = ("is_active", "observer", "_shares_by_service")
+    __slots__ = ("is_active", "observer", "get_pause_s", "_shares_by_service")
 
     def __init__(self, observer=None):
         self.is_active = False
         self.observer = observer or QueueObserver()
+        self.get_pause_s = lambda now: 0.0
         self._shares_by_service = {}
 
     def get_shares(self, service):
@@ -195,6 +198,9 @@
         if status in BACKPRESSURE_STATUSES:
             self.load.record_refusal(now)
             return
+        if self._policy.get_pause_s(now):
+            # The reply may have waited for this process.
+            return
         elapsed_s = now - exchange.sent_at
         self.load.record_reply(elapsed_s, exchange.mean_reply_time_s, in_flight, now)
 
--- a/tests/test_targetqueues.py
+++ b/tests/test_targetqueues.py
@@ -403,6 +403,19 @@
         self.assertEqual([], list(admission.take_expired(0, CONNECTIONS, 1.0)))
         self.assertIs(exchange, admission.take(0, CONNECTIONS, 1.0))
 
+    def test_pause_is_not_work(self):
+        """Guards against refusals after a pause of this VM in which replies waited."""
+        policy = QueuePolicy()
+        admission = TargetAdmission(policy, "s")
+        exchange = FakeExchange(WaitTerms(1, "a", 1.0, 9.0), LONG_WORK_S, 0.0)
+        exchange.sent_at = 0.0
+        admission.record_reply(exchange, 200, 1, LONG_WORK_S)
+        policy.get_pause_s = lambda now: 3.0
+        admission.record_reply(exchange, 200, 1, 3.0)
+        self.assertAlmostEqual(
+            LONG_WORK_S, admission.load.estimate_answer_s(0, 0.0, LONG_WORK_S)
+        )
+
     def test_estimate_ages(self):
         """Guards against refusals for a slow phase of which no reply tells any more."""
         load = TargetLoad(2)
