Keep a known order that a restored copy lacks

A retained order that the copy does not have is delivered with revision 0. It counted as a new one, so that the rollout started again, also after rolled_back. It is now the known order as long as version and duration are the same; a VM that did not know it waits until it is written again.

--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -136,7 +136,7 @@
     def set_order(self, order, now):
         """Apply a new, replaced or withdrawn order; return whether it has changed."""
         known = self.order
-        if _get_revision(known) == _get_revision(order):
+        if _get_revision(known) == _get_revision(order) or is_retained(known, order):
             return False
         if known is not None and not self._is_allowed_without_order(known.version):
             self._withdrawn.add(known.version)
@@ -230,7 +230,8 @@
     @property
     def is_running(self):
         """Whether there is an order whose rollout has not ended."""
-        if self.order is None:
+        # A retained order that this VM has not known before is not started.
+        if self.order is None or not self.order.revision:
             return False
         return self.get_current_state() is None or not self.state.phase.is_final
 
@@ -383,6 +384,16 @@
     return order and order.revision
 
 
+def is_retained(known, order):
+    """Return whether an order is the known one, retained after a restore of the store.
+
+    Such an order has revision 0 if the restored copy does not have it.
+    """
+    if known is None or order is None or order.revision:
+        return False
+    return (known.version, known.duration_s) == (order.version, order.duration_s)
+
+
 def is_renewal(known, state):
     """Return whether two states differ only in the time used."""
     if known is None or state is None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -164,6 +164,24 @@
         self.rollouts.set_state("s", None, 0.4)
         self.assertEqual(["v1"], self.filter(V1, V2))
 
+    def test_retained_order(self):
+        """Guards against a second start because a restored copy lacks the order."""
+        for phase in (Phase.CANARY, Phase.ROLLED_BACK):
+            self.rollouts = self.build()
+            self.filter(V1)
+            self.rollouts.set_order("s", build_order(), 0.0)
+            self.rollouts.set_state("s", build_state(phase), 0.1)
+            rollout = self.rollouts.get("s")
+            self.rollouts.record_sent("s", "v2")
+            self.rollouts.replace_all({"s": build_order(revision=0)}, {}, 5.0)
+            self.assertEqual(phase, rollout.get_current_state().phase)
+            self.assertEqual((1, 7), (rollout.candidate_sent, rollout.order.revision))
+            self.assertEqual(6.0, rollout.get_elapsed_s(6.0))
+        self.rollouts = self.build()
+        self.filter(V1)
+        self.rollouts.replace_all({"s": build_order(revision=0)}, {}, 5.0)
+        self.assertEqual([], self.rollouts.list_running())
+
     def test_older_state_is_ignored(self):
         """Guards against a change that arrives after a newer one was read."""
         self.rollouts.set_order("s", build_order(), 0.0)
