Write states of rollouts under the condition that the order is the same

DONE could be written after the order was withdrawn or replaced: only the revisions of state and status were compared. put_all takes conditions on keys that it does not write. An order that is retained because a restored copy lacks it gives no condition. After a conflict for which neither key has changed, the next write waits 0.5 s.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -203,7 +203,7 @@
         return await self.store.watch(prefix, after, wait_s)
 
     async def _answer_commit(self, body):
-        if len(body["writes"]) > 1:
+        if len(body["expected-rev"]) > 1:
             return await self._answer_commit_of_several(body)
         (expected,) = body["expected-rev"]
         if body["deletes"]:
@@ -221,10 +221,14 @@
     async def _answer_commit_of_several(self, body):
         expected = {row["key"]: row["revision"] for row in body["expected-rev"]}
         writes = [
-            (row["key"], base64.b64decode(row["value"]).decode(), expected[row["key"]])
+            (
+                row["key"],
+                base64.b64decode(row["value"]).decode(),
+                expected.pop(row["key"]),
+            )
             for row in body["writes"]
         ]
-        revision = await self.store.put_all(writes)
+        revision = await self.store.put_all(writes, list(expected.items()))
         return HttpResponse.from_json({"revision": revision})
 
 
--- a/tarragonchute/platform/main.py
+++ b/tarragonchute/platform/main.py
@@ -290,7 +290,12 @@
     gateway.count_retained = lambda: len(watcher.list_retained())
     vm_registration = VmRegistration(store, gateway.fleet, eras)
     rollout_exchange = RolloutExchange(
-        gateway, store, watcher, ROLLOUT_STATUS_PREFIX, encode_rollout_status
+        gateway,
+        store,
+        watcher,
+        ROLLOUT_ORDER_PREFIX,
+        ROLLOUT_STATUS_PREFIX,
+        encode_rollout_status,
     )
     peer_server = PeerServer(watcher)
 
--- a/tarragonchute/platform/store.py
+++ b/tarragonchute/platform/store.py
@@ -137,11 +137,11 @@
             write["lease"] = lease.number
         return await self._commit("put", [(key, expect)], writes=[write])
 
-    async def put_all(self, writes):
+    async def put_all(self, writes, conditions=()):
         """Write several keys in one transaction; see `store.Store.put_all`."""
-        conditions = [(key, expect) for key, _, expect in writes]
+        expected = [(key, expect) for key, _, expect in writes]
         encoded = [_encode_write(key, value) for key, value, _ in writes]
-        return await self._commit("put", conditions, writes=encoded)
+        return await self._commit("put", [*expected, *conditions], writes=encoded)
 
     async def delete(self, key, expect):
         """Delete by compare-and-swap and return the new revision."""
--- a/tarragonchute/rolloutexchange.py
+++ b/tarragonchute/rolloutexchange.py
@@ -59,19 +59,22 @@
     gateway : gateway.Gateway
     store : store.Store
     watcher : storewatcher.StoreWatcher
-    status_prefix : str
-        Prefix of the keys of the status for the operator.
+    order_prefix, status_prefix : str
+        Prefixes of the keys of the operator's orders, and of the status for them.
     encode_status : callable
         Takes a `rolloutcoordinator.StateChange`; returns the status.
     """
 
-    def __init__(self, gateway, store, watcher, status_prefix, encode_status):
+    def __init__(
+        self, gateway, store, watcher, order_prefix, status_prefix, encode_status
+    ):
         self._rollouts = gateway.rollouts
         self._metrics = gateway.metrics
         self._fleet = gateway.fleet
         self._registry = gateway.registry
         self._store = store
         self._watcher = watcher
+        self._order_prefix = order_prefix
         self._status_prefix = status_prefix
         self._encode_status = encode_status
         self._agent = RolloutAgent(
@@ -172,7 +175,10 @@
         return HttpResponse(200)
 
     async def _write(self, change):
-        """Write a state, and the status with it, if both are as this VM knows them."""
+        """Write a state, and the status with it, if both are as this VM knows them.
+
+        The order must be the same, too: it may have been withdrawn or replaced.
+        """
         service = change.service
         state_key = STATE_PREFIX + service
         status_key = self._status_prefix + service
@@ -180,9 +186,10 @@
         if change.status is not None:
             revision = self._get_revision(status_key)
             writes.append((status_key, self._encode_status(change), revision))
+        conditions = self._choose_conditions(service)
         result = "ok"
         try:
-            revision = await self._store.put_all(writes)
+            revision = await self._store.put_all(writes, conditions)
             for key, _, _ in writes:
                 self._revisions[key] = revision
             now = trio.current_time()
@@ -190,6 +197,9 @@
         except (StoreConflictError, StoreOutcomeUnknownError) as error:
             result = error.code
             await self._read_again(service, state_key, status_key)
+            if all(self._get_revision(key) == known for key, _, known in writes):
+                # Lost, or the order has changed and the watch has not delivered it.
+                await trio.sleep(FAILED_WRITE_DELAY_S)
         except TarragonchuteError as error:
             result = error.code
             await trio.sleep(FAILED_WRITE_DELAY_S)
@@ -225,6 +235,18 @@
             now = trio.current_time()
             self._rollouts.set_state(service, state, now, entry.revision)
 
+    def _choose_conditions(self, service):
+        """Return the condition of a write on the order, as a list for `put_all`."""
+        key = self._order_prefix + service
+        entry = self._watcher.get_entry(key)
+        if entry is not None:
+            return [(key, entry.revision)]
+        rollout = self._rollouts.get(service)
+        if rollout is not None and rollout.order is not None:
+            # The order is retained; the operator is about to write it again.
+            return []
+        return [(key, 0)]
+
     def _get_revision(self, key):
         """Return the revision of a key as this VM knows it; 0 if there is none."""
         entry = self._watcher.get_entry(key)
--- a/tarragonchute/store.py
+++ b/tarragonchute/store.py
@@ -72,7 +72,7 @@
             If the key has another revision; the error holds the current entry.
         """
 
-    async def put_all(self, writes):
+    async def put_all(self, writes, conditions=()):
         """Write several keys by compare-and-swap in one transaction.
 
         Only rollouts on the platform need it; `HttpStore` does not have it.
@@ -81,6 +81,8 @@
         ----------
         writes : list of (str, str, int)
             Key, value, and the revision that the key must have, as for `put`.
+        conditions : list of (str, int)
+            Keys that are not written, and the revisions that they must have.
 
         Returns
         -------
@@ -155,9 +157,9 @@
         """See `Store`."""
         return await self._call("put", self._store.put(key, value, expect, lease))
 
-    async def put_all(self, writes):
+    async def put_all(self, writes, conditions=()):
         """See `Store`."""
-        return await self._call("put", self._store.put_all(writes))
+        return await self._call("put", self._store.put_all(writes, conditions))
 
     async def delete(self, key, expect):
         """See `Store`."""
@@ -253,9 +255,11 @@
         self._entries[key] = _StoredEntry(key, value, self.revision, lease)
         return self._finish_write()
 
-    async def put_all(self, writes):
+    async def put_all(self, writes, conditions=()):
         """Write several keys by compare-and-swap; see `Store.put_all`."""
         await self._begin_call("put_all")
+        for key, expect in conditions:
+            self._check_revision(key, expect)
         for key, value, expect in writes:
             _check_value(value)
             self._check_revision(key, expect)
--- a/tests/test_rolloutexchange.py
+++ b/tests/test_rolloutexchange.py
@@ -14,7 +14,11 @@
 from tarragonchute.httpio import HttpRequest, ServerOptions
 from tarragonchute.platform import decoding, settings
 from tarragonchute.platform.main import GatewayUpdater
-from tarragonchute.platform.names import HEADER_NAMES, ROLLOUT_STATUS_PREFIX
+from tarragonchute.platform.names import (
+    HEADER_NAMES,
+    ROLLOUT_ORDER_PREFIX,
+    ROLLOUT_STATUS_PREFIX,
+)
 from tarragonchute.platform.store import PlatformStore
 from tarragonchute.registry import Registration
 from tarragonchute.rolloutexchange import REPORTS_PATH, RolloutExchange
@@ -63,6 +67,7 @@
             self.gateway,
             store,
             self.watcher,
+            ROLLOUT_ORDER_PREFIX,
             ROLLOUT_STATUS_PREFIX,
             decoding.encode_rollout_status,
         )
@@ -154,6 +159,26 @@
             self.assertEqual(["v1"], vm.list_versions())
             self.assertEqual(text, (await store.get(STATE_KEY)).value)
 
+    @run_in_virtual_time
+    async def test_order_changes_before_a_write(self):
+        """Guards against `DONE` for an order that was withdrawn or replaced."""
+        for is_replaced in (False, True):
+            async with self.open_vm() as (store, vm):
+                order = await store.put(ORDER_KEY, encode(ORDER), 0)
+                await trio.sleep(1.0)
+                before = await store.get(STATE_KEY)
+                done = RolloutState(order, "v2", ["v1"], Phase.DONE, 1.0, 8.0)
+                known = vm.watcher.get_entry(ORDER_KEY)
+                vm.watcher.get_entry = {ORDER_KEY: known, STATE_KEY: before}.get
+                if is_replaced:
+                    text = encode({**ORDER, "target-version": "v3"})
+                    await store.put(ORDER_KEY, text, order)
+                else:
+                    await store.delete(ORDER_KEY, order)
+                await self.write(vm, done)
+                state = orjson.loads((await store.get(STATE_KEY)).value)
+                self.assertEqual("canary", state["phase"])
+
     async def write(self, vm, state):
         change = type("Change", (), {})()
         change.service, change.state = "desk", state
@@ -285,6 +310,15 @@
                     self.assertEqual(first, error.entry.revision)
                 else:
                     self.fail("no conflict")
+            for conditions in ([("b", first + 9)], [("c", first)]):
+                try:
+                    await store.put_all([("a", "3", first)], conditions)
+                except StoreConflictError:
+                    pass
+                else:
+                    self.fail("no conflict")
+            self.assertEqual("1", (await store.get("a")).value)
+            await store.put_all([("d", "1", 0)], [("a", first), ("c", 0)])
             server.store.lose_answers = 1
             try:
                 await store.put_all([("a", "3", first), ("b", "4", first)])
