Don't take over the state of a withdrawn order in a later era of the store

Any order of the same version in a later era counted as the known one, written again: v2 withdrawn in full and ordered again got all traffic at once. A VM now compares with the revisions of the order that it has held; one that has started since takes over only an end. Each withdrawal before done is written as rolled_back that belongs to no order. The simulation of a restore delivers the order as retained, as storecontent does, instead of as withdrawn.

--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -10,7 +10,7 @@
 from .leaders import hash_to_fraction
 from .rolloutevidence import AnswerCounts, compare
 from .rolloutreports import MAX_REPORTING_VMS
-from .rolloutstates import Phase, RolloutState
+from .rolloutstates import NO_ORDER, Phase, RolloutState
 from .servicerollouts import CANARY_SLACK_FRACTION, SLACK_RELEASE_FRACTION
 
 CANARY_SHARE_FRACTION = 0.5
@@ -489,11 +489,11 @@
 
 
 def build_withdrawal(rollout):
-    """Return the change for an order that was withdrawn before its first state."""
+    """Return the change for an order that was withdrawn before `DONE`."""
     order = rollout.withdrawn_order
     base = sorted(rollout.base)
     phase = Phase.ROLLED_BACK
-    state = RolloutState(order.revision, order.version, base, phase, 1.0, 0.0)
+    state = RolloutState(NO_ORDER, order.version, base, phase, 1.0, 0.0)
     return StateChange(rollout.service, state, None, "the order was withdrawn")
 
 
--- a/tarragonchute/rollouts.py
+++ b/tarragonchute/rollouts.py
@@ -54,7 +54,7 @@
         return list(self._running.values())
 
     def list_withdrawn(self):
-        """Return the `ServiceRollout` of each order that was withdrawn without a state.
+        """Return the `ServiceRollout` of each order that was withdrawn before `DONE`.
 
         See `ServiceRollout.is_withdrawal_unknown`.
         """
--- a/tarragonchute/rolloutstates.py
+++ b/tarragonchute/rolloutstates.py
@@ -14,6 +14,10 @@
 """Part of `rollback-ms` for what goes before the change reaches a VM: the evidence
 takes up to 0.5 s, the decision of a deputy 0.8 s, and a relay lags up to 0.7 s."""
 
+NO_ORDER = 0
+"""In place of the revision of an order in a state that belongs to none, because its
+order was withdrawn."""
+
 MAX_REVISION = 2**63
 """Integers above this are not encoded."""
 
@@ -146,6 +150,8 @@
         """
         if order is None or order.version != self.version:
             return False
+        if self.order_revision == NO_ORDER:
+            return False
         if order.revision == self.order_revision:
             return True
         return order.revision >> ERA_BITS > self.order_revision >> ERA_BITS
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -9,7 +9,7 @@
 
 from .leaders import hash_to_fraction
 from .rolloutevidence import AnswerCounts, Outcome, compare
-from .rolloutstates import Phase
+from .rolloutstates import ERA_BITS, NO_ORDER, Phase
 
 logger = logging.getLogger(__name__)
 
@@ -119,6 +119,11 @@
         self._state_revision = 0
         self.withdrawn_order = None
         self._withdrawn = set()
+        # Revisions of the order: it gets another one when it is written again after a
+        # restore of the store.
+        self._order_revisions = set()
+        self._has_known_order = False
+        self._inherits_end = False
         self._part = None
         self._is_late = False
         self._start_counting()
@@ -141,15 +146,18 @@
         if known is not None and not self._is_allowed_without_order(known.version):
             self._withdrawn.add(known.version)
         self.withdrawn_order = known if order is None else None
+        is_first = not self._has_known_order
         if order is not None:
+            self._has_known_order = True
             self._withdrawn.discard(order.version)
-        self.order = order
-        is_rewritten = (
-            known is not None
-            and self.state is not None
-            and self.state.belongs_to(order)
-        )
+        is_rewritten = is_written_again(known, order)
         if not is_rewritten:
+            self._order_revisions.clear()
+            self._inherits_end = is_first
+        if order is not None:
+            self._order_revisions.add(order.revision)
+        self.order = order
+        if not is_rewritten or self.get_current_state() is None:
             self.order_seen_at = now
             self._start_counting()
             self._is_late = False
@@ -182,7 +190,7 @@
             self.state_seen_at = now
             return False
         if known is not None and known.phase.is_final:
-            is_same = known.belongs_to(self.order) and state.belongs_to(self.order)
+            is_same = self._is_of_order(known) and self._is_of_order(state)
             if is_same and not state.phase.is_final:
                 return False
         self.state = state
@@ -215,11 +223,17 @@
 
     @property
     def is_withdrawal_unknown(self):
-        """Whether an order was withdrawn before a state was written for it.
+        """Whether an order was withdrawn before `DONE`, and no state says so.
 
-        A VM that starts later would not know which versions were in use before.
+        A VM that starts later would not know which versions were in use before, or
+        would take the state for one of a later order.
         """
-        return self.withdrawn_order is not None and self.state is None
+        if self.withdrawn_order is None:
+            return False
+        state = self.state
+        if state is None:
+            return True
+        return state.phase is not Phase.DONE and state.order_revision != NO_ORDER
 
     @property
     def has_rewritten_order(self):
@@ -238,9 +252,20 @@
     def get_current_state(self):
         """Return the state of the current order, or None."""
         state = self.state
-        if state is not None and state.belongs_to(self.order):
-            return state
-        return None
+        return state if state is not None and self._is_of_order(state) else None
+
+    def _is_of_order(self, state):
+        """Return whether a state is one of the order.
+
+        A VM that has held the order without interruption knows all its revisions. One
+        that has started since takes over only the end of an order that was written
+        again: another order of the version must not begin with all traffic.
+        """
+        if not state.belongs_to(self.order):
+            return False
+        if state.order_revision in self._order_revisions:
+            return True
+        return self._inherits_end and state.phase.is_final
 
     def _derive_versions(self):
         state = self.state
@@ -394,6 +419,13 @@
     return (known.version, known.duration_s) == (order.version, order.duration_s)
 
 
+def is_written_again(known, order):
+    """Return whether an order is the known one, written again after a restore."""
+    if known is None or order is None or order.version != known.version:
+        return False
+    return order.revision >> ERA_BITS > known.revision >> ERA_BITS
+
+
 def is_renewal(known, state):
     """Return whether two states differ only in the time used."""
     if known is None or state is None:
--- a/tests/rolloutworld.py
+++ b/tests/rolloutworld.py
@@ -199,8 +199,10 @@
         order, _ = self.store["order"]
         self.store = {key: self.store[key] for key in keys}
         for vm in self.vms:
-            for key in {"order", "state"} - set(keys):
-                vm.changes.append((self.now + 0.1, key, None, self.revision))
+            if "state" not in keys:
+                vm.changes.append((self.now + 0.1, "state", None, self.revision))
+            # VMs retain the order that the copy lacks; see `revisions`.
+            vm.changes.append((self.now + 0.1, "order", order, 0))
         for key in keys:
             self.put(key, self.store[key][0])
         self.put("order", order)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,6 +5,7 @@
 import orjson
 import testtools
 
+from tarragonchute.rolloutcoordinator import build_withdrawal
 from tarragonchute.rolloutevidence import (
     AnswerCounts,
     Outcome,
@@ -182,6 +183,41 @@
         self.rollouts.replace_all({"s": build_order(revision=0)}, {}, 5.0)
         self.assertEqual([], self.rollouts.list_running())
 
+    def test_version_ordered_again_in_a_later_era(self):
+        """Guards against an order that inherits the traffic of a withdrawn one."""
+        later = (1 << ERA_BITS) + 5
+        for phase in (Phase.FULL, Phase.ROLLED_BACK):
+            self.rollouts = self.build()
+            self.rollouts.set_order("s", build_order(), 0.0)
+            state = build_state(phase, 1.0)
+            self.rollouts.set_state("s", state, 0.1)
+            self.rollouts.set_order("s", None, 0.2)
+            (rollout,) = self.rollouts.list_withdrawn()
+            withdrawal = build_withdrawal(rollout).state
+            for known in (None, withdrawal):
+                self.rollouts.set_state("s", known, 0.3)
+                self.rollouts.set_order("s", build_order(revision=later), 0.4)
+                self.assertEqual(["v1"], self.filter(V1, V2))
+                self.assertIsNone(rollout.get_current_state())
+                self.assertTrue(rollout.is_running)
+                self.rollouts.set_order("s", None, 0.5)
+            self.assertEqual([], self.rollouts.list_withdrawn())
+            # A VM that has started since.
+            for known in (state, withdrawal):
+                self.rollouts = self.build()
+                orders = {"s": build_order(revision=later)}
+                self.rollouts.replace_all(orders, {"s": (known, 9)}, 1.0)
+                self.assertEqual(["v1"], self.filter(V1, V2))
+
+    def test_order_is_held_across_a_restore(self):
+        """Guards against a rollout that starts again with the store's next era."""
+        self.rollouts.set_order("s", build_order(), 0.0)
+        self.rollouts.set_state("s", build_state(Phase.FULL, 1.0), 0.1)
+        for era in (1, 2):
+            order = build_order(revision=(era << ERA_BITS) + 5)
+            self.rollouts.set_order("s", order, 0.2)
+            self.assertEqual((NEW, OLD), self.choose())
+
     def test_older_state_is_ignored(self):
         """Guards against a change that arrives after a newer one was read."""
         self.rollouts.set_order("s", build_order(), 0.0)
