--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -189,6 +189,10 @@
             self.state = state
             self.state_seen_at = now
             return False
+        is_current = known is not None and self._is_of_order(known)
+        if is_current and state.order_revision < known.order_revision:
+            # A restored copy has the state of an earlier order.
+            return False
         if known is not None and known.phase.is_final:
             is_same = self._is_of_order(known) and self._is_of_order(state)
             if is_same and not state.phase.is_final:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -218,6 +218,20 @@
             self.rollouts.set_order("s", order, 0.2)
             self.assertEqual((NEW, OLD), self.choose())
 
+    def test_state_of_an_earlier_order(self):
+        """Guards against a restored state that replaces the end of a later rollout."""
+        for phase, expected in ((Phase.DONE, "v2"), (Phase.ROLLED_BACK, "v1")):
+            self.rollouts = self.build()
+            self.rollouts.set_order("s", build_order(), 0.0)
+            self.rollouts.set_state("s", build_state(phase), 0.1, 9)
+            base = ("v0",) if phase is Phase.DONE else ("v2",)
+            earlier = RolloutState(3, "v1", base, phase, 1.0, 0.0)
+            later = 1 << ERA_BITS
+            self.rollouts.set_state("s", earlier, 0.2, later + 4)
+            self.assertEqual([expected], self.filter(V1, V2))
+            self.rollouts.set_order("s", build_order(revision=later + 5), 0.3)
+            self.assertTrue(self.rollouts.get("s").has_rewritten_order)
+
     def test_older_state_is_ignored(self):
         """Guards against a change that arrives after a newer one was read."""
         self.rollouts.set_order("s", build_order(), 0.0)
