Give all traffic late only if it can be observed before the limit

A canary that had lasted as long as it may got all traffic at any time before the limit, and done followed 0.1 s later, without acknowledgements. It is now rolled back if less than 1 s (at most a twelfth of the duration) is left before the last moment, and acknowledgements are awaited for that long. The deputy decides 0.3 s earlier, so that it meets the limit after its delay.

--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -48,8 +48,8 @@
 so that a deputy or a slow store still meets it."""
 
 DEPUTY_LEAD_S = 0.3
-"""Time by which `DONE` is due earlier for the deputy, whose delay would otherwise leave
-0.3 s before a limit of 8 s or less."""
+"""Time by which late decisions are due earlier for the deputy, whose delay would
+otherwise leave 0.3 s before a limit of 8 s or less."""
 
 LAST_MOMENT_S = 0.8
 """Time before the end at which `DONE` is written although VMs have not acknowledged
@@ -57,6 +57,12 @@
 the rest of its lease of 12 s; one that is in touch with the store has applied `FULL`
 by then."""
 
+MIN_FULL_S = 1.0
+MIN_FULL_FRACTION = 1 / 12
+"""Shortest time in `FULL` before `DONE` is written although VMs have not acknowledged
+it, and its largest part of the duration: the state reaches a VM in 0.5 s, and its
+evidence the coordinator in another 0.5 s."""
+
 MIN_CAPACITY = 0.6
 """Slots of the new targets, as a part of those of the old ones, that are enough to give
 them all traffic before `LATEST_FULL_FRACTION`."""
@@ -285,7 +291,7 @@
             return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
         if state.phase is Phase.FULL:
             change = self._finish(
-                rollout, coordination, vms, targets, comparison, elapsed_s
+                rollout, coordination, vms, targets, comparison, elapsed_s, now
             )
         else:
             change = self._advance(
@@ -340,7 +346,8 @@
         latest_at = LATEST_FULL_FRACTION * choose_done_time(duration_s) / DONE_FRACTION
         if targets.new_slots and coordination.first_target_at is None:
             coordination.first_target_at = elapsed_s
-        if elapsed_s >= max(latest_at, full_at + NOTICE_S / 4):
+        lead_s = coordination.rank * DEPUTY_LEAD_S
+        if elapsed_s >= max(latest_at - lead_s, full_at + NOTICE_S / 4):
             return self._decide_late(rollout, targets, comparison, elapsed_s)
         if not targets.new_slots or comparison.is_suspect:
             return None
@@ -370,6 +377,8 @@
             reason = "no target of the version has registered"
         elif comparison.is_suspect:
             reason = f"{comparison.bad} of {comparison.answers} answers are bad"
+        elif elapsed_s > _choose_latest_full_time(rollout.order.duration_s):
+            reason = "too little time is left to observe it with all traffic"
         else:
             return self._give_all_traffic(rollout, comparison, elapsed_s)
         return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
@@ -413,7 +422,7 @@
         is_first = share <= self._get_canary_share()
         return is_first and rate > 0 and used_fraction >= EARLY_FRACTION
 
-    def _finish(self, rollout, coordination, vms, targets, comparison, elapsed_s):
+    def _finish(self, rollout, coordination, vms, targets, comparison, elapsed_s, now):
         """Return the change to `DONE` once no VM uses the old versions, or None."""
         duration_s = rollout.order.duration_s
         lead_s = coordination.rank * DEPUTY_LEAD_S
@@ -426,8 +435,12 @@
             reason = f"{comparison.bad} of {comparison.answers} answers are bad"
             return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
         missing = self._list_missing_acknowledgements(rollout, coordination, vms)
-        last_moment_s = duration_s - LAST_MOMENT_S - coordination.rank * DEPUTY_DELAY_S
-        if missing and elapsed_s < last_moment_s:
+        delay_s = coordination.rank * DEPUTY_DELAY_S
+        last_moment_s = duration_s - LAST_MOMENT_S - delay_s
+        # Renewals of the state state a later time.
+        full_s = max(elapsed_s - rollout.state.elapsed_s, now - coordination.step_since)
+        is_observed = full_s + delay_s >= _choose_shortest_full_time(duration_s)
+        if missing and (elapsed_s < last_moment_s or not is_observed):
             return None
         reason = "all traffic was served well"
         if missing:
@@ -527,6 +540,15 @@
     return min(FULL_FRACTION * duration_s, 0.75 * choose_done_time(duration_s))
 
 
+def _choose_shortest_full_time(duration_s):
+    return min(MIN_FULL_S, MIN_FULL_FRACTION * duration_s)
+
+
+def _choose_latest_full_time(duration_s):
+    """Return the time since the order until which a version may get all traffic."""
+    return duration_s - LAST_MOMENT_S - _choose_shortest_full_time(duration_s)
+
+
 def _build_change(rollout, phase, share, elapsed_s, status, reason):
     order = rollout.order
     base = sorted(rollout.base)
--- a/tests/test_rolloutcoordinator.py
+++ b/tests/test_rolloutcoordinator.py
@@ -373,6 +373,33 @@
             self.check_done(world)
 
 
+class LateDecisionTests(RolloutCase):
+    """Decisions shortly before the time limit."""
+
+    def test_all_traffic_only_if_it_can_be_observed(self):
+        """Guards against `DONE` for a version that nobody observed with all traffic."""
+        for duration_s in (12.0, 8.0, 4.0):
+            for late_by_s in (1.8, 1.2, 0.5):
+                self.check_late_targets(duration_s, late_by_s)
+
+    def check_late_targets(self, duration_s, late_by_s):
+        world = self.start(versions=("v1",))
+        world.order("v2", duration_s)
+        # A VM whose key is still listed does not acknowledge anything.
+        others = [vm for vm in world.vms if vm not in world.get_coordinators()]
+        world.kill(others[0])
+        world.run(duration_s - late_by_s)
+        world.targets += World(answer_well, versions=("v2",)).targets
+        phases = []
+        while world.now < world.ordered_at + duration_s:
+            world.run(0.1)
+            phases.append(world.get_phase())
+        self.assertTrue(phases[-1].is_final, (duration_s, late_by_s))
+        if phases[-1] is Phase.DONE:
+            shortest = 10 * min(1.0, duration_s / 12) - 1
+            self.assertGreater(phases.count(Phase.FULL), shortest)
+
+
 class CoordinatorChoiceTests(testtools.TestCase):
     """Which VMs coordinate a service."""
 
