Compare states with the revision from which a change was planned

The revision that a write expects was read when its task started. A state that the watch delivered between planning and that moment was overwritten unjudged.

--- a/tarragonchute/rolloutexchange.py
+++ b/tarragonchute/rolloutexchange.py
@@ -125,7 +125,9 @@
         for change in changes:
             if change.service not in self._writing:
                 self._writing.add(change.service)
-                nursery.start_soon(self._write, change)
+                # Before anything else runs: the change was planned from these.
+                writes, conditions = self._prepare(change)
+                nursery.start_soon(self._write, change, writes, conditions)
 
     async def _send(self, message):
         result = "failed"
@@ -174,19 +176,23 @@
         self._metrics.count_rollout_report("received")
         return HttpResponse(200)
 
-    async def _write(self, change):
-        """Write a state, and the status with it, if both are as this VM knows them.
+    def _prepare(self, change):
+        """Return what `put_all` takes for a state, and the status with it.
 
-        The order must be the same, too: it may have been withdrawn or replaced.
+        Both must be as this VM knows them, and the order must be the same: it may have
+        been withdrawn or replaced.
         """
-        service = change.service
-        state_key = STATE_PREFIX + service
-        status_key = self._status_prefix + service
+        state_key = STATE_PREFIX + change.service
+        status_key = self._status_prefix + change.service
         writes = [(state_key, change.state.encode(), self._get_revision(state_key))]
         if change.status is not None:
             revision = self._get_revision(status_key)
             writes.append((status_key, self._encode_status(change), revision))
-        conditions = self._choose_conditions(service)
+        return writes, self._choose_conditions(change.service)
+
+    async def _write(self, change, writes, conditions):
+        """Write a state, and the status with it, as `_prepare` has returned them."""
+        service = change.service
         result = "ok"
         try:
             revision = await self._store.put_all(writes, conditions)
@@ -196,7 +202,7 @@
             self._rollouts.set_state(service, change.state, now, revision)
         except (StoreConflictError, StoreOutcomeUnknownError) as error:
             result = error.code
-            await self._read_again(service, state_key, status_key)
+            await self._read_again(service)
             if all(self._get_revision(key) == known for key, _, known in writes):
                 # Lost, or the order has changed and the watch has not delivered it.
                 await trio.sleep(FAILED_WRITE_DELAY_S)
@@ -220,8 +226,10 @@
                 },
             )
 
-    async def _read_again(self, service, state_key, status_key):
+    async def _read_again(self, service):
         """Read state and status, because another VM or a lost write changed them."""
+        state_key = STATE_PREFIX + service
+        status_key = self._status_prefix + service
         try:
             entry = await self._store.get(state_key)
             status = await self._store.get(status_key)
--- a/tests/test_rolloutexchange.py
+++ b/tests/test_rolloutexchange.py
@@ -1,6 +1,7 @@
 """Tests of the transport of evidence, the writing of states, and the wiring."""
 
 import contextlib
+import types
 
 import orjson
 import testtools
@@ -179,11 +180,38 @@
                 state = orjson.loads((await store.get(STATE_KEY)).value)
                 self.assertEqual("canary", state["phase"])
 
-    async def write(self, vm, state):
+    @run_in_virtual_time
+    async def test_state_changes_after_planning(self):
+        """Guards against a newer state that is overwritten unjudged."""
+        async with self.open_vm() as (store, vm):
+            order = await store.put(ORDER_KEY, encode(ORDER), 0)
+            await trio.sleep(1.0)
+            known = {key: vm.watcher.get_entry(key) for key in (ORDER_KEY, STATE_KEY)}
+            state = orjson.loads(known[STATE_KEY].value)
+            text = encode({**state, "phase": "rolled_back"})
+            vm.watcher.get_entry = known.get
+            revision = await store.put(STATE_KEY, text, known[STATE_KEY].revision)
+            done = RolloutState(order, "v2", ["v1"], Phase.DONE, 1.0, 8.0)
+            plans = [([], [self.build_change(done)])]
+            agent = types.SimpleNamespace(
+                advance=lambda now: plans.pop() if plans else ([], [])
+            )
+            vm.exchange._agent = agent
+            async with trio.open_nursery() as nursery:
+                vm.exchange._advance(nursery, trio.current_time())
+                # The watch delivers the newer state before the write starts.
+                vm.exchange._revisions[STATE_KEY] = revision
+            self.assertEqual(text, (await store.get(STATE_KEY)).value)
+
+    def build_change(self, state):
         change = type("Change", (), {})()
         change.service, change.state = "desk", state
         change.status, change.reason = None, ""
-        await vm.exchange._write(change)
+        return change
+
+    async def write(self, vm, state):
+        change = self.build_change(state)
+        await vm.exchange._write(change, *vm.exchange._prepare(change))
 
     @run_in_virtual_time
     async def test_order_withdrawn(self):
