Count moved attempts as ended, and a braked VM as not drained

An attempt that is moved to another target stayed in flight at its version for ever, so that the VM never acknowledged full. A VM that has stopped using the new version by its own evidence acknowledged full while it sent all requests to the old one.

--- a/tarragonchute/rolloutreports.py
+++ b/tarragonchute/rolloutreports.py
@@ -30,7 +30,7 @@
     step : list
         `RolloutState.step` of the state that the VM applies.
     is_drained : bool
-        Whether it has no request in flight at old targets.
+        Whether it has no request in flight at old targets, and sends no more to them.
     elapsed_s : float
         Time since the order, as far as the VM knows.
     sent, candidate_sent : int
@@ -64,7 +64,7 @@
         self.order_revision = rollout.order.revision
         state = rollout.get_current_state()
         self.step = state.step if state is not None else []
-        self.is_drained = not rollout.count_old_in_flight()
+        self.is_drained = not (rollout.is_braked or rollout.count_old_in_flight())
         self.elapsed_s = rollout.get_elapsed_s(now)
         self.sent = rollout.sent
         self.candidate_sent = rollout.candidate_sent
--- a/tarragonchute/subrequests.py
+++ b/tarragonchute/subrequests.py
@@ -295,6 +295,7 @@
         if target is None:
             return False
         exchange.pool.abandon(exchange, now)
+        self._record_outcome(exchange, Outcome.NOT_RUN, now)
         self._in_flight.remove(exchange)
         self._tried_targets.remove(exchange.target)
         self.possible_runs -= 1
--- a/tests/test_rolloutexchange.py
+++ b/tests/test_rolloutexchange.py
@@ -429,6 +429,18 @@
             self.assertEqual(expected, timed, closed_at)
             self.assertEqual({}, rollout.in_flight)
 
+    def test_moved_attempts(self):
+        """Guards against an attempt that counts as in flight for ever."""
+        harness, rollout = self.build(Phase.FULL)
+        query = build_single(harness)
+        exchange = harness.started[0]
+        exchange.sent_at = None
+        exchange.has_waited_for_room = True
+        self.assertTrue(query.subrequests[0]._move(exchange, 0.05))
+        self.assertEqual(["v2", "v1"], self.list_versions(harness))
+        self.assertEqual({"v1": 1}, rollout.in_flight)
+        self.assertEqual(1, rollout.sent)
+
     def test_queued_requests_fail_after_a_rollback(self):
         """Guards against a request that is sent once its connection is open."""
         harness, rollout = self.build(Phase.FULL)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -434,6 +434,13 @@
         fields = (report.sent, report.candidate_sent, report.is_drained)
         return (*fields, round(report.elapsed_s, 1))
 
+    def test_braked_vm_is_not_drained(self):
+        """Guards against `DONE` while a VM still sends requests to the old version."""
+        rollout = self.start()
+        self.assertTrue(VmReport("vm", "p", rollout, 2.0).is_drained)
+        rollout.is_braked = True
+        self.assertFalse(VmReport("vm", "p", rollout, 2.0).is_drained)
+
     def test_malformed_counts(self):
         """Guards against a message that raises an unexpected error."""
         for row in ([], [1], [1, 2, 3], [-1, 0, []], [0, 0, [[1.5, 1]]], None):
