Roll back a version that was sent requests and has never answered

Refused requests are no evidence, so that a version that refuses everything became done. A rate of 0 no longer raises ZeroDivisionError in the choice of a step.

--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -63,6 +63,10 @@
 it, and its largest part of the duration: the state reaches a VM in 0.5 s, and its
 evidence the coordinator in another 0.5 s."""
 
+MIN_UNANSWERED = 5
+"""Requests to a version without an answer after which it is not trusted. It may refuse
+all of them, and requests that have not run are no evidence."""
+
 MIN_CAPACITY = 0.6
 """Slots of the new targets, as a part of those of the old ones, that are enough to give
 them all traffic before `LATEST_FULL_FRACTION`."""
@@ -289,13 +293,20 @@
                 f"route {comparison.route or 'any'}"
             )
             return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
+        unanswered = _count_unanswered(coordination, new)
         if state.phase is Phase.FULL:
+            full_s = now - coordination.step_since
+            if unanswered and full_s >= _choose_shortest_full_time(
+                rollout.order.duration_s
+            ):
+                reason = f"none of {unanswered} requests was answered"
+                return _end(rollout, Phase.ROLLED_BACK, elapsed_s, reason)
             change = self._finish(
                 rollout, coordination, vms, targets, comparison, elapsed_s, now
             )
         else:
             change = self._advance(
-                rollout, coordination, targets, comparison, elapsed_s, now
+                rollout, coordination, targets, comparison, unanswered, elapsed_s, now
             )
         return change or self._renew(rollout, elapsed_s)
 
@@ -339,7 +350,9 @@
         status = "running"
         return _build_change(rollout, Phase.FULL, 1.0, elapsed_s, status, reason)
 
-    def _advance(self, rollout, coordination, targets, comparison, elapsed_s, now):
+    def _advance(
+        self, rollout, coordination, targets, comparison, unanswered, elapsed_s, now
+    ):
         """Return the change to a step, to `FULL` or to the end of a canary, or None."""
         duration_s = rollout.order.duration_s
         full_at = choose_full_time(duration_s)
@@ -348,8 +361,10 @@
             coordination.first_target_at = elapsed_s
         lead_s = coordination.rank * DEPUTY_LEAD_S
         if elapsed_s >= max(latest_at - lead_s, full_at + NOTICE_S / 4):
-            return self._decide_late(rollout, targets, comparison, elapsed_s)
-        if not targets.new_slots or comparison.is_suspect:
+            return self._decide_late(
+                rollout, targets, comparison, unanswered, elapsed_s
+            )
+        if not targets.new_slots or comparison.is_suspect or unanswered:
             return None
         if now - coordination.began_at < FRESH_S:
             return None
@@ -367,7 +382,7 @@
             return None
         return self._give_all_traffic(rollout, comparison, elapsed_s)
 
-    def _decide_late(self, rollout, targets, comparison, elapsed_s):
+    def _decide_late(self, rollout, targets, comparison, unanswered, elapsed_s):
         """Return the change for a canary that has lasted as long as it may."""
         if elapsed_s >= rollout.order.duration_s:
             reason = "no verdict before the time limit"
@@ -375,6 +390,8 @@
             if elapsed_s < choose_done_time(rollout.order.duration_s):
                 return None
             reason = "no target of the version has registered"
+        elif unanswered:
+            reason = f"none of {unanswered} requests was answered"
         elif comparison.is_suspect:
             reason = f"{comparison.bad} of {comparison.answers} answers are bad"
         elif elapsed_s > _choose_latest_full_time(rollout.order.duration_s):
@@ -405,11 +422,13 @@
         permitted = limits.expose_share * rate * duration_s + limits.expose_slack
         left = USABLE_FRACTION * permitted - used
         until_full_s = choose_full_time(duration_s) - elapsed_s
+        if not rate:
+            return None
         if until_full_s <= NOTICE_S:
             if rate * NOTICE_S <= left:
                 return None
             next_share = min(MAX_STEP_SHARE, left / (rate * NOTICE_S))
-        elif self._can_step_early(share, rate, elapsed_s / duration_s):
+        elif self._can_step_early(share, elapsed_s / duration_s):
             unreleased = 1 - min(elapsed_s / (SLACK_RELEASE_FRACTION * duration_s), 1)
             left -= limits.expose_slack * CANARY_SLACK_FRACTION * unreleased
             left -= rate * NOTICE_S
@@ -418,9 +437,9 @@
             return None
         return round(next_share, 3) if next_share >= 2 * share else None
 
-    def _can_step_early(self, share, rate, used_fraction):
+    def _can_step_early(self, share, used_fraction):
         is_first = share <= self._get_canary_share()
-        return is_first and rate > 0 and used_fraction >= EARLY_FRACTION
+        return is_first and used_fraction >= EARLY_FRACTION
 
     def _finish(self, rollout, coordination, vms, targets, comparison, elapsed_s, now):
         """Return the change to `DONE` once no VM uses the old versions, or None."""
@@ -540,6 +559,14 @@
     return min(FULL_FRACTION * duration_s, 0.75 * choose_done_time(duration_s))
 
 
+def _count_unanswered(coordination, new):
+    """Return the requests to a new version that has never answered, if not too few."""
+    if any(counts.count_all() for counts in new.values()):
+        return 0
+    sent = sum(report.candidate_sent for report in coordination.reports.values())
+    return sent if sent >= MIN_UNANSWERED else 0
+
+
 def _choose_shortest_full_time(duration_s):
     return min(MIN_FULL_S, MIN_FULL_FRACTION * duration_s)
 
--- a/tests/rolloutworld.py
+++ b/tests/rolloutworld.py
@@ -116,7 +116,7 @@
     ----------
     answer : callable
         Takes version, route and time since the order; returns whether the request
-        succeeds and how long it takes. None for a version that is not registered.
+        succeeds and how long it takes, or None if it is refused.
     size : int
         Number of VMs.
     rate : float
@@ -306,7 +306,11 @@
         self.events.append((self.now, vm.info.vm_id, version))
         rollouts.record_sent("s", version)
         since_order_s = self.now - (self.ordered_at or self.now)
-        is_good, factor = self.answer(version, route, since_order_s)
+        answer = self.answer(version, route, since_order_s)
+        if answer is None:
+            rollouts.record(route, "s", version, Outcome.NOT_RUN, 0.0, self.now)
+            return
+        is_good, factor = answer
         elapsed_s = USUAL_S * factor * self.random.lognormvariate(0.0, 0.5)
         outcome = Outcome.GOOD if is_good else Outcome.FAILED
         if version == "v2" and (not is_good or factor > 2):
--- a/tests/test_rolloutcoordinator.py
+++ b/tests/test_rolloutcoordinator.py
@@ -373,6 +373,52 @@
             self.check_done(world)
 
 
+class RefusalTests(RolloutCase):
+    """Versions that refuse requests."""
+
+    def test_version_refuses_everything(self):
+        """Guards against `DONE` for a version that has never answered."""
+        for size, rate in ((6, 24.0), (58, 24.0), (6, 200.0)):
+            for start_s in (0.0, 5.0):
+                # The targets come late in the second case.
+                versions = ("v1",) if start_s else ("v1", "v2")
+                answer = self.refuse_after(DURATION_S)
+                world = self.start(answer, size=size, rate=rate, versions=versions)
+                world.run(start_s)
+                if start_s:
+                    world.targets += World(answer, versions=("v2",)).targets
+                world.run(DURATION_S + 0.5 - start_s)
+                self.assertEqual("rolled_back", world.get_status(), (size, rate))
+                self.assertLess(world.statuses[-1][0], DURATION_S)
+
+    def test_version_refuses_while_it_starts(self):
+        """Guards against a rollback of a version that needs seconds to start."""
+        world = self.start(self.refuse_after(4.0))
+        world.run(DURATION_S + 1)
+        self.check_done(world)
+
+    def test_refused_requests_only(self):
+        """Guards against a division by zero if no request counts."""
+        world = self.start(lambda version, route, since_order_s: None, rate=200.0)
+        world.run(7.0)
+        vm = world.get_coordinators()[0]
+        coordinator = vm.agent._coordinator
+        coordination = coordinator._coordinations["s"]
+        for report in coordination.reports.values():
+            report.sent, report.candidate_sent = 0, 100
+        rollout = vm.rollouts.get("s")
+        self.assertIsNone(coordinator._choose_step_share(rollout, coordination, 7.0))
+        world.run(DURATION_S - 6.0)
+        self.assertEqual("rolled_back", world.get_status())
+
+    def refuse_after(self, until_s):
+        def answer(version, route, since_order_s):
+            is_refused = version == "v2" and since_order_s < until_s
+            return None if is_refused else (True, 1.0)
+
+        return answer
+
+
 class LateDecisionTests(RolloutCase):
     """Decisions shortly before the time limit."""
 
