--- a/tarragonchute/rolloutexchange.py
+++ b/tarragonchute/rolloutexchange.py
@@ -59,19 +59,22 @@
     gateway : gateway.Gateway
     store : store.Store
     watcher : storewatcher.StoreWatcher
-    status_prefix : str
-        Prefix of the keys of the status for the operator.
+    order_prefix, status_prefix : str
+        Prefixes of the keys of the operator's orders, and of the status for them.
     encode_status : callable
         Takes a `rolloutcoordinator.StateChange`; returns the status.
     """
 
-    def __init__(self, gateway, store, watcher, status_prefix, encode_status):
+    def __init__(
+        self, gateway, store, watcher, order_prefix, status_prefix, encode_status
+    ):
         self._rollouts = gateway.rollouts
         self._metrics = gateway.metrics
         self._fleet = gateway.fleet
         self._registry = gateway.registry
         self._store = store
         self._watcher = watcher
+        self._order_prefix = order_prefix
         self._status_prefix = status_prefix
         self._encode_status = encode_status
         self._agent = RolloutAgent(
@@ -122,7 +125,9 @@
         for change in changes:
             if change.service not in self._writing:
                 self._writing.add(change.service)
-                nursery.start_soon(self._write, change)
+                # Before anything else runs: the change was planned from these.
+                writes, conditions = self._prepare(change)
+                nursery.start_soon(self._write, change, writes, conditions)
 
     async def _send(self, message):
         result = "failed"
@@ -171,25 +176,36 @@
         self._metrics.count_rollout_report("received")
         return HttpResponse(200)
 
-    async def _write(self, change):
-        """Write a state, and the status with it, if both are as this VM knows them."""
-        service = change.service
-        state_key = STATE_PREFIX + service
-        status_key = self._status_prefix + service
+    def _prepare(self, change):
+        """Return what `put_all` takes for a state, and the status with it.
+
+        Both must be as this VM knows them, and the order must be the same: it may have
+        been withdrawn or replaced.
+        """
+        state_key = STATE_PREFIX + change.service
+        status_key = self._status_prefix + change.service
         writes = [(state_key, change.state.encode(), self._get_revision(state_key))]
         if change.status is not None:
             revision = self._get_revision(status_key)
             writes.append((status_key, self._encode_status(change), revision))
+        return writes, self._choose_conditions(change.service)
+
+    async def _write(self, change, writes, conditions):
+        """Write a state, and the status with it, as `_prepare` has returned them."""
+        service = change.service
         result = "ok"
         try:
-            revision = await self._store.put_all(writes)
+            revision = await self._store.put_all(writes, conditions)
             for key, _, _ in writes:
                 self._revisions[key] = revision
             now = trio.current_time()
             self._rollouts.set_state(service, change.state, now, revision)
         except (StoreConflictError, StoreOutcomeUnknownError) as error:
             result = error.code
-            await self._read_again(service, state_key, status_key)
+            await self._read_again(service)
+            if all(self._get_revision(key) == known for key, _, known in writes):
+                # Lost, or the order has changed and the watch has not delivered it.
+                await trio.sleep(FAILED_WRITE_DELAY_S)
         except TarragonchuteError as error:
             result = error.code
             await trio.sleep(FAILED_WRITE_DELAY_S)
@@ -210,8 +226,10 @@
                 },
             )
 
-    async def _read_again(self, service, state_key, status_key):
+    async def _read_again(self, service):
         """Read state and status, because another VM or a lost write changed them."""
+        state_key = STATE_PREFIX + service
+        status_key = self._status_prefix + service
         try:
             entry = await self._store.get(state_key)
             status = await self._store.get(status_key)
@@ -225,6 +243,18 @@
             now = trio.current_time()
             self._rollouts.set_state(service, state, now, entry.revision)
 
+    def _choose_conditions(self, service):
+        """Return the condition of a write on the order, as a list for `put_all`."""
+        key = self._order_prefix + service
+        entry = self._watcher.get_entry(key)
+        if entry is not None:
+            return [(key, entry.revision)]
+        rollout = self._rollouts.get(service)
+        if rollout is not None and rollout.order is not None:
+            # The order is retained; the operator is about to write it again.
+            return []
+        return [(key, 0)]
+
     def _get_revision(self, key):
         """Return the revision of a key as this VM knows it; 0 if there is none."""
         entry = self._watcher.get_entry(key)
--- a/tests/test_rolloutexchange.py
+++ b/tests/test_rolloutexchange.py
@@ -1,6 +1,7 @@
 """Tests of the transport of evidence, the writing of states, and the wiring."""
 
 import contextlib
+import types
 
 import orjson
 import testtools
@@ -14,7 +15,11 @@
 from tarragonchute.httpio import HttpRequest, ServerOptions
 from tarragonchute.platform import decoding, settings
 from tarragonchute.platform.main import GatewayUpdater
-from tarragonchute.platform.names import HEADER_NAMES, ROLLOUT_STATUS_PREFIX
+from tarragonchute.platform.names import (
+    HEADER_NAMES,
+    ROLLOUT_ORDER_PREFIX,
+    ROLLOUT_STATUS_PREFIX,
+)
 from tarragonchute.platform.store import PlatformStore
 from tarragonchute.registry import Registration
 from tarragonchute.rolloutexchange import REPORTS_PATH, RolloutExchange
@@ -63,6 +68,7 @@
             self.gateway,
             store,
             self.watcher,
+            ROLLOUT_ORDER_PREFIX,
             ROLLOUT_STATUS_PREFIX,
             decoding.encode_rollout_status,
         )
@@ -154,11 +160,58 @@
             self.assertEqual(["v1"], vm.list_versions())
             self.assertEqual(text, (await store.get(STATE_KEY)).value)
 
-    async def write(self, vm, state):
+    @run_in_virtual_time
+    async def test_order_changes_before_a_write(self):
+        """Guards against `DONE` for an order that was withdrawn or replaced."""
+        for is_replaced in (False, True):
+            async with self.open_vm() as (store, vm):
+                order = await store.put(ORDER_KEY, encode(ORDER), 0)
+                await trio.sleep(1.0)
+                before = await store.get(STATE_KEY)
+                done = RolloutState(order, "v2", ["v1"], Phase.DONE, 1.0, 8.0)
+                known = vm.watcher.get_entry(ORDER_KEY)
+                vm.watcher.get_entry = {ORDER_KEY: known, STATE_KEY: before}.get
+                if is_replaced:
+                    text = encode({**ORDER, "target-version": "v3"})
+                    await store.put(ORDER_KEY, text, order)
+                else:
+                    await store.delete(ORDER_KEY, order)
+                await self.write(vm, done)
+                state = orjson.loads((await store.get(STATE_KEY)).value)
+                self.assertEqual("canary", state["phase"])
+
+    @run_in_virtual_time
+    async def test_state_changes_after_planning(self):
+        """Guards against a newer state that is overwritten unjudged."""
+        async with self.open_vm() as (store, vm):
+            order = await store.put(ORDER_KEY, encode(ORDER), 0)
+            await trio.sleep(1.0)
+            known = {key: vm.watcher.get_entry(key) for key in (ORDER_KEY, STATE_KEY)}
+            state = orjson.loads(known[STATE_KEY].value)
+            text = encode({**state, "phase": "rolled_back"})
+            vm.watcher.get_entry = known.get
+            revision = await store.put(STATE_KEY, text, known[STATE_KEY].revision)
+            done = RolloutState(order, "v2", ["v1"], Phase.DONE, 1.0, 8.0)
+            plans = [([], [self.build_change(done)])]
+            agent = types.SimpleNamespace(
+                advance=lambda now: plans.pop() if plans else ([], [])
+            )
+            vm.exchange._agent = agent
+            async with trio.open_nursery() as nursery:
+                vm.exchange._advance(nursery, trio.current_time())
+                # The watch delivers the newer state before the write starts.
+                vm.exchange._revisions[STATE_KEY] = revision
+            self.assertEqual(text, (await store.get(STATE_KEY)).value)
+
+    def build_change(self, state):
         change = type("Change", (), {})()
         change.service, change.state = "desk", state
         change.status, change.reason = None, ""
-        await vm.exchange._write(change)
+        return change
+
+    async def write(self, vm, state):
+        change = self.build_change(state)
+        await vm.exchange._write(change, *vm.exchange._prepare(change))
 
     @run_in_virtual_time
     async def test_order_withdrawn(self):
@@ -285,6 +338,15 @@
                     self.assertEqual(first, error.entry.revision)
                 else:
                     self.fail("no conflict")
+            for conditions in ([("b", first + 9)], [("c", first)]):
+                try:
+                    await store.put_all([("a", "3", first)], conditions)
+                except StoreConflictError:
+                    pass
+                else:
+                    self.fail("no conflict")
+            self.assertEqual("1", (await store.get("a")).value)
+            await store.put_all([("d", "1", 0)], [("a", first), ("c", 0)])
             server.store.lose_answers = 1
             try:
                 await store.put_all([("a", "3", first), ("b", "4", first)])
@@ -367,6 +429,18 @@
             self.assertEqual(expected, timed, closed_at)
             self.assertEqual({}, rollout.in_flight)
 
+    def test_moved_attempts(self):
+        """Guards against an attempt that counts as in flight for ever."""
+        harness, rollout = self.build(Phase.FULL)
+        query = build_single(harness)
+        exchange = harness.started[0]
+        exchange.sent_at = None
+        exchange.has_waited_for_room = True
+        self.assertTrue(query.subrequests[0]._move(exchange, 0.05))
+        self.assertEqual(["v2", "v1"], self.list_versions(harness))
+        self.assertEqual({"v1": 1}, rollout.in_flight)
+        self.assertEqual(1, rollout.sent)
+
     def test_queued_requests_fail_after_a_rollback(self):
         """Guards against a request that is sent once its connection is open."""
         harness, rollout = self.build(Phase.FULL)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,6 +5,7 @@
 import orjson
 import testtools
 
+from tarragonchute.rolloutcoordinator import build_withdrawal
 from tarragonchute.rolloutevidence import (
     AnswerCounts,
     Outcome,
@@ -164,6 +165,73 @@
         self.rollouts.set_state("s", None, 0.4)
         self.assertEqual(["v1"], self.filter(V1, V2))
 
+    def test_retained_order(self):
+        """Guards against a second start because a restored copy lacks the order."""
+        for phase in (Phase.CANARY, Phase.ROLLED_BACK):
+            self.rollouts = self.build()
+            self.filter(V1)
+            self.rollouts.set_order("s", build_order(), 0.0)
+            self.rollouts.set_state("s", build_state(phase), 0.1)
+            rollout = self.rollouts.get("s")
+            self.rollouts.record_sent("s", "v2")
+            self.rollouts.replace_all({"s": build_order(revision=0)}, {}, 5.0)
+            self.assertEqual(phase, rollout.get_current_state().phase)
+            self.assertEqual((1, 7), (rollout.candidate_sent, rollout.order.revision))
+            self.assertEqual(6.0, rollout.get_elapsed_s(6.0))
+        self.rollouts = self.build()
+        self.filter(V1)
+        self.rollouts.replace_all({"s": build_order(revision=0)}, {}, 5.0)
+        self.assertEqual([], self.rollouts.list_running())
+
+    def test_version_ordered_again_in_a_later_era(self):
+        """Guards against an order that inherits the traffic of a withdrawn one."""
+        later = (1 << ERA_BITS) + 5
+        for phase in (Phase.FULL, Phase.ROLLED_BACK):
+            self.rollouts = self.build()
+            self.rollouts.set_order("s", build_order(), 0.0)
+            state = build_state(phase, 1.0)
+            self.rollouts.set_state("s", state, 0.1)
+            self.rollouts.set_order("s", None, 0.2)
+            (rollout,) = self.rollouts.list_withdrawn()
+            withdrawal = build_withdrawal(rollout).state
+            for known in (None, withdrawal):
+                self.rollouts.set_state("s", known, 0.3)
+                self.rollouts.set_order("s", build_order(revision=later), 0.4)
+                self.assertEqual(["v1"], self.filter(V1, V2))
+                self.assertIsNone(rollout.get_current_state())
+                self.assertTrue(rollout.is_running)
+                self.rollouts.set_order("s", None, 0.5)
+            self.assertEqual([], self.rollouts.list_withdrawn())
+            # A VM that has started since.
+            for known in (state, withdrawal):
+                self.rollouts = self.build()
+                orders = {"s": build_order(revision=later)}
+                self.rollouts.replace_all(orders, {"s": (known, 9)}, 1.0)
+                self.assertEqual(["v1"], self.filter(V1, V2))
+
+    def test_order_is_held_across_a_restore(self):
+        """Guards against a rollout that starts again with the store's next era."""
+        self.rollouts.set_order("s", build_order(), 0.0)
+        self.rollouts.set_state("s", build_state(Phase.FULL, 1.0), 0.1)
+        for era in (1, 2):
+            order = build_order(revision=(era << ERA_BITS) + 5)
+            self.rollouts.set_order("s", order, 0.2)
+            self.assertEqual((NEW, OLD), self.choose())
+
+    def test_state_of_an_earlier_order(self):
+        """Guards against a restored state that replaces the end of a later rollout."""
+        for phase, expected in ((Phase.DONE, "v2"), (Phase.ROLLED_BACK, "v1")):
+            self.rollouts = self.build()
+            self.rollouts.set_order("s", build_order(), 0.0)
+            self.rollouts.set_state("s", build_state(phase), 0.1, 9)
+            base = ("v0",) if phase is Phase.DONE else ("v2",)
+            earlier = RolloutState(3, "v1", base, phase, 1.0, 0.0)
+            later = 1 << ERA_BITS
+            self.rollouts.set_state("s", earlier, 0.2, later + 4)
+            self.assertEqual([expected], self.filter(V1, V2))
+            self.rollouts.set_order("s", build_order(revision=later + 5), 0.3)
+            self.assertTrue(self.rollouts.get("s").has_rewritten_order)
+
     def test_older_state_is_ignored(self):
         """Guards against a change that arrives after a newer one was read."""
         self.rollouts.set_order("s", build_order(), 0.0)
@@ -366,6 +434,13 @@
         fields = (report.sent, report.candidate_sent, report.is_drained)
         return (*fields, round(report.elapsed_s, 1))
 
+    def test_braked_vm_is_not_drained(self):
+        """Guards against `DONE` while a VM still sends requests to the old version."""
+        rollout = self.start()
+        self.assertTrue(VmReport("vm", "p", rollout, 2.0).is_drained)
+        rollout.is_braked = True
+        self.assertFalse(VmReport("vm", "p", rollout, 2.0).is_drained)
+
     def test_malformed_counts(self):
         """Guards against a message that raises an unexpected error."""
         for row in ([], [1], [1, 2, 3], [-1, 0, []], [0, 0, [[1.5, 1]]], None):
