--- a/bench/queues.py
+++ b/bench/queues.py
@@ -231,7 +231,7 @@
     def apply_table(self, table):
         """See `Gateway`."""
         super().apply_table(table)
-        self._queue_policy.is_active = self._is_active
+        self.queue_policy.is_active = self._is_active
 
     def add_target(self, target_id, service, domain, generator):
         """Add a simulated target and register it."""
@@ -246,7 +246,7 @@
             self.reactor,
             registration.address,
             1,
-            self._queue_policy,
+            self.queue_policy,
             registration.service,
         )
         pool.nursery = self._nursery
