Decide in one place whether a customer has an allowance

Customer.is_limited also counted a burst without a rate, while the gateway and the allowances each compared the rate themselves; they call it now. Two comments named settings as the platform spells them. No change in behaviour: 116 tests of customers, grants, allowances, the gateway and rollouts pass.

--- a/tarragonchute/allowances.py
+++ b/tarragonchute/allowances.py
@@ -223,7 +223,7 @@
         now : float
         """
         self._version = version
-        limited = {c.name: c for c in customers if c.rate > 0}
+        limited = {c.name: c for c in customers if c.is_limited}
         for name, customer in limited.items():
             self._book.set_limits(name, version, customer.rate, customer.burst, now)
             # From now on, this VM observes whether it is the grantor.
--- a/tarragonchute/customers.py
+++ b/tarragonchute/customers.py
@@ -36,8 +36,8 @@
 
     @property
     def is_limited(self):
-        """Whether the customer has an allowance."""
-        return self.rate > 0 or self.burst > 0
+        """Whether the customer has an allowance; a burst without a rate is none."""
+        return self.rate > 0
 
 
 class CustomerTable:
--- a/tarragonchute/gateway.py
+++ b/tarragonchute/gateway.py
@@ -284,7 +284,7 @@
         try:
             route, identity = self._identify(request, request_id, started_at)
             customer = identity and identity.customer
-            if self.allowances is not None and customer and customer.rate > 0:
+            if self.allowances is not None and customer and customer.is_limited:
                 table = self.table
                 await self.allowances.acquire(customer, route.goal_s, started_at)
                 charged = customer
--- a/tarragonchute/rolloutcoordinator.py
+++ b/tarragonchute/rolloutcoordinator.py
@@ -14,7 +14,7 @@
 from .servicerollouts import CANARY_SLACK_FRACTION, SLACK_RELEASE_FRACTION
 
 CANARY_SHARE_FRACTION = 0.5
-"""Part of `expose-share` that VMs may send to the new version in `CANARY`. The rest is
+"""Part of `expose_share` that VMs may send to the new version in `CANARY`. The rest is
 for the time in which bad answers in `FULL` are not noticed yet."""
 
 EARLY_SHARE = 0.5
--- a/tarragonchute/servicerollouts.py
+++ b/tarragonchute/servicerollouts.py
@@ -14,7 +14,7 @@
 logger = logging.getLogger(__name__)
 
 CANARY_SLACK_FRACTION = 0.3
-"""Part of `expose-slack` that is divided among the VMs; at most 0.8, because VMs whose
+"""Part of `expose_slack` that is divided among the VMs; at most 0.8, because VMs whose
 lists differ round their parts differently. With 0.5, a version that turned bad in
 `FULL` exceeded the permitted exposure in the simulation at 24 requests/s."""
 
