--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -28,11 +29,18 @@
     timeout_s : float
     """
     record = Record(pathlib.Path(path).resolve().parent / "record.txt")
+
+    async def run_until_stopped():
+        # A SIGTERM to the script must not leave the processes that it has started.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(run(record), timeout_s)
+
     try:
-        is_held = asyncio.run(asyncio.wait_for(run(record), timeout_s))
+        is_held = asyncio.run(run_until_stopped())
         code = HELD if is_held else BROKEN
         record.say("the rule held" if is_held else "the rule was broken")
-    except Exception:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         traceback.print_exc()
         record.say("the case could not run")
         code = NOT_RUN
